--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format bench clean
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/hornbeamreach demo --example=examples/brettwerk.toml
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/black --check --quiet src tests benches
+	$(BIN)/ruff check --quiet src tests benches
+
+format: $(VENV)/.installed
+	$(BIN)/black --quiet src tests benches
+	$(BIN)/ruff check --quiet --fix src tests benches
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benches.run_all
+
+clean:
+	rm -rf $(VENV) build bench-out
--- /dev/null
+++ b/src/hornbeamreach/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/hornbeamreach/cli/main.py
@@ -0,0 +1,360 @@
+"""The program `hornbeamreach`."""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+import httpcore
+import trio
+
+from hornbeamreach.cli.output import EXIT_REFUSED, fail, print_columns, print_json, say
+from hornbeamreach.cli.profile import load_profile
+from hornbeamreach.converters import structure, to_plain
+from hornbeamreach.demo.deployment import sha256
+from hornbeamreach.demo.scenario import run_demo
+from hornbeamreach.exceptions import HornbeamreachError, RefusedError, TableError
+from hornbeamreach.logs import configure_logs
+from hornbeamreach.settings import guess_kind, load_settings
+from hornbeamreach.tables.control_state import OrderAction
+from hornbeamreach.tables.declared import ROW_CLASSES, DeclaredTable, row_columns
+from hornbeamreach.tables.table_file import (
+    compare_tables,
+    edits_between,
+    format_toml,
+    load_table,
+)
+from hornbeamreach.verdict import Reason
+from hornbeamreach.web.client import OperatorClient
+
+KEY_BYTES = 24
+TOKEN_BYTES = 8
+
+
+def _client() -> OperatorClient:
+    profile = load_profile()
+    return OperatorClient(addresses=profile.control, credential=profile.credential)
+
+
+def _new_operation_id() -> str:
+    return f"op-{secrets.token_hex(TOKEN_BYTES)}"
+
+
+def _fetch_table(client: OperatorClient) -> tuple[DeclaredTable, dict[str, Any]]:
+    answer = client.send("GET", "/operator/v1/table")
+    return structure(answer["table"], DeclaredTable, error=TableError), answer
+
+
+def _send_operation(path: str, body: dict[str, Any], operation: str, json: bool) -> None:
+    """Send an operation; on a lost answer, tell how to send it again."""
+    operation_id = operation or _new_operation_id()
+    try:
+        answer = _client().send(
+            "POST", f"/operator/v1/{path}", {"operation_id": operation_id, **body}
+        )
+    except RefusedError as exc:
+        exc.detail += f" (operation {operation_id})"
+        raise
+    if json:
+        print_json(answer)
+    else:
+        say(f"accepted as version {answer['version']} (operation {answer['operation_id']})")
+
+
+class TableCommands:
+    """Show, compare, apply and export the declared table."""
+
+    def show(self, kind: str = "", json: bool = False) -> None:
+        """Show the table in force, a section a kind and a column a setting.
+
+        Args:
+            kind: show only teams, pools, services, queues or vms.
+            json: print JSON with the rows' versions.
+        """
+        table, answer = _fetch_table(_client())
+        if kind and kind not in ROW_CLASSES:
+            raise TableError(f"unknown kind; known: {', '.join(ROW_CLASSES)}", path=kind)
+        if json:
+            print_json(answer)
+            return
+        say(f"version {answer['version']}")
+        for name in [kind] if kind else ROW_CLASSES:
+            _print_rows(name, table.rows(name), answer["row_versions"].get(name, {}))
+
+    def diff(self, file: str, json: bool = False) -> None:
+        """Show what applying a file would change.
+
+        Args:
+            file: a table in TOML.
+            json: print JSON.
+        """
+        wanted = load_table(file)
+        table, _ = _fetch_table(_client())
+        differences = compare_tables(table, wanted)
+        if json:
+            print_json(differences)
+            return
+        for difference in differences:
+            say(difference.describe())
+        if not differences:
+            say("no differences")
+
+    def apply(self, file: str, operation: str = "", json: bool = False) -> None:
+        """Make the table equal to a file: accepted and in force everywhere, or refused.
+
+        Rows that another operator has changed meanwhile make the whole change refused.
+
+        Args:
+            file: a table in TOML.
+            operation: the id of an operation to send again after a lost answer.
+            json: print JSON.
+        """
+        wanted = load_table(file)
+        table, answer = _fetch_table(_client())
+        edits = edits_between(table, wanted, answer["row_versions"])
+        if not edits:
+            say("no differences")
+            return
+        _send_operation("changes", {"edits": to_plain(edits)}, operation, json)
+
+    def export(self) -> None:
+        """Print the table in force as TOML that apply takes back unchanged."""
+        table, _ = _fetch_table(_client())
+        print(format_toml(table), end="")
+
+
+def _print_rows(kind: str, rows: dict[str, Any], versions: dict[str, int]) -> None:
+    say(f"\n[{kind}]")
+    if not rows:
+        say("(no rows)")
+        return
+    columns = list(row_columns(next(iter(rows.values()))))
+    table = [["name", *columns, "version"]]
+    for name in sorted(rows):
+        values = row_columns(rows[name])
+        cells = [str(values[column]) for column in columns]
+        table.append([name, *cells, str(versions.get(name, 0))])
+    print_columns(table)
+
+
+class KeyCommands:
+    """Grant, withdraw and list teams' keys."""
+
+    def grant(self, team: str, key_id: str = "", operation: str = "") -> None:
+        """Grant a new key to a team and print it; it is shown only now.
+
+        Args:
+            team: the team's name in the table.
+            key_id: a label by which to find the key later.
+            operation: an operation id of your own.
+        """
+        key = secrets.token_urlsafe(KEY_BYTES)
+        label = key_id or secrets.token_hex(4)
+        edit = {"key_hash": sha256(key), "team": team, "key_id": label}
+        _send_operation("changes", {"key_edits": [edit]}, operation, json=False)
+        say(f"key id: {label}")
+        say(f"key: {key}")
+
+    def withdraw(self, key_id: str, operation: str = "", json: bool = False) -> None:
+        """Withdraw a key by its label; accepted once it works nowhere any more.
+
+        Args:
+            key_id: the label that was printed at its grant.
+            operation: an operation id to send again after a lost answer.
+            json: print JSON.
+        """
+        answer = _client().send("GET", "/operator/v1/table")
+        hashes = [key["key_hash"] for key in answer["keys"] if key["key_id"] == str(key_id)]
+        if not hashes:
+            raise RefusedError(Reason.UNKNOWN_ROW, f"no key has the id {key_id!r}")
+        edits = [{"key_hash": key_hash, "withdraw": True} for key_hash in hashes]
+        _send_operation("changes", {"key_edits": edits}, operation, json)
+
+    def list(self, json: bool = False) -> None:
+        """List the granted keys' ids and teams.
+
+        Args:
+            json: print JSON.
+        """
+        keys = _client().send("GET", "/operator/v1/table")["keys"]
+        listed = [{"key_id": key["key_id"], "team": key["team"]} for key in keys]
+        if json:
+            print_json(listed)
+            return
+        print_columns([["key id", "team"], *([key["key_id"], key["team"]] for key in listed)])
+
+
+class VmCommands:
+    """Drain, return and move VMs."""
+
+    def drain(self, vm: str, keep_out: bool = False, operation: str = "") -> None:
+        """Order a VM drained and rebooted, as soon as its pool's budget allows.
+
+        Args:
+            vm: the VM's name in the table.
+            keep_out: leave it out of service once it is drained, without a reboot.
+            operation: an operation id to send again after a lost answer.
+        """
+        action = OrderAction.KEEP_OUT if keep_out else OrderAction.REBOOT
+        self._order(vm, action, operation)
+
+    def back(self, vm: str, operation: str = "") -> None:
+        """Return a VM to service, or take back an order that has not begun.
+
+        Args:
+            vm: the VM's name in the table.
+            operation: an operation id to send again after a lost answer.
+        """
+        self._order(vm, OrderAction.RETURN, operation)
+
+    def _order(self, vm: str, action: OrderAction, operation: str) -> None:
+        body = {"vm": vm, "action": action.value}
+        _send_operation("maintenance", body, operation, json=False)
+
+    def move(self, vm: str, pool: str, operation: str = "") -> None:
+        """Move a VM to another pool; its tasks are checkpointed and go on elsewhere.
+
+        Args:
+            vm: the VM's name in the table.
+            pool: the pool's name in the table.
+            operation: an operation id to send again after a lost answer.
+        """
+        table, answer = _fetch_table(_client())
+        if vm not in table.vms:
+            raise RefusedError(Reason.UNKNOWN_ROW, f"no VM {vm} is declared")
+        edit = {
+            "kind": "vms",
+            "name": vm,
+            "columns": {**row_columns(table.vms[vm]), "pool": pool},
+            "expected_version": answer["row_versions"]["vms"][vm],
+        }
+        _send_operation("changes", {"edits": [edit]}, operation, json=False)
+
+
+class SettingsCommands:
+    """Check settings files."""
+
+    def check(self, file: str) -> None:
+        """Check a daemon's settings file, or a table file.
+
+        Args:
+            file: a TOML file.
+        """
+        kind = guess_kind(file)
+        if kind == "table":
+            load_table(file)
+        else:
+            load_settings(file, kind)
+        say(f"{file}: good {kind} file")
+
+
+class Commands:
+    """Manage a fleet's capacity and maintenance from one declared table."""
+
+    def __init__(self) -> None:
+        self.table = TableCommands()
+        self.key = KeyCommands()
+        self.vm = VmCommands()
+        self.settings = SettingsCommands()
+
+    def status(self, json: bool = False) -> None:
+        """Tell how control, the entry VMs and the VMs under maintenance do.
+
+        Args:
+            json: print JSON.
+        """
+        profile = load_profile()
+        statuses = []
+        for address in [*profile.control, *profile.entries]:
+            client = OperatorClient(addresses=[address], credential=profile.credential)
+            try:
+                statuses.append(client.send("GET", "/operator/v1/status"))
+            except RefusedError as exc:
+                statuses.append({"address": address, "unreachable": exc.detail})
+        if json:
+            print_json(statuses)
+            return
+        for status in statuses:
+            say(_status_line(status))
+
+    def explain(self, subject: str, json: bool = False) -> None:
+        """Tell why a request or job waits, ran or was refused, and where.
+
+        Args:
+            subject: a request id or job id.
+            json: print JSON.
+        """
+        profile = load_profile()
+        client = OperatorClient(addresses=profile.entries, credential=profile.credential)
+        answer = client.send("GET", f"/operator/v1/explain/{subject}")
+        if json:
+            print_json(answer)
+            return
+        for line in answer["lines"]:
+            say(line)
+        if not answer["lines"]:
+            say("nothing is known of it")
+
+    def member(self, id: str, address: str = "", json: bool = False) -> None:
+        """Add a control replica, or remove it if no address is given.
+
+        Args:
+            id: the replica's id in its settings.
+            address: its link address.
+            json: print JSON.
+        """
+        body = {"id": id, "address": address or None}
+        answer = _client().send("POST", "/operator/v1/members", body)
+        if json:
+            print_json(answer)
+        else:
+            say(f"members: {', '.join(sorted(answer['members']))}")
+
+    def demo(self, example: str = "examples/brettwerk.toml") -> None:
+        """Run the whole path on loopback and check the promises.
+
+        Args:
+            example: a table file with a deployment section.
+        """
+        configure_logs(level="ERROR")
+        if not Path(example).exists():
+            raise TableError("no such file", source=example)
+        ledger = trio.run(run_demo, example, say)
+        for line in ledger.lines():
+            say(line)
+        say(ledger.summary())
+        if not ledger.holds():
+            sys.exit(EXIT_REFUSED)
+
+
+def _status_line(status: dict[str, Any]) -> str:
+    if "unreachable" in status:
+        return f"{status['address']}: {status['unreachable']}"
+    if "replica" in status:
+        phases = [f"{vm} {phase}" for vm, phase in status["vms"].items() if phase != "in_service"]
+        out = ", ".join(phases) or "all VMs in service"
+        return (
+            f"{status['replica']}: {status['role']} of term {status['term']}, "
+            f"version {status['version']}, index {status['applied_index']}, {out}"
+        )
+    return (
+        f"{status['entry']}: {'ready' if status['ready'] else 'not ready'}, "
+        f"version {status['version']}, {status['calls']} calls, {status['jobs']} jobs"
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    try:
+        fire.Fire(Commands, name="hornbeamreach")
+    except HornbeamreachError as exc:
+        fail(exc)
+    except httpcore.ConnectError as exc:
+        fail(RefusedError(Reason.NO_LEADER, str(exc)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hornbeamreach/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated control state and the processes that keep it."""
--- /dev/null
+++ b/src/hornbeamreach/control/leader.py
@@ -0,0 +1,379 @@
+"""What the leader of control does: sessions, acceptance, slices and maintenance."""
+
+from __future__ import annotations
+
+import trio
+
+from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.control import commands
+from hornbeamreach.control.facts import vm_facts
+from hornbeamreach.control.replica import Replica
+from hornbeamreach.control.state_machine import Outcome, encode_state, limit_in_use
+from hornbeamreach.exceptions import NotLeaderError, RefusedError
+from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.messages import Done, Leave, LogItem, Renew, RenewReply, UseReport
+from hornbeamreach.logs import part_logger
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.authority import (
+    Blocker,
+    blockers,
+    ended_holders,
+    holders,
+    holders_to_suspend,
+)
+from hornbeamreach.systems.escrow import SliceHolder, plan_slices
+from hornbeamreach.systems.maintenance import due_vms, permits, progress
+from hornbeamreach.tables.control_state import OrderAction, PreparedChange
+from hornbeamreach.tables.sessions import HolderKey, Session, SessionTable
+from hornbeamreach.verdict import Reason
+
+log = part_logger("control")
+
+LEADER_TICK_MS = 200
+PREPARE_TIMEOUT_MS = 6_000
+IN_FORCE_TIMEOUT_MS = 11_000
+MAX_RENEW_HOLD_MS = 1_500
+MAX_ITEMS_PER_REPLY = 256
+# The leader waits this long for every data centre's reports before it permits drains.
+REPORT_GRACE_MS = 3_000
+
+
+class Leader:
+    """Run the fleet-wide decisions while this replica leads."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        handlers: HandlerTable,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.replica = replica
+        self.clock = clock
+        self.metrics = metrics
+        self.led_term = -1
+        self.table = SessionTable(leader_since_ms=clock.now_ms())
+        self.targets: dict[HolderKey, dict[str, int]] = {}
+        self.news = trio.Event()
+        self.dirty_teams: set[str] = set()
+        handlers.on(Renew, self.on_renew)
+        handlers.on(UseReport, self.on_use_report)
+        handlers.on(Leave, self.on_leave)
+
+    def require_leader(self) -> None:
+        """Raise NotLeaderError unless this replica leads, and begin its sessions."""
+        if not self.replica.is_leader():
+            raise NotLeaderError(self.replica.leader_address())
+        if self.led_term != self.replica.core.term:
+            self.led_term = self.replica.core.term
+            # What an earlier leader's sessions allow is not known: count them from now.
+            self.table = SessionTable(leader_since_ms=self.clock.now_ms())
+            self.targets = {}
+            self.dirty_teams = set(self.replica.state.table.teams)
+
+    # Sessions
+
+    async def on_renew(self, message: Renew) -> RenewReply:
+        """Renew a session; hold the reply until there is news."""
+        self.require_leader()
+        holder = HolderKey(message.entry_id, message.incarnation)
+        await self._register_if_new(message)
+        self._take_reports(self.table.get(holder), message)
+        hold_ms = min(message.hold_ms, MAX_RENEW_HOLD_MS)
+        with trio.move_on_after(seconds(hold_ms)):
+            await self._wait_news(holder, message.applied_index)
+        self.require_leader()
+        self.table.get(holder).renewed_ms = self.clock.now_ms()
+        return self._build_reply(holder, message.applied_index)
+
+    async def _register_if_new(self, message: Renew) -> None:
+        grant = self.replica.state.grants.get(message.entry_id, {}).get(message.incarnation)
+        if grant is not None and grant.suspended_index:
+            detail = f"{message.incarnation} was suspended; start a new incarnation"
+            raise RefusedError(Reason.AUTHORITY_LAPSED, detail)
+        if grant is None:
+            await self.replica.propose(
+                commands.RegisterEntry(
+                    entry_id=message.entry_id,
+                    incarnation=message.incarnation,
+                    data_center=message.data_center,
+                    address=message.address,
+                    peer_count=message.peer_count,
+                )
+            )
+            self.dirty_teams |= set(self.replica.state.table.teams)
+
+    def _take_reports(self, session: Session, message: Renew) -> None:
+        now_ms = self.clock.now_ms()
+        session.renewed_ms = now_ms
+        session.acknowledge(message.applied_index, now_ms)
+        self.dirty_teams |= message.uses.keys() | session.uses.keys()
+        session.uses = dict(message.uses)
+        session.vm_reports = dict(message.vm_reports)
+        session.busy_vms = dict(message.busy_vms)
+        session.idle_vms = list(message.idle_vms)
+        session.reported_ms = now_ms
+        self.notify_news()
+
+    def notify_news(self) -> None:
+        """Let everybody who waits for acknowledgements or targets look again."""
+        self.news.set()
+        self.news = trio.Event()
+
+    async def _wait_news(self, holder: HolderKey, applied_index: int) -> None:
+        while self.replica.state.applied_index <= applied_index and not self.targets.get(holder):
+            await self.replica.wait_changed()
+
+    def _build_reply(self, holder: HolderKey, applied_index: int) -> RenewReply:
+        committed = self.replica.state.applied_index
+        targets = self.targets.pop(holder, {})
+        base = self.replica.core.log.base_index
+        behind = committed - applied_index
+        if applied_index < base or behind > MAX_ITEMS_PER_REPLY:
+            state = encode_state(self.replica.state)
+            return RenewReply(committed_index=committed, state=state, targets=targets)
+        entries = self.replica.core.log.slice_from(applied_index + 1, behind)
+        items = [LogItem(index=entry.index, data=entry.data) for entry in entries]
+        return RenewReply(committed_index=committed, items=items, targets=targets)
+
+    async def on_use_report(self, message: UseReport) -> Done:
+        """Take an urgent report of use and plan the team's slices at once."""
+        self.require_leader()
+        session = self.table.get(HolderKey(message.entry_id, message.incarnation))
+        session.uses.update(message.uses)
+        self.dirty_teams |= message.uses.keys()
+        await self.plan_slices()
+        return Done()
+
+    async def on_leave(self, message: Leave) -> Done:
+        """Free what a process gave back at its graceful end."""
+        self.require_leader()
+        await self.replica.propose(
+            commands.ForgetIncarnation(entry_id=message.entry_id, incarnation=message.incarnation)
+        )
+        self.dirty_teams |= set(self.replica.state.table.teams)
+        return Done()
+
+    # Acceptance
+
+    async def submit(self, command: commands.PrepareChange) -> Outcome:
+        """Carry a change through to its answer: in force everywhere, or refused."""
+        self.require_leader()
+        outcome = await self.replica.propose(command)
+        if outcome.prepared:
+            outcome = await self._await_prepared(command.operation_id)
+        if outcome.accepted:
+            await self._await_in_force(outcome.index)
+        elif outcome.reason is not None:
+            self.metrics.refused("change", outcome.reason)
+        return outcome
+
+    async def _await_prepared(self, operation_id: str) -> Outcome:
+        while operation_id in self.replica.state.prepared:
+            self.require_leader()
+            await self.finish_prepared()
+            if operation_id in self.replica.state.prepared:
+                await self._wait_tick()
+        answer = self.replica.state.answers.get(operation_id)
+        if answer is None:
+            raise NotLeaderError(self.replica.leader_address())
+        return Outcome(
+            accepted=answer.accepted,
+            version=answer.version,
+            index=answer.index,
+            reason=answer.reason,
+            detail=answer.detail,
+        )
+
+    async def finish_prepared(self) -> None:
+        """Commit or abort the prepared changes that can be decided now."""
+        for operation_id, prepared in list(self.replica.state.prepared.items()):
+            command = self._decide(operation_id, prepared)
+            if command is not None:
+                await self.replica.propose(command)
+
+    def _decide(
+        self, operation_id: str, prepared: PreparedChange
+    ) -> commands.CommitChange | commands.AbortChange | None:
+        now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
+        blocking = self._prepare_blockers(prepared, now_ms)
+        cut_off = [blocker for blocker in blocking if not blocker.live]
+        over = limit_in_use(self.replica.state, prepared.change)
+        if cut_off:
+            return self._abort(
+                operation_id, Reason.DATA_CENTER_CUT_OFF, self._cut_off_detail(cut_off), wall_ms
+            )
+        if not blocking and over is None:
+            return commands.CommitChange(operation_id=operation_id, at_ms=wall_ms)
+        if wall_ms - prepared.prepared_ms < PREPARE_TIMEOUT_MS:
+            self.dirty_teams |= {e.name for e in prepared.change.edits if e.kind == "teams"}
+            return None
+        if over is not None:
+            return self._abort(operation_id, Reason.TEAM_AT_LIMIT, over.detail, wall_ms)
+        names = ", ".join(sorted({blocker.data_center for blocker in blocking}))
+        detail = f"{names} did not acknowledge the change in {PREPARE_TIMEOUT_MS} ms"
+        return self._abort(operation_id, Reason.DATA_CENTER_CUT_OFF, detail, wall_ms)
+
+    def _prepare_blockers(self, prepared: PreparedChange, now_ms: int) -> list[Blocker]:
+        if not prepared.teams and not prepared.shared_rows:
+            return []
+        return blockers(
+            self.replica.state,
+            self.table,
+            index=prepared.prepared_index,
+            teams=None if prepared.shared_rows else prepared.teams,
+            now_ms=now_ms,
+        )
+
+    def _abort(
+        self, operation_id: str, reason: Reason, detail: str, at_ms: int
+    ) -> commands.AbortChange:
+        return commands.AbortChange(
+            operation_id=operation_id, reason=reason, detail=detail, at_ms=at_ms
+        )
+
+    def _cut_off_detail(self, cut_off: list[Blocker]) -> str:
+        names = ", ".join(sorted({blocker.data_center for blocker in cut_off}))
+        wait_ms = max(blocker.until_ms for blocker in cut_off) - self.clock.now_ms()
+        return f"{names} is cut off and may act on the old value for {wait_ms} ms more"
+
+    async def _await_in_force(self, index: int) -> None:
+        """Wait until no process that can be reached acts on an older version.
+
+        A tightening change was let go of before it was committed, so a process that falls
+        silent after that acts on the old value for no longer than its session.
+        """
+        with trio.move_on_after(seconds(IN_FORCE_TIMEOUT_MS)):
+            while self._unacknowledged(index):
+                self.require_leader()
+                await self._wait_tick()
+
+    def _unacknowledged(self, index: int) -> bool:
+        now_ms = self.clock.now_ms()
+        return any(
+            session.is_live(now_ms) and session.applied_index < index
+            for session in (self.table.get(holder) for holder, _ in holders(self.replica.state))
+        )
+
+    async def _wait_tick(self) -> None:
+        with trio.move_on_after(seconds(LEADER_TICK_MS)):
+            await self.news.wait()
+
+    # Periodic work
+
+    async def run(self) -> None:
+        """Run the leader's systems each tick while this replica leads."""
+        while True:
+            await trio.sleep(seconds(LEADER_TICK_MS))
+            try:
+                self.require_leader()
+                await self.tick()
+            except NotLeaderError:
+                continue
+
+    async def tick(self) -> None:
+        """Run every system once."""
+        await self.finish_prepared()
+        await self.retire_holders()
+        await self.plan_slices()
+        await self.maintain()
+
+    async def retire_holders(self) -> None:
+        """Suspend silent processes, and free the slices of those that have ended."""
+        now_ms, state = self.clock.now_ms(), self.replica.state
+        for holder in holders_to_suspend(state, self.table, now_ms):
+            log.warning("suspending silent entry {} {}", holder.entry_id, holder.incarnation)
+            await self.replica.propose(
+                commands.SuspendIncarnation(
+                    entry_id=holder.entry_id, incarnation=holder.incarnation
+                )
+            )
+        for holder in ended_holders(state, self.table, now_ms):
+            await self.replica.propose(
+                commands.ForgetIncarnation(entry_id=holder.entry_id, incarnation=holder.incarnation)
+            )
+            self.dirty_teams |= set(state.table.teams)
+
+    async def plan_slices(self) -> None:
+        """Plan the slices of the teams whose use, limit or holders changed."""
+        teams, self.dirty_teams = self.dirty_teams, set()
+        changes: list[commands.SliceChange] = []
+        for team in sorted(teams):
+            changes += self._plan_team(team)
+        if changes:
+            await self.replica.propose(commands.SetSlices(changes=changes))
+
+    def _plan_team(self, team: str) -> list[commands.SliceChange]:
+        holders = self._slice_holders(team)
+        plan = plan_slices(self.replica.state.lowest_limit(team), holders)
+        for holder in holders:
+            wanted = self.targets.get(holder.key, {})
+            wanted.pop(team, None)
+            if holder.key in plan.targets:
+                self.targets.setdefault(holder.key, {})[team] = plan.targets[holder.key]
+        if plan.targets:
+            self.replica.notify_watchers()
+        changed = [holder for holder in holders if holder.key in plan.sizes]
+        # Lowered slices first: the raised ones must fit beside them.
+        changed.sort(key=lambda holder: plan.sizes[holder.key] - holder.size)
+        return [
+            commands.SliceChange(
+                entry_id=holder.key.entry_id,
+                incarnation=holder.key.incarnation,
+                team=team,
+                size=plan.sizes[holder.key],
+                promised_index=holder.ceiling_index,
+            )
+            for holder in changed
+        ]
+
+    def _slice_holders(self, team: str) -> list[SliceHolder]:
+        now_ms = self.clock.now_ms()
+        found = []
+        for entry_id, incarnations in sorted(self.replica.state.grants.items()):
+            for incarnation, grant in sorted(incarnations.items()):
+                key = HolderKey(entry_id, incarnation)
+                session = self.table.get(key)
+                use = session.uses.get(team)
+                found.append(
+                    SliceHolder(
+                        key=key,
+                        size=grant.slices.get(team, 0),
+                        in_use=use.in_use if use else 0,
+                        wanted=use.wanted if use else 0,
+                        ceiling=use.ceiling if use else None,
+                        ceiling_index=use.ceiling_index if use else 0,
+                        live=session.is_live(now_ms) and not grant.suspended_index,
+                    )
+                )
+        return found
+
+    async def maintain(self) -> None:
+        """Order what is due, and move VMs through their phases."""
+        state, wall_ms = self.replica.state, self.clock.wall_ms()
+        for vm in due_vms(state, wall_ms):
+            await self.replica.propose(
+                commands.OrderMaintenance(
+                    operation_id=f"plan.{vm}.{state.vm_state(vm).epoch}",
+                    digest="",
+                    vm=vm,
+                    action=OrderAction.REBOOT,
+                    at_ms=wall_ms,
+                    planned=True,
+                )
+            )
+        facts = vm_facts(state, self.table, self.clock.now_ms())
+        actions = progress(state, facts, wall_ms)
+        if self.clock.now_ms() - self.table.leader_since_ms >= REPORT_GRACE_MS:
+            actions += permits(state, facts)
+        for action in actions:
+            await self.replica.propose(
+                commands.SetVmPhase(
+                    vm=action.vm,
+                    expected_epoch=action.expected_epoch,
+                    phase=action.phase,
+                    at_ms=wall_ms,
+                    also_down=sorted(facts.down),
+                )
+            )
--- /dev/null
+++ b/src/hornbeamreach/control/raft.py
@@ -0,0 +1,548 @@
+"""Raft without I/O: elections, replication, membership and leader leases.
+
+Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", with
+pre-vote, check-quorum and leadership transfer from Ongaro's dissertation.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+
+from attrs import define, field
+
+from hornbeamreach.control.raft_log import RaftLog
+from hornbeamreach.control.raft_messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    RaftMessage,
+    Snapshot,
+    SnapshotRequest,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from hornbeamreach.exceptions import NotLeaderError, RefusedError
+from hornbeamreach.verdict import Reason
+
+ELECTION_TIMEOUT_MIN_MS = 1_000
+ELECTION_TIMEOUT_MAX_MS = 2_000
+HEARTBEAT_MS = 250
+# Below the shortest election timeout, so that a lease ends before another leader can be.
+LEADER_LEASE_MS = 900
+MAX_ENTRIES_PER_APPEND = 256
+SNAPSHOT_RESEND_MS = 2_000
+
+
+class Role(enum.Enum):
+    """Name the role of a replica."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@define(kw_only=True)
+class PeerProgress:
+    """Hold what the leader knows of one peer."""
+
+    next_index: int
+    match_index: int = 0
+    # When the latest request that the peer answered was sent, on the leader's clock.
+    answered_sent_ms: int = -1
+    snapshot_sent_ms: int | None = None
+    in_flight_to: int = 0
+
+
+@define(kw_only=True)
+class Ready:
+    """List what must be made durable first, and what may be done after that."""
+
+    hard_state: tuple[int, str | None] | None = None
+    cut_from: int | None = None
+    entries: list[LogEntry] = field(factory=list)
+    installed_snapshot: Snapshot | None = None
+    messages: list[RaftMessage] = field(factory=list)
+    committed: list[LogEntry] = field(factory=list)
+
+    def needs_sync(self) -> bool:
+        """Tell whether anything must be made durable."""
+        return bool(self.hard_state or self.entries or self.cut_from or self.installed_snapshot)
+
+
+class RaftCore:
+    """Decide what one replica does; the caller moves bytes and syncs."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        log: RaftLog,
+        term: int,
+        voted_for: str | None,
+        rng: random.Random,
+        now_ms: int,
+    ) -> None:
+        self.node_id = node_id
+        self.log = log
+        self.term = term
+        self.voted_for = voted_for
+        self.rng = rng
+        self.now_ms = now_ms
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self.commit_index = log.base_index
+        self.taken_index = log.base_index
+        self.durable_index = log.last_index
+        self.leader_heard_ms = now_ms - ELECTION_TIMEOUT_MAX_MS
+        self.election_due_ms = now_ms
+        self.heartbeat_due_ms = now_ms
+        self.votes: set[str] = set()
+        self.peers: dict[str, PeerProgress] = {}
+        self.leader_since_ms = 0
+        self.ready = Ready()
+        self._reset_election_timer()
+
+    # Questions
+
+    def members(self) -> dict[str, str]:
+        """Return the members' addresses by id."""
+        return self.log.members()
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads and holds its lease."""
+        return self.role is Role.LEADER and self.quorum_sent_ms() + LEADER_LEASE_MS > self.now_ms
+
+    def quorum_sent_ms(self) -> int:
+        """Return a time at which a majority is known to have followed this leader."""
+        members = self.members()
+        times = [
+            self.now_ms if member == self.node_id else self._peer(member).answered_sent_ms
+            for member in members
+        ]
+        return sorted(times, reverse=True)[len(times) // 2] if times else -1
+
+    def _quorum(self) -> int:
+        return len(self.members()) // 2 + 1
+
+    def _peer(self, member: str) -> PeerProgress:
+        if member not in self.peers:
+            self.peers[member] = PeerProgress(next_index=self.log.last_index + 1)
+        return self.peers[member]
+
+    def _other_members(self) -> list[str]:
+        return [member for member in self.members() if member != self.node_id]
+
+    # Inputs
+
+    def tick(self, now_ms: int) -> None:
+        """Let time pass: start elections, send heartbeats, step down without a quorum."""
+        self.now_ms = max(self.now_ms, now_ms)
+        if self.role is Role.LEADER:
+            self._tick_leader()
+        elif self.now_ms >= self.election_due_ms and self.node_id in self.members():
+            self._start_election(pre_vote=True)
+
+    def propose(self, data: bytes) -> int:
+        """Append a command and return its index, or raise NotLeaderError."""
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+        return self._append(LogEntry(index=self.log.last_index + 1, term=self.term, data=data))
+
+    def propose_members(self, members: dict[str, str]) -> int:
+        """Append a membership change that adds or removes one replica."""
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+        self._check_member_change(members)
+        index = self.log.last_index + 1
+        return self._append(LogEntry(index=index, term=self.term, members=dict(members)))
+
+    def _check_member_change(self, members: dict[str, str]) -> None:
+        present = self.members()
+        if len(present.keys() ^ members.keys()) > 1:
+            detail = "replicas are added and removed one at a time"
+            raise RefusedError(Reason.CHANGE_PENDING, detail)
+        in_progress = self.log.members_index() > self.commit_index
+        if in_progress or self.log.term_at(self.commit_index) != self.term:
+            detail = "an earlier membership change is not committed yet"
+            raise RefusedError(Reason.CHANGE_PENDING, detail)
+        if not members:
+            raise RefusedError(Reason.INCONSISTENT_TABLE, "the last replica can't be removed")
+
+    def receive(self, message: RaftMessage, now_ms: int) -> None:
+        """Take a message from another replica."""
+        self.now_ms = max(self.now_ms, now_ms)
+        if message.target != self.node_id:
+            return
+        if message.term > self.term and not self._ignores_newer_term(message):
+            self._become_follower(message.term, None)
+        handler = {
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            AppendRequest: self._on_append_request,
+            AppendReply: self._on_append_reply,
+            SnapshotRequest: self._on_snapshot_request,
+            TimeoutNow: self._on_timeout_now,
+        }[type(message)]
+        handler(message)
+
+    def _ignores_newer_term(self, message: RaftMessage) -> bool:
+        # A pre-vote commits nobody to its term, and whoever hears its leader gives no vote:
+        # a replica that was cut off or removed can't depose a leader that works.
+        if isinstance(message, VoteRequest):
+            return message.pre_vote or (self._hears_leader() and not message.transfer)
+        return isinstance(message, VoteReply) and message.pre_vote and message.granted
+
+    def _hears_leader(self) -> bool:
+        if self.role is Role.LEADER:
+            return self.quorum_sent_ms() + ELECTION_TIMEOUT_MIN_MS > self.now_ms
+        return self.leader_heard_ms + ELECTION_TIMEOUT_MIN_MS > self.now_ms
+
+    def transfer_leadership(self) -> bool:
+        """Ask the most advanced peer to take over; tell whether there is one."""
+        if self.role is not Role.LEADER:
+            return False
+        ready = [
+            member
+            for member in self._other_members()
+            if self._peer(member).match_index == self.log.last_index
+        ]
+        if not ready:
+            return False
+        target = max(ready, key=lambda member: self._peer(member).answered_sent_ms)
+        self._send(TimeoutNow(source=self.node_id, target=target, term=self.term))
+        return True
+
+    # Outputs
+
+    def take_ready(self) -> Ready:
+        """Return what to make durable, send and apply, and forget it."""
+        ready, self.ready = self.ready, Ready()
+        first = self.taken_index + 1
+        ready.committed = [
+            entry
+            for entry in self.log.slice_from(first, self.commit_index - self.taken_index)
+            if entry.index > self.taken_index
+        ]
+        self.taken_index = max(self.taken_index, self.commit_index)
+        return ready
+
+    def has_ready(self) -> bool:
+        """Tell whether take_ready would return anything."""
+        return (
+            self.ready.needs_sync()
+            or bool(self.ready.messages)
+            or self.commit_index > self.taken_index
+        )
+
+    def made_durable(self, entries: list[LogEntry]) -> None:
+        """Learn that entries are durable here; the leader counts itself only now."""
+        for entry in entries:
+            if self.log.term_at(entry.index) == entry.term:
+                self.durable_index = max(self.durable_index, entry.index)
+        if self.role is Role.LEADER:
+            self._advance_commit()
+
+    # Elections
+
+    def _reset_election_timer(self) -> None:
+        timeout = self.rng.randint(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
+        self.election_due_ms = self.now_ms + timeout
+
+    def _become_follower(self, term: int, leader: str | None) -> None:
+        if term > self.term:
+            self.term = term
+            self.voted_for = None
+            self._save_hard_state()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reset_election_timer()
+
+    def _save_hard_state(self) -> None:
+        self.ready.hard_state = (self.term, self.voted_for)
+
+    def _start_election(self, *, pre_vote: bool, transfer: bool = False) -> None:
+        self._reset_election_timer()
+        self.leader = None
+        self.votes = {self.node_id}
+        if pre_vote:
+            self.role = Role.PRE_CANDIDATE
+        else:
+            self.role = Role.CANDIDATE
+            self.term += 1
+            self.voted_for = self.node_id
+            self._save_hard_state()
+        if len(self.votes) >= self._quorum():
+            self._win_round()
+            return
+        for member in self._other_members():
+            self._send(
+                VoteRequest(
+                    source=self.node_id,
+                    target=member,
+                    term=self.term + 1 if pre_vote else self.term,
+                    last_index=self.log.last_index,
+                    last_term=self.log.last_term,
+                    pre_vote=pre_vote,
+                    transfer=transfer,
+                )
+            )
+
+    def _win_round(self) -> None:
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_election(pre_vote=False)
+        else:
+            self._become_leader()
+
+    def _on_vote_request(self, message: VoteRequest) -> None:
+        up_to_date = (message.last_term, message.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if message.pre_vote:
+            granted = message.term > self.term and up_to_date and not self._hears_leader()
+        else:
+            free = self.voted_for in (None, message.source)
+            granted = message.term == self.term and free and up_to_date
+        if granted and not message.pre_vote:
+            self.voted_for = message.source
+            self._save_hard_state()
+            self._reset_election_timer()
+        self._send(
+            VoteReply(
+                source=self.node_id,
+                target=message.source,
+                term=message.term if granted and message.pre_vote else self.term,
+                granted=granted,
+                pre_vote=message.pre_vote,
+            )
+        )
+
+    def _on_vote_reply(self, message: VoteReply) -> None:
+        expected = Role.PRE_CANDIDATE if message.pre_vote else Role.CANDIDATE
+        expected_term = self.term + 1 if message.pre_vote else self.term
+        if self.role is not expected or not message.granted or message.term != expected_term:
+            return
+        self.votes.add(message.source)
+        if len(self.votes & self.members().keys()) >= self._quorum():
+            self._win_round()
+
+    def _on_timeout_now(self, message: TimeoutNow) -> None:
+        if message.term == self.term and self.node_id in self.members():
+            self._start_election(pre_vote=False, transfer=True)
+
+    def _become_leader(self) -> None:
+        self.role = Role.LEADER
+        self.leader = self.node_id
+        self.leader_since_ms = self.now_ms
+        self.peers = {}
+        for member in self._other_members():
+            self._peer(member).answered_sent_ms = self.now_ms
+        # Entries of earlier terms commit only behind one of this term.
+        self._append(LogEntry(index=self.log.last_index + 1, term=self.term))
+
+    # Replication
+
+    def _append(self, entry: LogEntry) -> int:
+        self.log.entries.append(entry)
+        self.ready.entries.append(entry)
+        self._broadcast()
+        return entry.index
+
+    def _tick_leader(self) -> None:
+        if self.quorum_sent_ms() + ELECTION_TIMEOUT_MAX_MS <= self.now_ms:
+            self._become_follower(self.term, None)
+        elif self.now_ms >= self.heartbeat_due_ms:
+            for member in self._other_members():
+                peer = self._peer(member)
+                # What was in flight may be lost: begin again at what is known to match.
+                peer.in_flight_to = 0
+                peer.next_index = min(peer.next_index, self.log.last_index + 1)
+            self._broadcast(heartbeat=True)
+
+    def _broadcast(self, *, heartbeat: bool = False) -> None:
+        if heartbeat:
+            self.heartbeat_due_ms = self.now_ms + HEARTBEAT_MS
+        for member in self._other_members():
+            self._replicate_to(member, heartbeat=heartbeat)
+
+    def broadcast_heartbeat(self) -> None:
+        """Ask the peers at once whether they still follow."""
+        if self.role is Role.LEADER:
+            self._broadcast(heartbeat=True)
+
+    def _replicate_to(self, member: str, *, heartbeat: bool) -> None:
+        peer = self._peer(member)
+        if peer.next_index <= self.log.base_index:
+            self._send_snapshot(member, peer, heartbeat=heartbeat)
+            return
+        if peer.in_flight_to and not heartbeat:
+            return
+        entries = self.log.slice_from(peer.next_index, MAX_ENTRIES_PER_APPEND)
+        if not entries and not heartbeat:
+            return
+        previous = peer.next_index - 1
+        peer.in_flight_to = entries[-1].index if entries else 0
+        self._send(
+            AppendRequest(
+                source=self.node_id,
+                target=member,
+                term=self.term,
+                previous_index=previous,
+                previous_term=self.log.term_at(previous) or 0,
+                commit_index=self.commit_index,
+                sent_ms=self.now_ms,
+                entries=entries,
+            )
+        )
+
+    def _send_snapshot(self, member: str, peer: PeerProgress, *, heartbeat: bool) -> None:
+        sent = peer.snapshot_sent_ms
+        if sent is not None and sent + SNAPSHOT_RESEND_MS > self.now_ms:
+            if heartbeat:
+                self._send_empty_heartbeat(member)
+            return
+        assert self.log.snapshot is not None
+        peer.snapshot_sent_ms = self.now_ms
+        self._send(
+            SnapshotRequest(
+                source=self.node_id,
+                target=member,
+                term=self.term,
+                snapshot=self.log.snapshot,
+                sent_ms=self.now_ms,
+            )
+        )
+
+    def _send_empty_heartbeat(self, member: str) -> None:
+        self._send(
+            AppendRequest(
+                source=self.node_id,
+                target=member,
+                term=self.term,
+                previous_index=self.log.base_index,
+                previous_term=self.log.term_at(self.log.base_index) or 0,
+                commit_index=0,
+                sent_ms=self.now_ms,
+            )
+        )
+
+    def _on_append_request(self, message: AppendRequest) -> None:
+        if message.term < self.term:
+            self._reply_append(message, success=False, match_index=0)
+            return
+        self._follow(message.source)
+        if message.previous_index < self.log.base_index:
+            # The snapshot covers the beginning; all it covers is committed and so matches.
+            self._reply_append(message, success=True, match_index=self.log.base_index)
+            return
+        if self.log.term_at(message.previous_index) != message.previous_term:
+            hint = min(message.previous_index - 1, self.log.last_index)
+            self._reply_append(message, success=False, match_index=max(hint, 0))
+            return
+        self._store_entries(message.entries)
+        match_index = message.previous_index + len(message.entries)
+        self.commit_index = max(self.commit_index, min(message.commit_index, match_index))
+        self._reply_append(message, success=True, match_index=match_index)
+
+    def _follow(self, leader: str) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.leader_heard_ms = self.now_ms
+        self._reset_election_timer()
+
+    def _store_entries(self, entries: list[LogEntry]) -> None:
+        for entry in entries:
+            present = self.log.term_at(entry.index)
+            if present == entry.term:
+                continue
+            if present is not None:
+                self._cut_log(entry.index)
+            self.log.entries.append(entry)
+            self.ready.entries.append(entry)
+
+    def _cut_log(self, index: int) -> None:
+        self.log.cut_from(index)
+        self.durable_index = min(self.durable_index, index - 1)
+        self.ready.entries = [entry for entry in self.ready.entries if entry.index < index]
+        cut = self.ready.cut_from
+        self.ready.cut_from = index if cut is None else min(cut, index)
+
+    def _reply_append(
+        self, message: AppendRequest | SnapshotRequest, *, success: bool, match_index: int
+    ) -> None:
+        self._send(
+            AppendReply(
+                source=self.node_id,
+                target=message.source,
+                term=self.term,
+                success=success,
+                match_index=match_index,
+                sent_ms=message.sent_ms,
+            )
+        )
+
+    def _on_append_reply(self, message: AppendReply) -> None:
+        if self.role is not Role.LEADER or message.term != self.term:
+            return
+        if message.source not in self.members():
+            return
+        peer = self._peer(message.source)
+        peer.answered_sent_ms = max(peer.answered_sent_ms, message.sent_ms)
+        peer.in_flight_to = 0
+        if not message.success:
+            peer.next_index = max(peer.match_index, min(message.match_index, peer.next_index)) + 1
+            peer.next_index = min(peer.next_index, self.log.last_index + 1)
+            self._replicate_to(message.source, heartbeat=True)
+            return
+        if message.match_index > peer.match_index:
+            peer.match_index = message.match_index
+            peer.snapshot_sent_ms = None
+        peer.next_index = max(peer.next_index, peer.match_index + 1)
+        self._advance_commit()
+        if peer.next_index <= self.log.last_index:
+            self._replicate_to(message.source, heartbeat=False)
+
+    def _advance_commit(self) -> None:
+        matches = [
+            self.durable_index if member == self.node_id else self._peer(member).match_index
+            for member in self.members()
+        ]
+        index = sorted(matches, reverse=True)[self._quorum() - 1]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+            self._step_down_if_removed()
+
+    def _step_down_if_removed(self) -> None:
+        removed = self.node_id not in self.members()
+        if removed and self.log.members_index() <= self.commit_index:
+            self._broadcast(heartbeat=True)
+            self._become_follower(self.term, None)
+
+    # Snapshots
+
+    def _on_snapshot_request(self, message: SnapshotRequest) -> None:
+        if message.term < self.term:
+            self._reply_append(message, success=False, match_index=0)
+            return
+        self._follow(message.source)
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.compact(snapshot)
+            self.commit_index = snapshot.index
+            self.taken_index = snapshot.index
+            self.durable_index = max(self.durable_index, snapshot.index)
+            self.ready.installed_snapshot = snapshot
+            self.ready.entries = [
+                entry for entry in self.ready.entries if entry.index > snapshot.index
+            ]
+        self._reply_append(message, success=True, match_index=snapshot.index)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Drop the entries that a snapshot of applied state covers."""
+        self.log.compact(snapshot)
+
+    def _send(self, message: RaftMessage) -> None:
+        self.ready.messages.append(message)
--- /dev/null
+++ b/src/hornbeamreach/control/raft_messages.py
@@ -0,0 +1,94 @@
+"""Messages between control replicas."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from hornbeamreach.link.codec import wire_type
+
+
+@define(frozen=True, kw_only=True)
+class LogEntry:
+    """Hold one entry of the replicated log; `members` is set on membership changes."""
+
+    index: int
+    term: int
+    data: bytes = b""
+    members: dict[str, str] | None = None
+
+
+@define(frozen=True, kw_only=True)
+class Snapshot:
+    """Hold the state up to an index, with the members of that time."""
+
+    index: int
+    term: int
+    members: dict[str, str]
+    data: bytes
+
+
+@define(frozen=True, kw_only=True)
+class RaftMessage:
+    """Carry what every message between replicas carries."""
+
+    source: str
+    target: str
+    term: int
+
+
+@wire_type("vote_request")
+@define(frozen=True, kw_only=True)
+class VoteRequest(RaftMessage):
+    """Ask for a vote, or with `pre_vote` whether one would be given."""
+
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    # The old leader itself asked for this election, so its lease does not stand against it.
+    transfer: bool = False
+
+
+@wire_type("vote_reply")
+@define(frozen=True, kw_only=True)
+class VoteReply(RaftMessage):
+    """Grant or deny a vote."""
+
+    granted: bool
+    pre_vote: bool
+
+
+@wire_type("append_request")
+@define(frozen=True, kw_only=True)
+class AppendRequest(RaftMessage):
+    """Send entries behind a known position; without entries it is a heartbeat."""
+
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    sent_ms: int
+    entries: list[LogEntry] = field(factory=list)
+
+
+@wire_type("append_reply")
+@define(frozen=True, kw_only=True)
+class AppendReply(RaftMessage):
+    """Say up to where the log matches, or from where to send again."""
+
+    success: bool
+    match_index: int
+    sent_ms: int
+
+
+@wire_type("snapshot_request")
+@define(frozen=True, kw_only=True)
+class SnapshotRequest(RaftMessage):
+    """Send a whole snapshot to a replica whose next entry is gone."""
+
+    snapshot: Snapshot
+    sent_ms: int
+
+
+@wire_type("timeout_now")
+@define(frozen=True, kw_only=True)
+class TimeoutNow(RaftMessage):
+    """Ask a replica that is up to date to take over at once."""
--- /dev/null
+++ b/src/hornbeamreach/control/replica.py
@@ -0,0 +1,249 @@
+"""One control replica: drives Raft, storage and the state machine."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from attrs import define
+
+from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.control.commands import Command, NoOp
+from hornbeamreach.control.raft import RaftCore, Ready, Role
+from hornbeamreach.control.raft_messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Snapshot,
+    SnapshotRequest,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from hornbeamreach.control.state_machine import (
+    Outcome,
+    apply_command,
+    decode_state,
+    encode_state,
+)
+from hornbeamreach.control.storage import RaftStorage
+from hornbeamreach.exceptions import NotLeaderError
+from hornbeamreach.link.codec import decode, encode
+from hornbeamreach.link.interface import HandlerTable, Link
+from hornbeamreach.logs import part_logger
+from hornbeamreach.tables.control_state import ControlState
+
+log = part_logger("replica")
+
+RAFT_TICK_MS = 50
+RAFT_MESSAGES = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotRequest,
+    TimeoutNow,
+)
+
+
+@define(kw_only=True)
+class PendingProposal:
+    """Wait for a proposed entry to be applied or lost."""
+
+    term: int
+    done: trio.Event
+    outcome: Outcome | None = None
+
+
+RunBlocking = Callable[..., Any]
+
+
+async def run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a function here, for disks that do not block."""
+    return function(*arguments)
+
+
+class Replica:
+    """Keep the replicated log and the state that it decides."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        members: dict[str, str],
+        storage: RaftStorage,
+        link: Link,
+        handlers: HandlerTable,
+        clock: Clock,
+        rng: random.Random,
+        snapshot_every: int,
+        run_blocking: RunBlocking = run_inline,
+    ) -> None:
+        self.node_id = node_id
+        self.storage = storage
+        self.link = link
+        self.clock = clock
+        self.snapshot_every = snapshot_every
+        self.run_blocking = run_blocking
+        stored = storage.load(members)
+        self.core = RaftCore(
+            node_id=node_id,
+            log=stored.log,
+            term=stored.term,
+            voted_for=stored.voted_for,
+            rng=rng,
+            now_ms=clock.now_ms(),
+        )
+        snapshot = stored.log.snapshot
+        self.state = decode_state(snapshot.data) if snapshot else ControlState()
+        self.applied_term = snapshot.term if snapshot else 0
+        self.pending: dict[int, PendingProposal] = {}
+        self.work = trio.Event()
+        self.changed = trio.Event()
+        for message_class in RAFT_MESSAGES:
+            handlers.on(message_class, self._on_raft_message)
+
+    # Questions
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads, has applied its own term and holds its lease."""
+        return self.core.is_leader() and self.applied_term == self.core.term
+
+    def leader_address(self) -> str | None:
+        """Return the link address of the leader, if known."""
+        return self.core.members().get(self.core.leader or "")
+
+    def members(self) -> dict[str, str]:
+        """Return the members' addresses by id."""
+        return dict(self.core.members())
+
+    async def wait_changed(self) -> None:
+        """Return at the next applied command or change of role."""
+        await self.changed.wait()
+
+    def notify_watchers(self) -> None:
+        """Wake whoever waits for a change."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    # Commands
+
+    async def propose(self, command: Command) -> Outcome:
+        """Replicate a command and return what applying it did.
+
+        Raises NotLeaderError if it was not taken, or if its fate is unknown because
+        another replica became leader; operations are resent under the same id.
+        """
+        index = self.core.propose(encode(command))
+        return await self._wait_applied(index)
+
+    async def change_members(self, members: dict[str, str]) -> None:
+        """Add or remove one replica."""
+        await self._wait_applied(self.core.propose_members(members))
+
+    async def _wait_applied(self, index: int) -> Outcome:
+        proposal = PendingProposal(term=self.core.term, done=trio.Event())
+        self.pending[index] = proposal
+        self._wake()
+        await proposal.done.wait()
+        if proposal.outcome is None:
+            raise NotLeaderError(self.leader_address())
+        return proposal.outcome
+
+    async def confirm_leadership(self) -> None:
+        """Return once a majority has followed after this call, for linearizable reads."""
+        start_ms = self.clock.now_ms()
+        self.core.tick(start_ms)
+        self.core.broadcast_heartbeat()
+        self._wake()
+        while self.core.role is Role.LEADER:
+            if self.core.quorum_sent_ms() >= start_ms and self.is_leader():
+                return
+            await self.wait_changed()
+        raise NotLeaderError(self.leader_address())
+
+    def transfer_leadership(self) -> bool:
+        """Hand leadership to another replica before a shutdown."""
+        transferred = self.core.transfer_leadership()
+        self._wake()
+        return transferred
+
+    # Work
+
+    def _wake(self) -> None:
+        self.work.set()
+
+    async def _on_raft_message(self, message: Any) -> None:
+        self.core.receive(message, self.clock.now_ms())
+        self._wake()
+
+    async def run(self) -> None:
+        """Drive the replica until cancelled; a storage failure ends it."""
+        while True:
+            with trio.move_on_after(seconds(RAFT_TICK_MS)):
+                await self.work.wait()
+            self.work = trio.Event()
+            await self.step()
+
+    async def step(self) -> None:
+        """Tick, then make durable, send and apply all that is ready."""
+        role = self.core.role
+        self.core.tick(self.clock.now_ms())
+        while self.core.has_ready():
+            await self._process(self.core.take_ready())
+        if role is not self.core.role:
+            log.info("{} is now {} in term {}", self.node_id, self.core.role.value, self.core.term)
+        if self.core.role is not Role.LEADER:
+            self._fail_pending()
+        self.notify_watchers()
+        await self._compact_if_due()
+
+    async def _process(self, ready: Ready) -> None:
+        if ready.needs_sync():
+            term, vote = self.core.term, self.core.voted_for
+            await self.run_blocking(self.storage.save, ready, term, vote)
+            self.core.made_durable(ready.entries)
+        if ready.installed_snapshot is not None:
+            self._install(ready.installed_snapshot)
+        addresses = self.core.members()
+        for message in ready.messages:
+            address = addresses.get(message.target)
+            if address is not None:
+                self.link.notify(address, message)
+        for entry in ready.committed:
+            self._apply(entry)
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self.state = decode_state(snapshot.data)
+        self.applied_term = snapshot.term
+
+    def _apply(self, entry: LogEntry) -> None:
+        command = decode(entry.data) if entry.data else NoOp()
+        outcome = apply_command(self.state, entry.index, command)
+        self.applied_term = entry.term
+        proposal = self.pending.pop(entry.index, None)
+        if proposal is not None:
+            proposal.outcome = outcome if proposal.term == entry.term else None
+            proposal.done.set()
+
+    def _fail_pending(self) -> None:
+        for proposal in self.pending.values():
+            proposal.done.set()
+        self.pending.clear()
+
+    async def _compact_if_due(self) -> None:
+        applied = self.state.applied_index
+        if applied - self.core.log.base_index < self.snapshot_every:
+            return
+        snapshot = Snapshot(
+            index=applied,
+            term=self.core.log.term_at(applied) or 0,
+            members=self.core.log.members_at(applied),
+            data=encode_state(self.state),
+        )
+        behind = self.core.log.slice_from(applied + 1, len(self.core.log.entries))
+        term, vote = self.core.term, self.core.voted_for
+        await self.run_blocking(self.storage.save_snapshot, snapshot, behind, term, vote)
+        self.core.compact(snapshot)
--- /dev/null
+++ b/src/hornbeamreach/control/state_machine.py
@@ -0,0 +1,440 @@
+"""Deterministic application of commands to the control state."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import cbor2
+from attrs import define
+
+from hornbeamreach.control import commands
+from hornbeamreach.exceptions import TableError
+from hornbeamreach.link.codec import wire_converter
+from hornbeamreach.registry import Registry
+from hornbeamreach.systems.budget import exceeded_budget
+from hornbeamreach.systems.change_effect import change_effect
+from hornbeamreach.tables.control_state import (
+    Change,
+    ControlState,
+    EntryGrant,
+    KeyEdit,
+    KeyRow,
+    MaintenanceOrder,
+    OperationAnswer,
+    OrderAction,
+    PreparedChange,
+    VmPhase,
+    VmState,
+)
+from hornbeamreach.tables.declared import DeclaredTable, RowEdit
+from hornbeamreach.tables.table_file import check_consistency, row_from_plain
+from hornbeamreach.verdict import Reason
+
+ANSWER_RETENTION_MS = 3 * 24 * 3_600_000
+MAX_ANSWERS = 50_000
+SNAPSHOT_FORMAT = 1
+SPREAD_STEPS = 10_000
+
+
+@define(frozen=True, kw_only=True)
+class Outcome:
+    """Say what a command did."""
+
+    accepted: bool
+    version: int = 0
+    index: int = 0
+    prepared: bool = False
+    reason: Reason | None = None
+    detail: str = ""
+
+
+Apply = Callable[[ControlState, Any], Outcome]
+appliers: Registry[Apply] = Registry("command")
+
+
+def apply_command(state: ControlState, index: int, command: commands.Command) -> Outcome:
+    """Apply one committed command and return its outcome."""
+    state.applied_index = index
+    return appliers.get(type(command).__name__)(state, command)
+
+
+def _accept(state: ControlState, **fields: Any) -> Outcome:
+    return Outcome(accepted=True, version=state.version, index=state.applied_index, **fields)
+
+
+def _refuse(state: ControlState, reason: Reason, detail: str) -> Outcome:
+    return Outcome(
+        accepted=False,
+        version=state.version,
+        index=state.applied_index,
+        reason=reason,
+        detail=detail,
+    )
+
+
+@appliers.register("NoOp")
+def _apply_no_op(state: ControlState, command: commands.NoOp) -> Outcome:
+    return _accept(state)
+
+
+# Changes of the table and of keys
+
+
+@appliers.register("PrepareChange")
+def _apply_prepare(state: ControlState, command: commands.PrepareChange) -> Outcome:
+    earlier = earlier_answer(state, command.operation_id, command.digest)
+    if earlier is not None:
+        return earlier
+    pending = _pending_conflict(state, command)
+    if pending is not None:
+        return pending
+    fault = _find_fault(state, command.change)
+    if fault is not None:
+        return _record(state, command.operation_id, command.digest, fault, command.at_ms)
+    effect = change_effect(state, command.change.edits, command.change.key_edits)
+    if effect.tightens():
+        state.prepared[command.operation_id] = PreparedChange(
+            change=command.change,
+            digest=command.digest,
+            prepared_index=state.applied_index,
+            prepared_ms=command.at_ms,
+            teams=sorted(effect.teams),
+            shared_rows=sorted(effect.shared_rows),
+        )
+        return _accept(state, prepared=True)
+    _put_in_force(state, command.change, command.at_ms)
+    return _record(state, command.operation_id, command.digest, _accept(state), command.at_ms)
+
+
+def earlier_answer(state: ControlState, operation_id: str, digest: str) -> Outcome | None:
+    """Return the answer already given to an operation, if there is one."""
+    prepared = state.prepared.get(operation_id)
+    answer = state.answers.get(operation_id)
+    known = prepared or answer
+    if known is None:
+        return None
+    if known.digest != digest:
+        return _refuse(state, Reason.OPERATION_REUSED, "the operation id has other content")
+    if answer is None:
+        return _accept(state, prepared=True)
+    return Outcome(
+        accepted=answer.accepted,
+        version=answer.version,
+        index=answer.index,
+        reason=answer.reason,
+        detail=answer.detail,
+    )
+
+
+def _pending_conflict(state: ControlState, command: commands.PrepareChange) -> Outcome | None:
+    rows = command.change.rows()
+    for operation_id, prepared in state.prepared.items():
+        shared = rows & prepared.change.rows()
+        if shared:
+            detail = f"{sorted(shared)[0]} is being changed by operation {operation_id}"
+            return _refuse(state, Reason.CHANGE_PENDING, detail)
+    return None
+
+
+def _find_fault(state: ControlState, change: Change) -> Outcome | None:
+    for edit in change.edits:
+        version = state.row_version(edit.kind, edit.name)
+        if version != edit.expected_version:
+            detail = (
+                f"{edit.kind}.{edit.name} has version {version}, "
+                f"the edit expects {edit.expected_version}"
+            )
+            return _refuse(state, Reason.VERSION_CONFLICT, detail)
+    try:
+        check_consistency(edited_table(state.table, change.edits))
+        _check_key_edits(state, change)
+    except TableError as exc:
+        return _refuse(state, Reason.INCONSISTENT_TABLE, str(exc))
+    return _budget_in_use(state, change)
+
+
+def _budget_in_use(state: ControlState, change: Change) -> Outcome | None:
+    """Refuse a budget below what maintenance has out of service already."""
+    table = edited_table(state.table, change.edits)
+    for pool in sorted({edit.name for edit in change.edits if edit.kind == "pools"}):
+        out = [
+            vm
+            for vm, vm_state in state.vm_states.items()
+            if vm_state.phase is not VmPhase.IN_SERVICE
+            and vm in table.vms
+            and table.vms[vm].pool == pool
+        ]
+        if pool in table.pools and len(out) > table.pools[pool].max_down:
+            detail = f"{len(out)} VMs of pool {pool} are out for maintenance"
+            return _refuse(state, Reason.BUDGET_SPENT, detail)
+    return None
+
+
+def _check_key_edits(state: ControlState, change: Change) -> None:
+    table = edited_table(state.table, change.edits)
+    for key in change.key_edits:
+        if key.withdraw and key.key_hash not in state.keys:
+            raise TableError("no such key is granted", path="keys")
+        if not key.withdraw and key.team not in table.teams:
+            raise TableError(f"{key.team!r} is not a declared team", path="keys")
+        if not key.withdraw and key.key_hash in state.keys:
+            raise TableError("the key is granted already", path="keys")
+
+
+def edited_table(table: DeclaredTable, edits: list[RowEdit]) -> DeclaredTable:
+    """Return a copy of the table with the edits made."""
+    edited = table.copy()
+    for edit in edits:
+        rows = edited.rows(edit.kind)
+        if edit.columns is None:
+            rows.pop(edit.name, None)
+        else:
+            rows[edit.name] = row_from_plain(edit.kind, edit.name, edit.columns)
+    return edited
+
+
+def _put_in_force(state: ControlState, change: Change, at_ms: int) -> None:
+    state.version += 1
+    before = state.table
+    state.table = edited_table(before, change.edits)
+    for edit in change.edits:
+        state.row_versions.setdefault(edit.kind, {})[edit.name] = state.version
+        if edit.kind == "vms" and edit.columns is not None:
+            _update_vm_state(state, edit.name, before, at_ms)
+    for key in change.key_edits:
+        _apply_key_edit(state, key)
+    _forget_removed_rows(state)
+
+
+def _update_vm_state(state: ControlState, vm: str, before: DeclaredTable, at_ms: int) -> None:
+    old, new = before.vms.get(vm), state.table.vms[vm]
+    vm_state = state.vm_state(vm)
+    if old is None:
+        # Spread the first maintenance of VMs added together over the whole interval.
+        interval = state.table.pools[new.pool].maintenance_interval_ms
+        part = zlib.crc32(vm.encode()) % SPREAD_STEPS
+        maintained_ms = at_ms - interval * part // SPREAD_STEPS
+        state.vm_states[vm] = VmState(since_ms=at_ms, maintained_ms=maintained_ms)
+    elif old.pool != new.pool:
+        state.vm_states[vm] = attrs.evolve(
+            vm_state, epoch=vm_state.epoch + 1, index=state.applied_index
+        )
+
+
+def _apply_key_edit(state: ControlState, key: KeyEdit) -> None:
+    if key.withdraw:
+        state.keys.pop(key.key_hash, None)
+    else:
+        state.keys[key.key_hash] = KeyRow(team=key.team, key_id=key.key_id)
+
+
+def _forget_removed_rows(state: ControlState) -> None:
+    table = state.table
+    for key_hash in [key for key, row in state.keys.items() if row.team not in table.teams]:
+        del state.keys[key_hash]
+    for vms in (state.vm_states, state.orders):
+        for vm in [vm for vm in vms if vm not in table.vms]:
+            del vms[vm]
+
+
+@appliers.register("CommitChange")
+def _apply_commit(state: ControlState, command: commands.CommitChange) -> Outcome:
+    prepared = state.prepared.get(command.operation_id)
+    if prepared is None:
+        return _refuse(state, Reason.UNKNOWN_ROW, "the operation is not prepared")
+    fault = limit_in_use(state, prepared.change) or _find_fault(state, prepared.change)
+    del state.prepared[command.operation_id]
+    if fault is None:
+        _put_in_force(state, prepared.change, command.at_ms)
+        fault = _accept(state)
+    return _record(state, command.operation_id, prepared.digest, fault, command.at_ms)
+
+
+def limit_in_use(state: ControlState, change: Change) -> Outcome | None:
+    """Return a refusal if more is granted than the change would allow, else None."""
+    for edit in change.edits:
+        if edit.kind != "teams":
+            continue
+        granted, limit = state.granted(edit.name), state.lowest_limit(edit.name)
+        if granted > limit:
+            detail = f"{granted} of team {edit.name} may be running, above {limit}"
+            return _refuse(state, Reason.TEAM_AT_LIMIT, detail)
+    return None
+
+
+@appliers.register("AbortChange")
+def _apply_abort(state: ControlState, command: commands.AbortChange) -> Outcome:
+    prepared = state.prepared.pop(command.operation_id, None)
+    if prepared is None:
+        return _refuse(state, Reason.UNKNOWN_ROW, "the operation is not prepared")
+    refusal = _refuse(state, command.reason, command.detail)
+    return _record(state, command.operation_id, prepared.digest, refusal, command.at_ms)
+
+
+def _record(
+    state: ControlState, operation_id: str, digest: str, outcome: Outcome, at_ms: int
+) -> Outcome:
+    state.answers[operation_id] = OperationAnswer(
+        digest=digest,
+        accepted=outcome.accepted,
+        version=outcome.version,
+        index=outcome.index,
+        answered_ms=at_ms,
+        reason=outcome.reason,
+        detail=outcome.detail,
+    )
+    _expire_answers(state, at_ms)
+    return outcome
+
+
+def _expire_answers(state: ControlState, at_ms: int) -> None:
+    # Answers are in the order they were given, so the old ones come first.
+    for operation_id in list(state.answers):
+        expired = state.answers[operation_id].answered_ms < at_ms - ANSWER_RETENTION_MS
+        if not expired and len(state.answers) <= MAX_ANSWERS:
+            return
+        del state.answers[operation_id]
+
+
+# Entry processes and their slices
+
+
+@appliers.register("RegisterEntry")
+def _apply_register(state: ControlState, command: commands.RegisterEntry) -> Outcome:
+    incarnations = state.grants.setdefault(command.entry_id, {})
+    if command.incarnation not in incarnations:
+        incarnations[command.incarnation] = EntryGrant(
+            data_center=command.data_center,
+            address=command.address,
+            peer_count=command.peer_count,
+        )
+    return _accept(state)
+
+
+@appliers.register("SuspendIncarnation")
+def _apply_suspend(state: ControlState, command: commands.SuspendIncarnation) -> Outcome:
+    grant = state.grants.get(command.entry_id, {}).get(command.incarnation)
+    if grant is not None and not grant.suspended_index:
+        grant.suspended_index = state.applied_index
+    return _accept(state)
+
+
+@appliers.register("ForgetIncarnation")
+def _apply_forget(state: ControlState, command: commands.ForgetIncarnation) -> Outcome:
+    incarnations = state.grants.get(command.entry_id, {})
+    incarnations.pop(command.incarnation, None)
+    if not incarnations:
+        state.grants.pop(command.entry_id, None)
+    return _accept(state)
+
+
+@appliers.register("SetSlices")
+def _apply_set_slices(state: ControlState, command: commands.SetSlices) -> Outcome:
+    for change in command.changes:
+        _set_slice(state, change)
+    return _accept(state)
+
+
+def _set_slice(state: ControlState, change: commands.SliceChange) -> None:
+    grant = state.grants.get(change.entry_id, {}).get(change.incarnation)
+    if grant is None:
+        return
+    present = grant.slices.get(change.team, 0)
+    raised = change.size - present
+    if raised > 0 and state.granted(change.team) + raised > state.lowest_limit(change.team):
+        return
+    if raised < 0 and grant.slice_indexes.get(change.team, 0) > change.promised_index:
+        return
+    grant.slices[change.team] = change.size
+    grant.slice_indexes[change.team] = state.applied_index
+
+
+# Maintenance
+
+
+@appliers.register("OrderMaintenance")
+def _apply_order(state: ControlState, command: commands.OrderMaintenance) -> Outcome:
+    earlier = earlier_answer(state, command.operation_id, command.digest)
+    if earlier is not None:
+        return earlier
+    if command.vm not in state.table.vms:
+        refusal = _refuse(state, Reason.UNKNOWN_ROW, f"no VM {command.vm} is declared")
+        return _record(state, command.operation_id, command.digest, refusal, command.at_ms)
+    state.orders[command.vm] = MaintenanceOrder(
+        action=command.action, ordered_ms=command.at_ms, planned=command.planned
+    )
+    return _record(state, command.operation_id, command.digest, _accept(state), command.at_ms)
+
+
+NEXT_PHASES = {
+    VmPhase.IN_SERVICE: {VmPhase.DRAINING},
+    VmPhase.DRAINING: {VmPhase.REBOOTING, VmPhase.OUT, VmPhase.IN_SERVICE},
+    VmPhase.REBOOTING: {VmPhase.PROBATION},
+    VmPhase.PROBATION: {VmPhase.IN_SERVICE, VmPhase.REBOOTING},
+    VmPhase.OUT: {VmPhase.PROBATION},
+}
+
+
+@appliers.register("SetVmPhase")
+def _apply_vm_phase(state: ControlState, command: commands.SetVmPhase) -> Outcome:
+    if command.vm not in state.table.vms:
+        return _refuse(state, Reason.UNKNOWN_ROW, f"no VM {command.vm} is declared")
+    vm_state = state.vm_state(command.vm)
+    if vm_state.epoch != command.expected_epoch:
+        return _refuse(state, Reason.VERSION_CONFLICT, f"epoch is {vm_state.epoch}")
+    if command.phase not in NEXT_PHASES[vm_state.phase]:
+        detail = f"{vm_state.phase.value} is not followed by {command.phase.value}"
+        return _refuse(state, Reason.VERSION_CONFLICT, detail)
+    if command.phase is VmPhase.DRAINING:
+        exceeded = exceeded_budget(state, command.vm, set(command.also_down))
+        if exceeded is not None:
+            return _refuse(state, Reason.BUDGET_SPENT, exceeded)
+    _set_vm_phase(state, command, vm_state)
+    return _accept(state)
+
+
+def _set_vm_phase(state: ControlState, command: commands.SetVmPhase, vm_state: VmState) -> None:
+    returned = command.phase is VmPhase.IN_SERVICE
+    from_probation = vm_state.phase is VmPhase.PROBATION
+    state.vm_states[command.vm] = VmState(
+        phase=command.phase,
+        epoch=vm_state.epoch + 1,
+        index=state.applied_index,
+        since_ms=command.at_ms,
+        maintained_ms=command.at_ms if returned and from_probation else vm_state.maintained_ms,
+    )
+    order = state.orders.get(command.vm)
+    finished = returned or command.phase is VmPhase.OUT
+    if finished and order is not None and order.ordered_ms <= command.at_ms:
+        settles_out = order.action is OrderAction.KEEP_OUT
+        if returned or settles_out:
+            del state.orders[command.vm]
+
+
+# Snapshots and digests
+
+
+def encode_state(state: ControlState) -> bytes:
+    """Encode the whole state in canonical CBOR."""
+    plain = wire_converter.unstructure(state)
+    return cbor2.dumps({"format": SNAPSHOT_FORMAT, "state": plain}, canonical=True)
+
+
+def decode_state(data: bytes) -> ControlState:
+    """Decode a state that encode_state wrote."""
+    decoded = cbor2.loads(data)
+    if decoded.get("format") != SNAPSHOT_FORMAT:
+        raise TableError(f"snapshot format {decoded.get('format')} is not {SNAPSHOT_FORMAT}")
+    state = wire_converter.structure(decoded["state"], ControlState)
+    # Canonical CBOR sorts by key; expiry needs the order in which answers were given.
+    state.answers = dict(sorted(state.answers.items(), key=lambda item: item[1].index))
+    return state
+
+
+def state_digest(state: ControlState) -> str:
+    """Return a digest that equal states share on every replica."""
+    return hashlib.sha256(encode_state(state)).hexdigest()[:16]
--- /dev/null
+++ b/src/hornbeamreach/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The two daemons, thin over the library."""
--- /dev/null
+++ b/src/hornbeamreach/daemons/control.py
@@ -0,0 +1,75 @@
+"""The control daemon."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import trio
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.control.disk import FileDisk
+from hornbeamreach.control.node import ControlNode
+from hornbeamreach.daemons.process import daemon_main
+from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.websocket import LinkServer, WebSocketLink
+from hornbeamreach.settings import ControlSettings
+from hornbeamreach.web.server import serve_http
+
+
+async def run_control(
+    settings: ControlSettings,
+    *,
+    clock: Clock,
+    rng: random.Random,
+    stop: trio.Event,
+    task_status: Any = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a control replica until `stop` is set, then hand over and end."""
+    disk = FileDisk(settings.data_folder)
+    try:
+        async with trio.open_nursery() as nursery:
+            handlers = HandlerTable()
+            process = settings.process
+            link = WebSocketLink(nursery=nursery, secret=process.link_secret)
+            node = ControlNode(
+                settings=settings,
+                disk=disk,
+                link=link,
+                handlers=handlers,
+                clock=clock,
+                rng=rng,
+                run_blocking=trio.to_thread.run_sync,
+            )
+            server = LinkServer(
+                address=process.link_address, secret=process.link_secret, handlers=handlers
+            )
+            http_stop = trio.Event()
+            await nursery.start(server.run)
+            await nursery.start(_serve, node, process.http_address, http_stop)
+            await nursery.start(node.run)
+            task_status.started(node)
+            await stop.wait()
+            await node.hand_over()
+            http_stop.set()
+            nursery.cancel_scope.cancel()
+    finally:
+        disk.close()
+
+
+async def _serve(
+    node: ControlNode,
+    address: str,
+    stop: trio.Event,
+    task_status: Any = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve_http(node.api.build_app(), address, stop=stop, task_status=task_status)
+
+
+def main() -> None:
+    """Run the program."""
+    daemon_main(run_control, "control")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hornbeamreach/daemons/process.py
@@ -0,0 +1,79 @@
+"""What both daemons share: logs, signals, exit codes and the clock."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import fire
+import trio
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.exceptions import HornbeamreachError, InvalidInputError
+from hornbeamreach.logs import configure_logs, part_logger
+from hornbeamreach.settings import LogSettings, load_settings
+
+log = part_logger("main")
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+
+RunDaemon = Callable[..., Awaitable[None]]
+
+
+async def run_until_signal(run: RunDaemon, settings: Any) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then let it end gracefully."""
+    stop = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_wait_signal, signals, stop)
+            await run(settings, clock=Clock(), rng=random.SystemRandom(), stop=stop)
+            nursery.cancel_scope.cancel()
+
+
+async def _wait_signal(signals: Any, stop: trio.Event) -> None:
+    async for number in signals:
+        log.info("received {}, shutting down", signal.Signals(number).name)
+        stop.set()
+
+
+def daemon_main(run: RunDaemon, kind: str) -> None:
+    """Read the settings named on the command line and run the daemon."""
+
+    def start(settings: str) -> None:
+        """Run the daemon with a settings file, until SIGTERM.
+
+        Args:
+            settings: path of the TOML settings file.
+        """
+        loaded = load_settings(settings, kind)
+        log_settings: LogSettings = loaded.log
+        configure_logs(level=log_settings.level, json_lines=log_settings.json)
+        trio.run(run_until_signal, run, loaded)
+
+    try:
+        fire.Fire(start)
+    except HornbeamreachError as exc:
+        _exit_with([exc])
+    except BaseExceptionGroup as group:
+        known, others = group.split(HornbeamreachError)
+        if others is not None or known is None:
+            raise
+        _exit_with(_leaves(known))
+
+
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    found: list[BaseException] = []
+    for exc in group.exceptions:
+        found += _leaves(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+    return found
+
+
+def _exit_with(errors: list[BaseException]) -> None:
+    for error in errors:
+        print(f"error: {error}", file=sys.stderr)
+    bad_input = all(isinstance(error, InvalidInputError) for error in errors)
+    sys.exit(EXIT_BAD_INPUT if bad_input else EXIT_FAILED)
--- /dev/null
+++ b/src/hornbeamreach/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' and endpoints' HTTP, and the fast decisions."""
--- /dev/null
+++ b/src/hornbeamreach/entry/call_records.py
@@ -0,0 +1,174 @@
+"""Records of calls with idempotency keys: run at most once, answered again."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.entry.identity import check_idempotency_key
+from hornbeamreach.exceptions import RefusedError
+from hornbeamreach.link.messages import CallAnswer
+from hornbeamreach.records.messages import Record
+from hornbeamreach.records.store import RecordStore
+from hornbeamreach.verdict import Reason, Verdict
+
+if TYPE_CHECKING:
+    from hornbeamreach.entry.calls import CallRequest
+
+STARTED = "call_started"
+FINISHED = "call_finished"
+WITHDRAWN = "call_withdrawn"
+FINAL_CALL_STATES = frozenset({STARTED, FINISHED, WITHDRAWN})
+RETRY_AFTER_MS = 1_000
+
+
+def record_key(request: CallRequest) -> str:
+    """Return the key of a call's record; teams do not share keys."""
+    return f"call/{request.team}/{request.idempotency_key}"
+
+
+def request_digest(request: CallRequest) -> str:
+    """Return a digest by which a resend of the same call is known."""
+    digest = hashlib.sha256()
+    for part in (request.service.encode(), request.content_type.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+class CallRecords:
+    """Record the start of a call before it is sent, and its answer before it is given."""
+
+    def __init__(self, *, store: RecordStore, clock: Clock, retention_ms: int) -> None:
+        self.store = store
+        self.clock = clock
+        self.retention_ms = retention_ms
+
+    async def replay(self, request: CallRequest) -> CallAnswer | None:
+        """Return the recorded answer of an earlier call, or None if none was started."""
+        issued_ms = check_idempotency_key(
+            request.idempotency_key, self.clock.wall_ms(), self.retention_ms
+        )
+        read = await self.store.read(record_key(request))
+        if read.record is None:
+            self._refuse_if_lost(issued_ms, read.lost_before_ms)
+            return None
+        if read.record.state == WITHDRAWN:
+            return None
+        return _answer_from(read.record, request)
+
+    def _refuse_if_lost(self, issued_ms: int, lost_before_ms: int) -> None:
+        if issued_ms < lost_before_ms:
+            detail = "the records of that time were lost with their VMs"
+            raise RefusedError(Reason.RECORDS_UNAVAILABLE, detail, verdict=Verdict.MAY_HAVE_RUN)
+
+    async def start(self, request: CallRequest, endpoint: str) -> None:
+        """Record that an attempt begins, unless another one has begun.
+
+        Raises RefusedError if the record of another attempt stands, or if no majority
+        keeps this one; then nothing was sent and nothing will be.
+        """
+        digest = request_digest(request)
+
+        def begin(record: Record | None) -> Record:
+            if record is not None and record.state != WITHDRAWN:
+                raise _AlreadyStartedError(record)
+            return Record(
+                kind="call",
+                state=STARTED,
+                team=request.team,
+                digest=digest,
+                holder=request.request_id,
+                target=endpoint,
+                at_ms=self.clock.wall_ms(),
+            )
+
+        try:
+            await self.store.change(record_key(request), begin)
+        except _AlreadyStartedError as exc:
+            if exc.record.state == STARTED and exc.record.holder == request.request_id:
+                # Our own proposal was completed by another process: the start is recorded.
+                return
+            _answer_from(exc.record, request)
+            raise RefusedError(
+                Reason.IN_PROGRESS,
+                "another attempt finished meanwhile; send again for its answer",
+                verdict=Verdict.RAN,
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from None
+
+    async def finish(self, request: CallRequest, answer: CallAnswer) -> None:
+        """Record an answer; the caller gets it even if no majority can keep it."""
+
+        def complete(record: Record | None) -> Record:
+            return Record(
+                kind="call",
+                state=FINISHED,
+                team=request.team,
+                digest=request_digest(request),
+                holder=request.request_id,
+                target=answer.endpoint,
+                at_ms=self.clock.wall_ms(),
+                verdict=Verdict.RAN.value,
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body,
+            )
+
+        # An answer that no majority keeps is still true: the caller gets it, and a resend
+        # is told that the call may have run.
+        with trio.CancelScope(shield=True):
+            try:
+                await self.store.change(record_key(request), complete)
+            except RefusedError as exc:
+                self.store.metrics.refused("record", exc.reason)
+
+    async def withdraw(self, request: CallRequest) -> None:
+        """Record that the attempt certainly did not run, so that another may."""
+
+        def withdraw_own(record: Record | None) -> Record | None:
+            if record is None or record.holder != request.request_id:
+                return record
+            return Record(
+                kind="call",
+                state=WITHDRAWN,
+                team=request.team,
+                digest=record.digest,
+                holder=request.request_id,
+                at_ms=self.clock.wall_ms(),
+            )
+
+        try:
+            await self.store.change(record_key(request), withdraw_own)
+        except RefusedError as exc:
+            # The record goes on to say that the call started; a resend is told so.
+            self.store.metrics.refused("record", exc.reason)
+
+
+class _AlreadyStartedError(Exception):
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        super().__init__(record.state)
+
+
+def _answer_from(record: Record, request: CallRequest) -> CallAnswer:
+    """Return a recorded answer, or refuse with what the record tells."""
+    if record.digest != request_digest(request):
+        detail = "the Idempotency-Key was used for a call with other content"
+        raise RefusedError(Reason.IDEMPOTENCY_KEY_REUSED, detail)
+    if record.state == FINISHED:
+        return CallAnswer(
+            status=record.status,
+            content_type=record.content_type,
+            body=record.body,
+            endpoint=record.target,
+            replayed=True,
+        )
+    raise RefusedError(
+        Reason.IN_PROGRESS,
+        f"an attempt was started on {record.target} and its answer is not known",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/src/hornbeamreach/entry/feed.py
@@ -0,0 +1,169 @@
+"""An entry process's session with control."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.entry.authority import Authority
+from hornbeamreach.entry.view import ControlView
+from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
+from hornbeamreach.link.interface import Link
+from hornbeamreach.link.messages import Leave, Renew, RenewReply, UseReport, VmReport
+from hornbeamreach.logs import part_logger
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.tables.permits import PermitTable
+
+log = part_logger("feed")
+
+RENEW_HOLD_MS = 900
+RENEW_TIMEOUT_MS = 2_500
+RETRY_DELAY_MS = 150
+USE_REPORT_INTERVAL_MS = 100
+LEAVE_TIMEOUT_MS = 1_000
+LEAVE_ATTEMPTS = 5
+
+
+class ControlFeed:
+    """Renew the session, replay the log and keep the permits in step."""
+
+    def __init__(
+        self,
+        *,
+        authority: Authority,
+        view: ControlView,
+        permits: PermitTable,
+        address: str,
+        data_center: str,
+        replicas: dict[str, str],
+        link: Link,
+        clock: Clock,
+        metrics: Metrics,
+        new_incarnation: Callable[[], str],
+    ) -> None:
+        self.authority = authority
+        self.view = view
+        self.permits = permits
+        self.address = address
+        self.data_center = data_center
+        self.replicas = list(replicas.values())
+        self.link = link
+        self.clock = clock
+        self.metrics = metrics
+        self.new_incarnation = new_incarnation
+        self.leader = self.replicas[0]
+        self.vm_reports: dict[str, VmReport] = {}
+        self.busy_vms: Callable[[], dict[str, int]] = dict
+        self.idle_vms: Callable[[], list[str]] = list
+        self.reported_wanted: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Renew again and again until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report_urgent_use)
+            while True:
+                if not await self._renew():
+                    await trio.sleep(seconds(RETRY_DELAY_MS))
+
+    async def _renew(self) -> bool:
+        sent_ms = self.clock.now_ms()
+        message = self._build_renew()
+        try:
+            reply = await self.link.request(self.leader, message, timeout_ms=RENEW_TIMEOUT_MS)
+        except NotLeaderError as exc:
+            self._choose_leader(exc.leader)
+            return False
+        except RefusedError as exc:
+            self._on_refused(exc)
+            return False
+        except LinkError:
+            self._choose_leader(None)
+            return False
+        self._take(reply, sent_ms)
+        return True
+
+    def _build_renew(self) -> Renew:
+        return Renew(
+            entry_id=self.authority.entry_id,
+            incarnation=self.authority.incarnation,
+            data_center=self.data_center,
+            address=self.address,
+            peer_count=self.authority.peer_count,
+            applied_index=self.view.index(),
+            hold_ms=RENEW_HOLD_MS,
+            uses=self.permits.report(),
+            vm_reports=dict(self.vm_reports),
+            busy_vms=self.busy_vms(),
+            idle_vms=self.idle_vms(),
+        )
+
+    def _take(self, reply: RenewReply, sent_ms: int) -> None:
+        self.view.take(reply.items, reply.state)
+        self.update_permits()
+        if self.view.index() >= reply.committed_index:
+            # The session lets this process act, so it must not begin on an older state.
+            self.authority.renew(sent_ms)
+        self.permits.promise_targets(reply.targets, self.view.index())
+
+    def update_permits(self) -> None:
+        """Take over the slices that the replicated state grants to this incarnation."""
+        incarnations = self.view.state.grants.get(self.authority.entry_id, {})
+        grant = incarnations.get(self.authority.incarnation)
+        if grant is None:
+            self.permits.update_slices({}, {})
+        else:
+            self.permits.update_slices(grant.slices, grant.slice_indexes)
+
+    def _choose_leader(self, hint: str | None) -> None:
+        if hint is not None and hint != self.leader:
+            self.leader = hint
+            return
+        # Replicas that were added later are learnt from redirects.
+        known = self.replicas
+        position = known.index(self.leader) if self.leader in known else -1
+        self.leader = known[(position + 1) % len(known)]
+
+    def _on_refused(self, error: RefusedError) -> None:
+        self.metrics.refused("session", error.reason)
+        if self.permits.in_use:
+            # What the old incarnation started is still counted against it.
+            return
+        log.warning("starting a new incarnation: {}", error.detail)
+        self.authority.incarnation = self.new_incarnation()
+        self.update_permits()
+
+    async def _report_urgent_use(self) -> None:
+        """Tell control at once when work waits for permits that were not asked for yet."""
+        while True:
+            await trio.sleep(seconds(USE_REPORT_INTERVAL_MS))
+            uses = self.permits.report()
+            wanted = {team: use.wanted for team, use in uses.items() if use.wanted}
+            news = [team for team in wanted if wanted[team] > self.reported_wanted.get(team, 0)]
+            self.reported_wanted = wanted
+            if not news and not any(use.ceiling is not None for use in uses.values()):
+                continue
+            message = UseReport(
+                entry_id=self.authority.entry_id,
+                incarnation=self.authority.incarnation,
+                uses={
+                    team: use
+                    for team, use in uses.items()
+                    if team in news or use.ceiling is not None
+                },
+            )
+            self.link.notify(self.leader, message)
+
+    async def leave(self) -> None:
+        """Give the permits back at a graceful end."""
+        message = Leave(entry_id=self.authority.entry_id, incarnation=self.authority.incarnation)
+        for _ in range(LEAVE_ATTEMPTS):
+            try:
+                await self.link.request(self.leader, message, timeout_ms=LEAVE_TIMEOUT_MS)
+                return
+            except NotLeaderError as exc:
+                self._choose_leader(exc.leader)
+            except (LinkError, RefusedError):
+                self._choose_leader(None)
+            await trio.sleep(seconds(RETRY_DELAY_MS))
--- /dev/null
+++ b/src/hornbeamreach/entry/forwarding.py
@@ -0,0 +1,195 @@
+"""Sending requests to the data centre that decides on them."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hornbeamreach.entry.calls import CallRequest, CallService
+from hornbeamreach.entry.history import History
+from hornbeamreach.entry.identity import parse_job_id
+from hornbeamreach.entry.jobs import JobService
+from hornbeamreach.entry.view import ControlView
+from hornbeamreach.exceptions import (
+    LinkError,
+    NotLeaderError,
+    PeerUnreachableError,
+    RefusedError,
+)
+from hornbeamreach.link.interface import HandlerTable, Link
+from hornbeamreach.link.messages import (
+    BulkCancelAnswer,
+    CallAnswer,
+    ExplainAnswer,
+    ExplainRequest,
+    ForwardBulkCancel,
+    ForwardCall,
+    ForwardJob,
+    ForwardSubmit,
+    JobAnswer,
+    SubmitAnswer,
+)
+from hornbeamreach.verdict import Reason, Verdict
+
+FORWARD_MARGIN_MS = 500
+SUBMIT_TIMEOUT_MS = 8_000
+QUESTION_TIMEOUT_MS = 5_000
+RETRY_AFTER_MS = 2_000
+
+
+class Forwarder:
+    """Serve what this data centre decides, and forward the rest."""
+
+    def __init__(
+        self,
+        *,
+        data_center: str,
+        remote: dict[str, list[str]],
+        view: ControlView,
+        calls: CallService,
+        jobs: JobService,
+        history: History,
+        link: Link,
+        handlers: HandlerTable,
+        rng: random.Random,
+        peers: dict[str, str],
+    ) -> None:
+        self.data_center = data_center
+        self.remote = remote
+        self.view = view
+        self.calls = calls
+        self.jobs = jobs
+        self.history = history
+        self.link = link
+        self.rng = rng
+        self.peers = peers
+        handlers.on(ForwardCall, self._on_call)
+        handlers.on(ForwardSubmit, self.jobs.submit)
+        handlers.on(ForwardJob, self._on_job)
+        handlers.on(ForwardBulkCancel, self.jobs.bulk_cancel)
+        handlers.on(ExplainRequest, self._on_explain)
+
+    # Calls
+
+    async def call(self, *, request_id: str, **fields: Any) -> CallAnswer:
+        """Serve a call here, or in the team's home if it must run at most once."""
+        forward = ForwardCall(**fields)
+        home = self._home(forward.team)
+        if not forward.idempotency_key or home == self.data_center:
+            return await self._serve_call(forward, request_id)
+        self.history.note(request_id, self.calls.clock.wall_ms(), f"forwarded to {home}")
+        timeout_ms = forward.deadline_ms + FORWARD_MARGIN_MS
+        return await self._ask(home, forward, timeout_ms)
+
+    def _home(self, team: str) -> str:
+        row = self.view.state.table.teams.get(team)
+        return row.home if row else self.data_center
+
+    async def _serve_call(self, forward: ForwardCall, request_id: str) -> CallAnswer:
+        return await self.calls.call(
+            CallRequest(
+                request_id=request_id,
+                team=forward.team,
+                key_hash=forward.key_hash,
+                service=forward.service,
+                content_type=forward.content_type,
+                body=forward.body,
+                deadline_ms=forward.deadline_ms,
+                idempotency_key=forward.idempotency_key,
+            )
+        )
+
+    async def _on_call(self, message: ForwardCall) -> CallAnswer:
+        if self._home(message.team) != self.data_center:
+            detail = f"{self.data_center} is not the home of team {message.team}"
+            raise RefusedError(Reason.HOME_UNREACHABLE, detail)
+        request_id = f"fwd-{self.rng.getrandbits(64):016x}"
+        return await self._serve_call(message, request_id)
+
+    # Jobs
+
+    async def submit(self, message: ForwardSubmit) -> SubmitAnswer:
+        """Accept a job here, or in the team's home if it has an idempotency key."""
+        home = self._home(message.team) if message.idempotency_key else self.data_center
+        if home == self.data_center:
+            return await self.jobs.submit(message)
+        return await self._ask(home, message, SUBMIT_TIMEOUT_MS)
+
+    async def job(self, message: ForwardJob) -> JobAnswer:
+        """Tell about a job, or cancel it, where it is recorded."""
+        data_center = parse_job_id(message.job_id).data_center
+        if data_center == self.data_center:
+            return await self._on_job(message)
+        return await self._ask(data_center, message, QUESTION_TIMEOUT_MS)
+
+    async def _on_job(self, message: ForwardJob) -> JobAnswer:
+        return await self.jobs.describe(message, self._open_teams())
+
+    def _open_teams(self) -> set[str]:
+        return {queue.open_team for queue in self.view.state.table.queues.values() if queue.open}
+
+    async def bulk_cancel(self, message: ForwardBulkCancel) -> BulkCancelAnswer:
+        """Cancel a team's jobs in every data centre that can be reached."""
+        cancelled = (await self.jobs.bulk_cancel(message)).cancelled
+        unreachable = []
+        for data_center in sorted(self.remote):
+            try:
+                answer = await self._ask(data_center, message, QUESTION_TIMEOUT_MS)
+                cancelled += answer.cancelled
+            except RefusedError:
+                unreachable.append(data_center)
+        if unreachable:
+            detail = f"cancelled {cancelled}, but {', '.join(unreachable)} can't be reached"
+            raise RefusedError(Reason.HOME_UNREACHABLE, detail, verdict=Verdict.MAY_HAVE_RUN)
+        return BulkCancelAnswer(cancelled=cancelled)
+
+    # Explanations
+
+    async def _on_explain(self, message: ExplainRequest) -> ExplainAnswer:
+        return ExplainAnswer(lines=self._own_lines(message.subject))
+
+    def _own_lines(self, subject: str) -> list[str]:
+        lines = self.history.lines(subject)
+        call = self.calls.tables.calls.get(subject)
+        if call is not None and not call.running:
+            lines.append(f"waits for {call.waits_for or 'its turn'}")
+        return lines
+
+    async def explain(self, subject: str) -> list[str]:
+        """Collect what every entry process that can be reached knows of a subject."""
+        lines = [f"here: {line}" for line in self._own_lines(subject)]
+        addresses = list(self.peers.values())
+        for data_center in sorted(self.remote):
+            addresses += self.remote[data_center]
+        for address in addresses:
+            try:
+                answer = await self.link.request(
+                    address, ExplainRequest(subject=subject), timeout_ms=QUESTION_TIMEOUT_MS
+                )
+                lines += [f"{address}: {line}" for line in answer.lines]
+            except (LinkError, RefusedError, NotLeaderError) as exc:
+                lines.append(f"{address}: did not answer: {exc}")
+        return lines
+
+    # Links
+
+    async def _ask(self, data_center: str, message: Any, timeout_ms: int) -> Any:
+        """Ask one process of a data centre; try another only if nothing was sent."""
+        addresses = list(self.remote.get(data_center, []))
+        self.rng.shuffle(addresses)
+        for address in addresses:
+            try:
+                return await self.link.request(address, message, timeout_ms=timeout_ms)
+            except PeerUnreachableError:
+                continue
+            except LinkError as exc:
+                detail = f"{data_center} did not answer: {exc}"
+                raise RefusedError(
+                    Reason.HOME_UNREACHABLE, detail, verdict=Verdict.MAY_HAVE_RUN
+                ) from exc
+        raise RefusedError(
+            Reason.HOME_UNREACHABLE,
+            f"no entry VM of {data_center} can be reached",
+            verdict=Verdict.NOT_RUN,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
--- /dev/null
+++ b/src/hornbeamreach/entry/node.py
@@ -0,0 +1,272 @@
+"""A whole entry process: its tables, services and links."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import trio
+
+from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.control.disk import Disk
+from hornbeamreach.entry.authority import Authority
+from hornbeamreach.entry.call_records import FINAL_CALL_STATES, CallRecords
+from hornbeamreach.entry.calls import CallService
+from hornbeamreach.entry.feed import ControlFeed
+from hornbeamreach.entry.forwarding import Forwarder
+from hornbeamreach.entry.history import History
+from hornbeamreach.entry.http_api import EntryApi
+from hornbeamreach.entry.identity import new_token
+from hornbeamreach.entry.job_records import FINAL_STATE_NAMES
+from hornbeamreach.entry.jobs import JobService
+from hornbeamreach.entry.peers import Peers
+from hornbeamreach.entry.scheduler import Scheduler
+from hornbeamreach.entry.scheduler_lease import SchedulerLease
+from hornbeamreach.entry.view import ControlView
+from hornbeamreach.link.interface import HandlerTable, Link
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.platform.interface import Platform
+from hornbeamreach.records.acceptor import Acceptor
+from hornbeamreach.records.store import RecordStore
+from hornbeamreach.settings import EntrySettings
+from hornbeamreach.systems.placement import placements
+from hornbeamreach.systems.routing import routings
+from hornbeamreach.systems.shares import shares
+from hornbeamreach.tables.calls import CallTables
+from hornbeamreach.tables.control_state import VmPhase
+from hornbeamreach.tables.permits import PermitTable
+
+# The balancer notices within this time that a leaving process is not ready.
+UNREADY_MS = 1_000
+
+
+class EntryNode:
+    """Tie together the parts of one entry process."""
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        platform: Platform,
+        link: Link,
+        handlers: HandlerTable,
+        clock: Clock,
+        rng: random.Random,
+        disk: Disk | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.metrics = Metrics()
+        self.history = History()
+        self.leaving = False
+        process = settings.process
+        incarnation = self._new_incarnation()
+        self.view = ControlView()
+        self.permits = PermitTable()
+        self.call_tables = CallTables()
+        self.authority = Authority(
+            entry_id=process.id, incarnation=incarnation, peer_count=len(settings.peers)
+        )
+        self.feed = ControlFeed(
+            authority=self.authority,
+            view=self.view,
+            permits=self.permits,
+            address=process.link_address,
+            data_center=process.data_center,
+            replicas=settings.control,
+            link=link,
+            clock=clock,
+            metrics=self.metrics,
+            new_incarnation=self._new_incarnation,
+        )
+        self.peers = Peers(
+            entry_id=process.id,
+            peers=settings.peers,
+            authority=self.authority,
+            view=self.view,
+            feed=self.feed,
+            calls=self.call_tables,
+            link=link,
+            handlers=handlers,
+            clock=clock,
+        )
+        self.store = RecordStore(
+            process=f"{process.id}/{incarnation}",
+            entry_id=process.id,
+            peers=settings.peers,
+            acceptor=Acceptor(disk=disk),
+            link=link,
+            handlers=handlers,
+            clock=clock,
+            rng=rng,
+            metrics=self.metrics,
+            retention_ms=settings.record_retention_ms,
+            final_states=FINAL_CALL_STATES | FINAL_STATE_NAMES,
+        )
+        self.calls = self._build_calls()
+        self.jobs = JobService(
+            data_center=process.data_center,
+            peers=settings.peers,
+            view=self.view,
+            store=self.store,
+            link=link,
+            clock=clock,
+            rng=rng,
+            retention_ms=settings.record_retention_ms,
+        )
+        self.scheduler = self._build_scheduler(platform, handlers)
+        self.feed.busy_vms = self.busy_vms
+        self.feed.idle_vms = self.scheduler.idle_vms
+        self.forwarder = Forwarder(
+            data_center=process.data_center,
+            remote=settings.remote,
+            view=self.view,
+            calls=self.calls,
+            jobs=self.jobs,
+            history=self.history,
+            link=link,
+            handlers=handlers,
+            rng=rng,
+            peers={peer: address for peer, address in settings.peers.items() if peer != process.id},
+        )
+        self.api = EntryApi(node=self)
+
+    def _new_incarnation(self) -> str:
+        return new_token(self.rng)
+
+    def _build_calls(self) -> CallService:
+        settings = self.settings
+        return CallService(
+            tables=self.call_tables,
+            permits=self.permits,
+            view=self.view,
+            authority=self.authority,
+            records=CallRecords(
+                store=self.store, clock=self.clock, retention_ms=settings.record_retention_ms
+            ),
+            routing=routings.get(settings.policy.routing),
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
+            history=self.history,
+            max_answer_bytes=settings.limits.max_answer_bytes,
+        )
+
+    def _build_scheduler(self, platform: Platform, handlers: HandlerTable) -> Scheduler:
+        settings = self.settings
+        return Scheduler(
+            process=self.store.process,
+            data_center=settings.process.data_center,
+            view=self.view,
+            authority=self.authority,
+            permits=self.permits,
+            feed=self.feed,
+            store=self.store,
+            lease=SchedulerLease(process=self.store.process, store=self.store, clock=self.clock),
+            platform=platform,
+            handlers=handlers,
+            share=shares.get(settings.policy.share),
+            placement=placements.get(settings.policy.placement),
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
+            history=self.history,
+        )
+
+    # Questions
+
+    def is_serving(self) -> bool:
+        """Tell whether the current table has been learnt since the start."""
+        return self.authority.renewed_ms is not None
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        if self.leaving or not self.is_serving() or not self.store.is_settled():
+            return False
+        now_ms = self.clock.now_ms()
+        state = self.view.state
+        teams = state.table.teams
+        if not teams:
+            return self.authority.in_session(now_ms)
+        return any(self.authority.may_act(state, team, now_ms) for team in teams)
+
+    def busy_vms(self) -> dict[str, int]:
+        """Count calls and tasks on VMs that are being drained."""
+        counts = self.scheduler.busy_vms()
+        for row in self.call_tables.endpoints.values():
+            draining = self.view.state.vm_state(row.vm).phase is VmPhase.DRAINING
+            if row.running and draining:
+                counts[row.vm] = counts.get(row.vm, 0) + row.running
+        return counts
+
+    def describe(self) -> dict[str, Any]:
+        """Return the process's status as plain data."""
+        now_ms = self.clock.now_ms()
+        return {
+            "entry": self.settings.process.id,
+            "data_center": self.settings.process.data_center,
+            "ready": self.is_ready(),
+            "in_session": self.authority.in_session(now_ms),
+            "applied_index": self.view.index(),
+            "version": self.view.state.version,
+            "schedules": self.scheduler.lease.held(),
+            "votes_on_records": self.store.acceptor.voting,
+            "live_entries": self.peers.live_entries(),
+            "calls": len(self.call_tables.calls),
+            "jobs": len(self.scheduler.tables.jobs),
+            "permits": {
+                team: {"slice": size, "in_use": self.permits.in_use.get(team, 0)}
+                for team, size in self.permits.slices.items()
+            },
+            "endpoints": {
+                row.id: {
+                    "service": row.service,
+                    "health": row.health.value,
+                    "running": row.running,
+                    "credits": row.credits,
+                    "leaving": row.leaving,
+                    "heard_ms_ago": now_ms - row.heard_ms,
+                }
+                for row in self.call_tables.endpoints.values()
+            },
+            "refusals": self.metrics.refusal_counts,
+            "retries": self.metrics.retry_counts,
+        }
+
+    def update_gauges(self) -> None:
+        """Set the gauges to the present sizes."""
+        gauges = {
+            "entry_applied_index": self.view.index(),
+            "entry_calls": len(self.call_tables.calls),
+            "entry_endpoints": len(self.call_tables.endpoints),
+            "entry_records": len(self.store.acceptor.records),
+            "entry_jobs": len(self.scheduler.tables.jobs),
+            "entry_ready": int(self.is_ready()),
+        }
+        for name, value in gauges.items():
+            self.metrics.gauge(name, value)
+
+    # Running
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Run every part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.feed.run)
+            nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.store.run)
+            nursery.start_soon(self.calls.run)
+            nursery.start_soon(self.scheduler.run)
+            task_status.started()
+
+    async def leave(self) -> None:
+        """Turn unready, finish what is in flight, and give everything back."""
+        self.leaving = True
+        await trio.sleep(seconds(UNREADY_MS))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.calls.drain)
+            nursery.start_soon(self.scheduler.stop)
+        # Only now: calls that wait here still need this process's part of the slots.
+        self.peers.leaving = True
+        await self.feed.leave()
+        await self.calls.close()
--- /dev/null
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -0,0 +1,647 @@
+"""The scheduling of a data centre's jobs by one of its entry processes at a time."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections import deque
+
+import trio
+from attrs import define, evolve
+
+from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.entry.authority import Authority
+from hornbeamreach.entry.feed import ControlFeed
+from hornbeamreach.entry.history import History
+from hornbeamreach.entry.job_records import (
+    FINAL_STATE_NAMES,
+    JOB_PREFIX,
+    JobRecords,
+    StepRefusedError,
+    job_key,
+)
+from hornbeamreach.entry.scheduler_lease import SchedulerLease
+from hornbeamreach.entry.view import ControlView
+from hornbeamreach.exceptions import PlatformError, RefusedError
+from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.messages import Done, VmReport, WakeScheduler
+from hornbeamreach.logs import part_logger
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.platform.interface import (
+    Platform,
+    PlatformReport,
+    TaskReport,
+    TaskRequest,
+)
+from hornbeamreach.records.messages import Record
+from hornbeamreach.records.store import RecordStore
+from hornbeamreach.systems.blame import (
+    healthy_workers_failed,
+    record_task_failure,
+    record_task_success,
+)
+from hornbeamreach.systems.maintenance import boot_operation
+from hornbeamreach.systems.placement import Placement
+from hornbeamreach.systems.schedule import (
+    EndJob,
+    JobAction,
+    LoseTask,
+    ScheduleContext,
+    StartTask,
+    StopTask,
+    ThrottleTask,
+    schedule,
+)
+from hornbeamreach.systems.shares import Share
+from hornbeamreach.systems.sizing import SizeTable, learn
+from hornbeamreach.tables.control_state import VmPhase
+from hornbeamreach.tables.declared import URGENT, QueueRow
+from hornbeamreach.tables.jobs import JobRow, JobState, JobTables, Resources, WorkerRow
+from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.verdict import Reason, Verdict
+
+log = part_logger("jobs")
+
+SCHEDULE_TICK_MS = 100
+REPORT_INTERVAL_MS = 300
+LEASE_RENEW_MS = 2_000
+RENEW_WHILE_HEARD_MS = 4_000
+TASK_LEASE_MS = 10_000
+RESCAN_MS = 5_000
+BASE_BACKOFF_MS = 200
+MAX_BACKOFF_MS = 30_000
+START_ATTEMPTS = 3
+BLAMED_WORKERS = 2
+
+
+@define(frozen=True, kw_only=True)
+class JobEnd:
+    """Say how a job ends."""
+
+    state: JobState
+    verdict: Verdict
+    reason: Reason | None = None
+    detail: str = ""
+    result: str = ""
+
+
+class Scheduler:
+    """Place the data centre's jobs on its workers while this process holds the lease."""
+
+    def __init__(
+        self,
+        *,
+        process: str,
+        data_center: str,
+        view: ControlView,
+        authority: Authority,
+        permits: PermitTable,
+        feed: ControlFeed,
+        store: RecordStore,
+        lease: SchedulerLease,
+        platform: Platform,
+        handlers: HandlerTable,
+        share: Share,
+        placement: Placement,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        history: History,
+    ) -> None:
+        self.process = process
+        self.data_center = data_center
+        self.view = view
+        self.authority = authority
+        self.permits = permits
+        self.feed = feed
+        self.store = store
+        self.records = JobRecords(store)
+        self.lease = lease
+        self.platform = platform
+        self.share = share
+        self.placement = placement
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.history = history
+        self.tables = JobTables()
+        self.sizes = SizeTable()
+        self.announced: deque[WakeScheduler] = deque()
+        self.scanned = False
+        self.stopping = False
+        handlers.on(WakeScheduler, self._on_wake)
+
+    async def _on_wake(self, message: WakeScheduler) -> Done:
+        if self.lease.held():
+            self.announced.append(message)
+        return Done()
+
+    # Running
+
+    async def run(self) -> None:
+        """Schedule whenever this process holds the lease, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.lease.run)
+            while True:
+                await self.lease.wait_held()
+                await self._run_term()
+
+    async def _run_term(self) -> None:
+        log.info("{} schedules the jobs of {}", self.process, self.data_center)
+        self.tables = JobTables()
+        self.scanned = False
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._rescan_forever)
+                nursery.start_soon(self._report_forever)
+                nursery.start_soon(self._renew_forever)
+                nursery.start_soon(self._tick_forever, nursery)
+                await self.lease.wait_lost()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._give_permits_back()
+            self.feed.vm_reports = {}
+            log.info("{} schedules no longer", self.process)
+
+    def _give_permits_back(self) -> None:
+        # The tasks run on under their leases; whoever schedules next takes permits for
+        # them or lets them end. This process's slice is not used for them any more.
+        for job in self.tables.jobs.values():
+            if job.has_permit:
+                job.has_permit = False
+                self.permits.release(job.team)
+
+    async def _tick_forever(self, nursery: trio.Nursery) -> None:
+        while True:
+            await self.take_announced()
+            for action in self.tick():
+                nursery.start_soon(self._carry_out, action)
+            await trio.sleep(seconds(SCHEDULE_TICK_MS))
+
+    def tick(self) -> list[JobAction]:
+        """Run the systems over the tables once."""
+        now_ms = self.clock.now_ms()
+        self.update_workers()
+        self._take_missing_permits()
+        context = ScheduleContext(
+            state=self.view.state,
+            may_act=lambda team: self._may_act(team, now_ms),
+            share=self.share,
+            placement=self.placement,
+            sizes=self.sizes,
+            now_ms=now_ms,
+        )
+        return schedule(self.tables, self.permits, context)
+
+    def _may_act(self, team: str, now_ms: int) -> bool:
+        held = self.lease.held() and not self.stopping
+        return held and self.authority.may_act(self.view.state, team, now_ms)
+
+    def _take_missing_permits(self) -> None:
+        """Take permits for tasks that another process started before this one's term."""
+        for job in self.tables.jobs.values():
+            if job.state is JobState.STARTED and not job.has_permit:
+                job.has_permit = self.permits.acquire(job.team)
+
+    # Workers
+
+    def update_workers(self) -> None:
+        """Bring the workers' rows in step with the declared table."""
+        state = self.view.state
+        declared = {
+            vm: row for vm, row in state.table.vms.items() if row.data_center == self.data_center
+        }
+        for vm in self.tables.workers.keys() - declared.keys():
+            del self.tables.workers[vm]
+        for vm, row in declared.items():
+            capacity = Resources(
+                cpu_millis=row.cpu_millis, memory_mb=row.memory_mb, accelerators=row.accelerators
+            )
+            worker = self.tables.workers.get(vm)
+            if worker is None:
+                worker = WorkerRow(vm=vm, pool=row.pool, rack=row.rack, capacity=capacity)
+                self.tables.workers[vm] = worker
+            worker.pool, worker.rack, worker.capacity = row.pool, row.rack, capacity
+            phase = state.vm_state(vm).phase
+            if phase is not worker.phase:
+                worker.phase, worker.phase_since_ms = phase, self.clock.now_ms()
+
+    # What is recorded
+
+    async def _rescan_forever(self) -> None:
+        while True:
+            try:
+                for key, record in (await self.store.scan(JOB_PREFIX)).items():
+                    self._adopt(key.removeprefix(JOB_PREFIX), record)
+                self.scanned = True
+            except RefusedError as exc:
+                self.metrics.refused("scan", exc.reason)
+            await trio.sleep(seconds(RESCAN_MS))
+
+    async def take_announced(self) -> None:
+        """Take over jobs and cancellations that other processes announced."""
+        while self.announced:
+            message = self.announced.popleft()
+            for job_id in message.job_ids:
+                await self._take_announced_job(job_id, cancel=message.cancel)
+
+    async def _take_announced_job(self, job_id: str, *, cancel: bool) -> None:
+        job = self.tables.jobs.get(job_id)
+        if job is not None:
+            job.cancelled = job.cancelled or cancel
+            return
+        try:
+            read = await self.store.read(job_key(job_id))
+        except RefusedError:
+            return
+        if read.record is not None:
+            self._adopt(job_id, read.record)
+            job = self.tables.jobs.get(job_id)
+            if job is not None:
+                job.cancelled = cancel
+
+    def _adopt(self, job_id: str, record: Record) -> None:
+        """Take an unfinished job into the tables, if it is not there already."""
+        if job_id in self.tables.jobs or record.state in FINAL_STATE_NAMES:
+            return
+        if record.spec is None:
+            return
+        queue = self.view.state.table.queues.get(record.queue)
+        now_ms = self.clock.now_ms()
+        job = JobRow(
+            id=job_id,
+            team=record.team,
+            queue=record.queue,
+            spec=record.spec,
+            urgent=queue is not None and queue.priority == URGENT,
+            submitted_ms=record.submitted_ms,
+            enqueued_ms=now_ms,
+            attempt=record.attempt,
+            checkpoint=record.checkpoint,
+        )
+        if record.state == JobState.STARTED.value:
+            self._adopt_started(job, record, now_ms)
+        else:
+            self.tables.enqueue(job)
+
+    def _adopt_started(self, job: JobRow, record: Record, now_ms: int) -> None:
+        job.state = JobState.STARTED
+        job.started_ms, job.heard_ms = now_ms, now_ms
+        self.update_workers()
+        worker = self.tables.workers.get(record.target)
+        if worker is not None:
+            amount = Resources(
+                cpu_millis=job.spec.cpu_millis,
+                memory_mb=job.spec.memory_mb,
+                accelerators=job.spec.accelerators,
+            )
+            self.tables.reserve(job, worker, amount)
+        else:
+            job.worker = record.target
+        self.tables.jobs[job.id] = job
+
+    # What the platform reports
+
+    async def _report_forever(self) -> None:
+        while True:
+            asked_ms = self.clock.now_ms()
+            try:
+                await self._take_report(await self.platform.report(), asked_ms)
+            except PlatformError as exc:
+                self.metrics.event("platform_report_failed")
+                log.warning("{}", exc)
+            await self._ask_reboots()
+            await trio.sleep(seconds(REPORT_INTERVAL_MS))
+
+    async def _take_report(self, report: PlatformReport, now_ms: int) -> None:
+        for vm, vm_report in report.vms.items():
+            worker = self.tables.workers.get(vm)
+            if worker is not None:
+                worker.up = vm_report.up
+                worker.boot_operation = vm_report.boot_operation
+        self.feed.vm_reports = self._reported_vms(report, now_ms)
+        by_task = {job.task_id(): job for job in self.tables.jobs.values() if not job.busy}
+        settled = []
+        for task in report.tasks:
+            job = by_task.get(task.task_id)
+            if job is None or job.state is not JobState.STARTED:
+                settled += self._unknown_task(task)
+            elif await self._take_task_report(job, task, now_ms):
+                settled.append(task.task_id)
+        if settled:
+            await self.platform.forget_tasks(settled)
+
+    def _reported_vms(self, report: PlatformReport, now_ms: int) -> dict[str, VmReport]:
+        reported = {}
+        for vm, vm_report in report.vms.items():
+            worker = self.tables.workers.get(vm)
+            suspect = worker is not None and worker.suspect_until_ms > now_ms
+            reported[vm] = evolve(vm_report, up=vm_report.up and not suspect)
+        return reported
+
+    def _unknown_task(self, task: TaskReport) -> list[str]:
+        job = self.tables.jobs.get(task.task_id.rpartition(".")[0])
+        return [] if job is not None or task.state == "running" else [task.task_id]
+
+    async def _take_task_report(self, job: JobRow, task: TaskReport, now_ms: int) -> bool:
+        """Take one task's report; return whether the task is settled."""
+        job.used = task.used
+        if task.state == "running":
+            job.heard_ms = now_ms
+            return False
+        job.busy = True
+        try:
+            await self._settle(job, task, now_ms)
+        except RefusedError as exc:
+            # No majority recorded the end; the next report tries again.
+            self.metrics.retried("record", exc.reason)
+            return False
+        finally:
+            job.busy = False
+        return True
+
+    async def _settle(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
+        if task.state == "done":
+            learn(self.sizes, job, task.peak, task.run_ms)
+            record_task_success(self.tables, job, now_ms)
+            end = JobEnd(state=JobState.DONE, verdict=Verdict.RAN, result=task.result)
+            await self._end_started(job, end)
+        elif task.state == "checkpointed" and not job.cancelled:
+            await self._requeue(job, Reason.WORKER_DRAINED, task.detail, task.checkpoint)
+        elif task.state == "failed":
+            await self._on_task_failed(job, task, now_ms)
+        elif job.cancelled:
+            end = JobEnd(
+                state=JobState.CANCELLED,
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=Reason.CANCELLED,
+                detail="stopped while it ran",
+            )
+            await self._end_started(job, end)
+        else:
+            await self._on_task_lost(job, task.detail or f"the task was {task.state}")
+
+    async def _on_task_failed(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
+        if record_task_failure(self.tables, job, now_ms):
+            self.metrics.event("worker_suspected")
+            log.warning("worker {} fails what it starts and is taken out", job.worker)
+        blamed = healthy_workers_failed(job, self.tables, now_ms) >= BLAMED_WORKERS
+        exhausted = job.attempt >= self._queue_row(job).max_attempts
+        if job.spec.idempotent and not blamed and not exhausted and not job.cancelled:
+            self.metrics.retried("job", Reason.TASK_FAILED)
+            await self._requeue(job, Reason.TASK_FAILED, task.detail, "")
+            return
+        quarantined = job.spec.idempotent and (blamed or exhausted)
+        end = JobEnd(
+            state=JobState.QUARANTINED if quarantined else JobState.FAILED,
+            verdict=Verdict.RAN,
+            reason=Reason.QUARANTINED if quarantined else Reason.TASK_FAILED,
+            detail=f"failed on {', '.join(job.failed_on)}: {task.detail}",
+        )
+        await self._end_started(job, end)
+
+    async def _on_task_lost(self, job: JobRow, detail: str) -> None:
+        if job.spec.idempotent and job.attempt < self._queue_row(job).max_attempts:
+            self.metrics.retried("job", Reason.TASK_LEASE_LAPSED)
+            await self._requeue(job, Reason.TASK_LEASE_LAPSED, detail, "")
+            return
+        end = JobEnd(
+            state=JobState.FAILED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.TASK_LEASE_LAPSED,
+            detail=detail,
+        )
+        await self._end_started(job, end)
+
+    def _queue_row(self, job: JobRow) -> QueueRow:
+        queue = self.view.state.table.queues.get(job.queue)
+        return queue if queue is not None else QueueRow(pool="none")
+
+    # Recorded steps
+
+    async def _end_started(self, job: JobRow, end: JobEnd) -> None:
+        """Record the end of a started job, and free what it held."""
+        try:
+            await self.records.end(
+                job.id,
+                attempt=job.attempt,
+                state=end.state,
+                verdict=end.verdict,
+                reason=end.reason,
+                detail=end.detail,
+                result=end.result,
+            )
+        except StepRefusedError as exc:
+            log.warning("job {} was {} already", job.id, exc)
+        self._free(job)
+        self.tables.jobs.pop(job.id, None)
+        self.metrics.finished("job", end.verdict.value)
+        self._note(job, f"{end.state.value} on {job.worker}: {end.detail}".rstrip(": "))
+
+    async def _requeue(self, job: JobRow, reason: Reason, detail: str, checkpoint: str) -> None:
+        try:
+            record = await self.records.requeue(
+                job.id,
+                attempt=job.attempt,
+                reason=reason,
+                detail=detail,
+                checkpoint=checkpoint,
+            )
+        except StepRefusedError as exc:
+            log.warning("job {} was {} already", job.id, exc)
+            self._free(job)
+            self.tables.jobs.pop(job.id, None)
+            return
+        self._free(job)
+        job.checkpoint = record.checkpoint
+        job.stopping = False
+        job.not_before_ms = self.clock.now_ms() + self._backoff_ms(job, reason)
+        self.tables.enqueue(job, first=True)
+        self._note(job, f"waits again after {reason.value}: {detail}")
+
+    def _backoff_ms(self, job: JobRow, reason: Reason) -> int:
+        if reason is Reason.WORKER_DRAINED:
+            return 0
+        longest_ms = min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2**job.attempt)
+        return self.rng.randint(longest_ms // 2, longest_ms)
+
+    def _free(self, job: JobRow) -> None:
+        self.tables.release(job)
+        if job.has_permit:
+            job.has_permit = False
+            self.permits.release(job.team)
+
+    # Actions
+
+    async def _carry_out(self, action: JobAction) -> None:
+        try:
+            if isinstance(action, StartTask):
+                await self._start(action.job)
+            elif isinstance(action, StopTask):
+                await self._stop(action)
+            elif isinstance(action, EndJob):
+                await self._end_waiting(action)
+            elif isinstance(action, LoseTask):
+                await self._lose(action.job)
+            elif isinstance(action, ThrottleTask):
+                job = action.job
+                await self.platform.throttle_task(job.task_id(), action.cpu_millis)
+        except PlatformError as exc:
+            self.metrics.event("platform_call_failed")
+            log.warning("{}", exc)
+        except RefusedError as exc:
+            self.metrics.refused("job", exc.reason)
+
+    async def _start(self, job: JobRow) -> None:
+        try:
+            await self.records.start(
+                job.id, attempt=job.attempt, worker=job.worker, holder=self.process
+            )
+        except StepRefusedError as exc:
+            self._free(job)
+            self.tables.jobs.pop(job.id, None)
+            self._note(job, f"not started: it was {exc} already")
+            return
+        except RefusedError:
+            # Whether the start is recorded is not known, but nothing was sent. The next
+            # attempt takes the record as it finds it.
+            self._back_to_queue(job)
+            raise
+        self._note(job, f"attempt {job.attempt} starts on {job.worker}")
+        try:
+            started = await self._start_on_platform(job)
+            if not started:
+                await self._requeue(job, Reason.CONNECT_FAILED, "the platform refused", "")
+        finally:
+            job.busy = False
+
+    def _back_to_queue(self, job: JobRow) -> None:
+        self._free(job)
+        job.attempt -= 1
+        job.busy = False
+        job.not_before_ms = self.clock.now_ms() + BASE_BACKOFF_MS
+        self.tables.jobs.pop(job.id, None)
+
+    async def _start_on_platform(self, job: JobRow) -> bool:
+        """Ask for the task; return False only if it certainly was not started."""
+        request = TaskRequest(
+            task_id=job.task_id(),
+            worker=job.worker,
+            kind=job.spec.kind,
+            payload=job.spec.payload,
+            reserved=job.reserved,
+            lease_ms=TASK_LEASE_MS,
+            checkpoint=job.checkpoint,
+        )
+        may_have_started = False
+        for _ in range(START_ATTEMPTS):
+            try:
+                await self.platform.start_task(request)
+                return True
+            except PlatformError as exc:
+                may_have_started = may_have_started or exc.verdict is not Verdict.NOT_RUN
+                self.metrics.retried("task_start", Reason.CONNECT_FAILED)
+                await trio.sleep(seconds(BASE_BACKOFF_MS))
+        return may_have_started
+
+    async def _stop(self, action: StopTask) -> None:
+        try:
+            task_id = action.job.task_id()
+            await self.platform.stop_task(task_id, checkpoint=action.checkpoint)
+        except PlatformError:
+            action.job.stopping = False
+            raise
+        self._note(action.job, f"stopped on {action.job.worker}: {action.reason.value}")
+
+    async def _end_waiting(self, action: EndJob) -> None:
+        job = action.job
+        verdict = Verdict.MAY_HAVE_RUN if job.attempt else Verdict.NOT_RUN
+        with contextlib.suppress(StepRefusedError):
+            await self.records.end(
+                job.id,
+                attempt=job.attempt,
+                state=action.state,
+                verdict=verdict,
+                reason=action.reason,
+                detail=action.detail,
+            )
+        self.tables.jobs.pop(job.id, None)
+        self.metrics.finished("job", verdict.value)
+        self._note(job, f"{action.state.value} without running: {action.detail}")
+
+    async def _lose(self, job: JobRow) -> None:
+        job.busy = True
+        try:
+            await self._on_task_lost(job, f"worker {job.worker} fell silent")
+        finally:
+            job.busy = False
+
+    # Leases and reboots
+
+    async def _renew_forever(self) -> None:
+        while True:
+            await trio.sleep(seconds(LEASE_RENEW_MS))
+            tasks = [
+                job.task_id()
+                for job in self.tables.jobs.values()
+                if job.state is JobState.STARTED and job.has_permit and self._may_renew(job)
+            ]
+            if not tasks:
+                continue
+            try:
+                await self.platform.renew_leases(tasks, TASK_LEASE_MS)
+            except PlatformError as exc:
+                self.metrics.event("lease_renewal_failed")
+                log.warning("{}", exc)
+
+    def _may_renew(self, job: JobRow) -> bool:
+        # A task that no report names is not renewed: it is given up only once its lease
+        # has certainly ended.
+        now_ms = self.clock.now_ms()
+        heard = now_ms - max(job.heard_ms, job.started_ms) < RENEW_WHILE_HEARD_MS
+        acts = self.authority.may_act(self.view.state, job.team, now_ms)
+        return heard and acts and self.lease.held()
+
+    async def _ask_reboots(self) -> None:
+        """Ask the platform to reboot the drained VMs that have not come up since."""
+        state = self.view.state
+        for vm, worker in self.tables.workers.items():
+            vm_state = state.vm_state(vm)
+            operation_id = boot_operation(vm, vm_state.epoch)
+            if vm_state.phase is not VmPhase.REBOOTING or worker.boot_operation == operation_id:
+                continue
+            try:
+                await self.platform.reboot(vm, operation_id)
+            except PlatformError as exc:
+                self.metrics.event("reboot_failed")
+                log.warning("{}", exc)
+
+    def busy_vms(self) -> dict[str, int]:
+        """Count the started tasks on VMs that are being drained."""
+        counts: dict[str, int] = {}
+        for job in self.tables.jobs.values():
+            draining = self.view.state.vm_state(job.worker).phase is VmPhase.DRAINING
+            if job.state is JobState.STARTED and draining:
+                counts[job.worker] = counts.get(job.worker, 0) + 1
+        return counts
+
+    def idle_vms(self) -> list[str]:
+        """Return the draining VMs on which no task is left, if this process can tell."""
+        if not self.lease.held() or not self.scanned:
+            return []
+        busy = self.busy_vms()
+        return [
+            vm
+            for vm in self.tables.workers
+            if self.view.state.vm_state(vm).phase is VmPhase.DRAINING and vm not in busy
+        ]
+
+    def _note(self, job: JobRow, line: str) -> None:
+        self.history.note(job.id, self.clock.wall_ms(), line)
+
+    async def stop(self) -> None:
+        """Start nothing more and hand the lease to another process."""
+        self.stopping = True
+        while any(job.busy for job in self.tables.jobs.values()):
+            await trio.sleep(seconds(SCHEDULE_TICK_MS))
+        await self.lease.give_up()
--- /dev/null
+++ b/src/hornbeamreach/link/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between the system's own processes."""
--- /dev/null
+++ b/src/hornbeamreach/link/interface.py
@@ -0,0 +1,101 @@
+"""What the system's parts need of a link to other processes."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from attrs import define
+
+from hornbeamreach.exceptions import InvalidInputError, NotLeaderError, RefusedError
+from hornbeamreach.link.codec import wire_type
+from hornbeamreach.verdict import Reason, Verdict
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class Link(Protocol):
+    """Exchange messages with processes known by address."""
+
+    async def request(self, address: str, message: Any, *, timeout_ms: int) -> Any:
+        """Send a request and return its reply.
+
+        Raises PeerUnreachableError if nothing was sent, PeerTimeoutError if no reply came,
+        and RefusedError if the peer refused.
+        """
+
+    def notify(self, address: str, message: Any) -> None:
+        """Send a message that needs no reply, if the peer can be reached."""
+
+
+class HandlerTable:
+    """Map message classes to their handlers."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[type, Handler] = {}
+
+    def on(self, message_class: type, handler: Handler) -> None:
+        """Handle messages of a class."""
+        if message_class in self.handlers:
+            raise InvalidInputError(f"{message_class.__name__} is handled twice")
+        self.handlers[message_class] = handler
+
+    async def handle(self, message: Any) -> Any:
+        """Handle one message and return the reply, a refusal included."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return Refusal(
+                reason=Reason.MALFORMED,
+                detail=f"{type(message).__name__} is not handled here",
+                verdict=Verdict.NOT_RUN,
+            )
+        try:
+            return await handler(message)
+        except RefusedError as exc:
+            return Refusal.from_error(exc)
+        except NotLeaderError as exc:
+            return Redirect(leader=exc.leader)
+
+
+@wire_type("refusal")
+@define(frozen=True, kw_only=True)
+class Refusal:
+    """Carry a refusal to the process that asked."""
+
+    reason: Reason
+    detail: str
+    verdict: Verdict
+    retry_after_ms: int | None = None
+
+    @classmethod
+    def from_error(cls, error: RefusedError) -> Refusal:
+        """Build the message from the error."""
+        return cls(
+            reason=error.reason,
+            detail=error.detail,
+            verdict=error.verdict,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    def to_error(self) -> RefusedError:
+        """Build the error from the message."""
+        return RefusedError(
+            self.reason, self.detail, verdict=self.verdict, retry_after_ms=self.retry_after_ms
+        )
+
+
+@wire_type("redirect")
+@define(frozen=True, kw_only=True)
+class Redirect:
+    """Name the leader, for a request that only it can answer."""
+
+    leader: str | None
+
+
+def unwrap_reply(reply: Any) -> Any:
+    """Return a reply, or raise what it reports."""
+    if isinstance(reply, Refusal):
+        raise reply.to_error()
+    if isinstance(reply, Redirect):
+        raise NotLeaderError(reply.leader)
+    return reply
--- /dev/null
+++ b/src/hornbeamreach/link/websocket.py
@@ -0,0 +1,231 @@
+"""Links over websockets with CBOR, one outgoing connection to each peer."""
+
+from __future__ import annotations
+
+import hmac
+import itertools
+from typing import Any
+
+import cbor2
+import trio
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.http11 import Request, Response
+from websockets.trio.client import connect
+from websockets.trio.server import ServerConnection, serve
+
+from hornbeamreach.clock import seconds
+from hornbeamreach.exceptions import PeerTimeoutError, PeerUnreachableError
+from hornbeamreach.link.codec import DecodeError, from_tagged, to_tagged
+from hornbeamreach.link.interface import HandlerTable, unwrap_reply
+from hornbeamreach.logs import part_logger
+
+log = part_logger("link")
+
+NOTIFY, REQUEST, REPLY = 0, 1, 2
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+PING_INTERVAL_MS = 1_500
+PING_TIMEOUT_MS = 2_000
+OPEN_TIMEOUT_MS = 1_500
+CLOSE_TIMEOUT_MS = 500
+RECONNECT_DELAY_MS = 200
+NOTIFY_QUEUE_LENGTH = 1_024
+MAX_CONCURRENT_REQUESTS = 4_096
+HTTP_UNAUTHORIZED = 401
+
+
+class PeerConnection:
+    """Keep one connection to a peer open, and match replies to requests."""
+
+    def __init__(self, *, address: str, secret: str) -> None:
+        self.address = address
+        self.secret = secret
+        self.socket: Any = None
+        self.waiting: dict[int, trio.MemorySendChannel] = {}
+        self.numbers = itertools.count(1)
+        self.connected = trio.Event()
+        sender, receiver = trio.open_memory_channel(NOTIFY_QUEUE_LENGTH)
+        self.notifications: trio.MemorySendChannel = sender
+        self.queued_notifications: trio.MemoryReceiveChannel = receiver
+
+    async def run(self) -> None:
+        """Connect again and again until cancelled."""
+        while True:
+            try:
+                await self._run_connection()
+            except (OSError, WebSocketException, TimeoutError, EOFError) as exc:
+                log.debug("connection to {} ended: {!r}", self.address, exc)
+            await trio.sleep(seconds(RECONNECT_DELAY_MS))
+
+    async def _run_connection(self) -> None:
+        options = {
+            "compression": None,
+            "proxy": None,
+            "max_size": MAX_MESSAGE_BYTES,
+            "open_timeout": seconds(OPEN_TIMEOUT_MS),
+            "close_timeout": seconds(CLOSE_TIMEOUT_MS),
+            "ping_interval": seconds(PING_INTERVAL_MS),
+            "ping_timeout": seconds(PING_TIMEOUT_MS),
+            "additional_headers": {"Authorization": f"Bearer {self.secret}"},
+        }
+        async with connect(f"ws://{self.address}/link", **options) as socket:
+            self.socket = socket
+            self.connected.set()
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send_notifications, socket)
+                    await self._receive(socket)
+                    nursery.cancel_scope.cancel()
+            finally:
+                self._forget_connection()
+
+    def _forget_connection(self) -> None:
+        self.socket = None
+        self.connected = trio.Event()
+        for channel in self.waiting.values():
+            channel.close()
+        self.waiting.clear()
+
+    async def _send_notifications(self, socket: Any) -> None:
+        try:
+            async for frame in self.queued_notifications:
+                await socket.send(frame)
+        except ConnectionClosed:
+            return
+
+    async def _receive(self, socket: Any) -> None:
+        try:
+            async for data in socket:
+                kind, number, tagged = cbor2.loads(data)
+                channel = self.waiting.pop(number, None)
+                if kind == REPLY and channel is not None:
+                    channel.send_nowait(tagged)
+        except ConnectionClosed:
+            return
+
+    async def request(self, message: Any, timeout_ms: int) -> Any:
+        """Send a request and return its reply."""
+        with trio.move_on_after(seconds(timeout_ms)) as scope:
+            with trio.move_on_after(seconds(OPEN_TIMEOUT_MS)):
+                await self.connected.wait()
+            if self.socket is None:
+                raise PeerUnreachableError(f"no connection to {self.address}")
+            return await self._exchange(message)
+        assert scope.cancelled_caught
+        if self.socket is None:
+            raise PeerUnreachableError(f"no connection to {self.address}")
+        raise PeerTimeoutError(f"{self.address} did not answer in {timeout_ms} ms")
+
+    async def _exchange(self, message: Any) -> Any:
+        number = next(self.numbers)
+        sender, receiver = trio.open_memory_channel(1)
+        self.waiting[number] = sender
+        try:
+            await self.socket.send(cbor2.dumps([REQUEST, number, to_tagged(message)]))
+            tagged = await receiver.receive()
+        except (trio.EndOfChannel, ConnectionClosed):
+            raise PeerTimeoutError(f"the connection to {self.address} was lost") from None
+        finally:
+            self.waiting.pop(number, None)
+        return from_tagged(tagged)
+
+    def notify(self, message: Any) -> None:
+        """Queue a message; it is dropped while the peer can't be reached."""
+        if self.socket is None:
+            return
+        try:
+            self.notifications.send_nowait(cbor2.dumps([NOTIFY, 0, to_tagged(message)]))
+        except trio.WouldBlock:
+            log.warning("dropped a message to {}: its queue is full", self.address)
+
+
+class WebSocketLink:
+    """Hold the outgoing connections of one process."""
+
+    def __init__(self, *, nursery: trio.Nursery, secret: str) -> None:
+        self.nursery = nursery
+        self.secret = secret
+        self.peers: dict[str, PeerConnection] = {}
+
+    def peer(self, address: str) -> PeerConnection:
+        """Return the connection to an address, opening it at first use."""
+        if address not in self.peers:
+            connection = PeerConnection(address=address, secret=self.secret)
+            self.peers[address] = connection
+            self.nursery.start_soon(connection.run)
+        return self.peers[address]
+
+    async def request(self, address: str, message: Any, *, timeout_ms: int) -> Any:
+        """Send a request and return its reply."""
+        return unwrap_reply(await self.peer(address).request(message, timeout_ms))
+
+    def notify(self, address: str, message: Any) -> None:
+        """Send a message that needs no reply, if the peer can be reached."""
+        self.peer(address).notify(message)
+
+
+class LinkServer:
+    """Serve other processes' requests over websockets."""
+
+    def __init__(self, *, address: str, secret: str, handlers: HandlerTable) -> None:
+        self.address = address
+        self.secret = secret
+        self.handlers = handlers
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Listen until cancelled."""
+        host, port = self.address.split(":")
+        await serve(
+            self._serve_connection,
+            int(port),
+            host=host,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            process_request=self._check_secret,
+            open_timeout=seconds(OPEN_TIMEOUT_MS),
+            close_timeout=seconds(CLOSE_TIMEOUT_MS),
+            ping_interval=seconds(PING_INTERVAL_MS),
+            ping_timeout=seconds(PING_TIMEOUT_MS),
+            task_status=task_status,
+        )
+
+    def _check_secret(self, connection: ServerConnection, request: Request) -> Response | None:
+        expected = f"Bearer {self.secret}".encode()
+        given = request.headers.get("Authorization", "").encode()
+        if hmac.compare_digest(given, expected):
+            return None
+        return connection.respond(HTTP_UNAUTHORIZED, "wrong link secret\n")
+
+    async def _serve_connection(self, socket: ServerConnection) -> None:
+        limit = trio.CapacityLimiter(MAX_CONCURRENT_REQUESTS)
+        try:
+            async with trio.open_nursery() as nursery:
+                async for data in socket:
+                    kind, number, tagged = cbor2.loads(data)
+                    if kind == NOTIFY:
+                        # In order: a later message must not overtake an earlier one.
+                        await self._handle_notification(tagged)
+                    else:
+                        nursery.start_soon(self._answer, socket, number, tagged, limit)
+                nursery.cancel_scope.cancel()
+        except* ConnectionClosed:
+            log.debug("a connection to {} was closed", self.address)
+
+    async def _handle_notification(self, tagged: list[Any]) -> None:
+        try:
+            await self.handlers.handle(from_tagged(tagged))
+        except DecodeError as exc:
+            log.warning("ignored a message: {}", exc)
+
+    async def _answer(
+        self, socket: Any, number: int, tagged: list[Any], limit: trio.CapacityLimiter
+    ) -> None:
+        async with limit:
+            try:
+                reply = await self.handlers.handle(from_tagged(tagged))
+            except DecodeError as exc:
+                log.warning("ignored a request: {}", exc)
+                return
+            try:
+                await socket.send(cbor2.dumps([REPLY, number, to_tagged(reply)]))
+            except ConnectionClosed:
+                return
--- /dev/null
+++ b/src/hornbeamreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform that runs tasks on workers and reboots VMs."""
--- /dev/null
+++ b/src/hornbeamreach/records/__init__.py
@@ -0,0 +1,1 @@
+"""Request records that a majority of a data centre's entry processes keep."""
--- /dev/null
+++ b/src/hornbeamreach/settings.py
@@ -0,0 +1,147 @@
+"""Settings of the daemons and the command line, read from TOML."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+from hornbeamreach import validators
+from hornbeamreach.converters import structure
+from hornbeamreach.exceptions import SettingsError
+from hornbeamreach.tables.table_file import load_toml
+
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+MIN_SECRET_LENGTH = 16
+KIB = 1024
+MIB = 1024 * KIB
+
+
+def _secret(instance: Any, attribute: Any, value: str) -> None:
+    if len(value) < MIN_SECRET_LENGTH:
+        raise ValueError(f"is shorter than {MIN_SECRET_LENGTH} characters")
+
+
+def _sha256(instance: Any, attribute: Any, value: str) -> None:
+    if len(value) != 64 or any(digit not in "0123456789abcdef" for digit in value):
+        raise ValueError("is not a SHA-256 in lower-case hex")
+
+
+def _addresses(instance: Any, attribute: Any, value: dict[str, str]) -> None:
+    for key, item in value.items():
+        validators.name(instance, attribute, key)
+        validators.address(instance, attribute, item)
+
+
+@define(frozen=True, kw_only=True)
+class LogSettings:
+    """Choose the level and form of log lines."""
+
+    level: str = field(default="INFO", validator=validators.one_of(*LOG_LEVELS))
+    json: bool = False
+
+
+@define(frozen=True, kw_only=True)
+class LinkSettings:
+    """Name this process and where its peers reach it."""
+
+    id: str = field(validator=validators.name)
+    data_center: str = field(validator=validators.name)
+    link_address: str = field(validator=validators.address)
+    http_address: str = field(validator=validators.address)
+    link_secret: str = field(validator=_secret, repr=False)
+
+
+@define(frozen=True, kw_only=True)
+class ControlSettings:
+    """Configure one control replica."""
+
+    process: LinkSettings
+    data_folder: str
+    operator_credential_sha256: str = field(validator=_sha256, repr=False)
+    # The replicas that form the group at its first start; later the log decides.
+    replicas: dict[str, str] = field(validator=_addresses)
+    # Join an existing group: wait to be added instead of forming a group.
+    join: bool = False
+    snapshot_every: int = field(default=2_000, validator=validators.in_range(10, 1_000_000))
+    log: LogSettings = field(factory=LogSettings)
+
+    def __attrs_post_init__(self) -> None:
+        known = self.replicas.get(self.process.id)
+        if not self.join and known != self.process.link_address:
+            raise ValueError(
+                f"replicas must name {self.process.id} with its link_address "
+                f"{self.process.link_address}"
+            )
+
+
+@define(frozen=True, kw_only=True)
+class HttpLimits:
+    """Bound what callers may send."""
+
+    max_body_bytes: int = field(default=MIB, validator=validators.in_range(1, 64 * MIB))
+    max_header_bytes: int = field(default=16 * KIB, validator=validators.in_range(KIB, 256 * KIB))
+    max_answer_bytes: int = field(default=8 * MIB, validator=validators.in_range(1, 64 * MIB))
+    max_deadline_ms: int = field(default=30_000, validator=validators.in_range(1, 30_000))
+
+
+@define(frozen=True, kw_only=True)
+class PolicySettings:
+    """Choose the registered policies by name."""
+
+    routing: str = "least_loaded_of_two"
+    share: str = "max_min"
+    placement: str = "rack_spread"
+
+
+@define(frozen=True, kw_only=True)
+class EntrySettings:
+    """Configure one entry process."""
+
+    process: LinkSettings
+    control: dict[str, str] = field(validator=_addresses)
+    operator_credential_sha256: str = field(validator=_sha256, repr=False)
+    endpoint_credential_sha256: str = field(validator=_sha256, repr=False)
+    # The entry processes of this data centre, itself included.
+    peers: dict[str, str] = field(validator=_addresses)
+    # Entry processes of the other data centres, by data centre.
+    remote: dict[str, list[str]] = field(factory=dict)
+    platform_url: str = field(factory=str)
+    data_folder: str | None = None
+    record_retention_ms: int = field(
+        default=24 * 3_600_000, validator=validators.in_range(60_000, 30 * 24 * 3_600_000)
+    )
+    limits: HttpLimits = field(factory=HttpLimits)
+    policy: PolicySettings = field(factory=PolicySettings)
+    log: LogSettings = field(factory=LogSettings)
+
+    def __attrs_post_init__(self) -> None:
+        if self.peers.get(self.process.id) != self.process.link_address:
+            raise ValueError(
+                f"peers must name {self.process.id} with its link_address "
+                f"{self.process.link_address}"
+            )
+        if self.platform_url and not self.platform_url.startswith(("http://", "https://")):
+            raise ValueError(f"platform_url {self.platform_url!r} is not an HTTP URL")
+        for data_center, addresses in self.remote.items():
+            validators.name(self, None, data_center)
+            for address in addresses:
+                validators.address(self, None, address)
+
+
+SETTINGS_CLASSES: dict[str, type] = {"control": ControlSettings, "entry": EntrySettings}
+
+
+def load_settings(path: str | Path, kind: str) -> Any:
+    """Read and check a daemon's settings file."""
+    data = load_toml(path, error=SettingsError)
+    return structure(data, SETTINGS_CLASSES[kind], source=str(path), error=SettingsError)
+
+
+def guess_kind(path: str | Path) -> str:
+    """Tell what a TOML file is for: a daemon's settings or a table."""
+    data = load_toml(path, error=SettingsError)
+    if "process" not in data:
+        return "table"
+    return "control" if "replicas" in data else "entry"
--- /dev/null
+++ b/src/hornbeamreach/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions that read tables and return typed actions."""
--- /dev/null
+++ b/src/hornbeamreach/systems/dispatch.py
@@ -0,0 +1,181 @@
+"""The dispatch of calls: which waiting call starts next, and where."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+from hornbeamreach.systems.endpoint_health import is_usable, refresh_endpoints
+from hornbeamreach.systems.routing import Routing
+from hornbeamreach.tables.calls import CallRow, CallTables, EndpointRow
+from hornbeamreach.tables.control_state import ControlState, VmPhase
+from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.verdict import Reason
+
+# A deferrable call that has waited this long goes among the urgent ones.
+DEFERRABLE_AGE_MS = 5_000
+
+
+@define(frozen=True, kw_only=True)
+class StartCall:
+    """Send a call to an endpoint; its permit and credit are taken."""
+
+    call: CallRow
+    endpoint: EndpointRow
+
+
+@define(frozen=True, kw_only=True)
+class RefuseCall:
+    """Answer a call that did not run."""
+
+    call: CallRow
+    reason: Reason
+    detail: str
+
+
+CallAction = StartCall | RefuseCall
+
+
+@define(frozen=True, kw_only=True)
+class DispatchContext:
+    """Hold what the dispatch reads besides its tables."""
+
+    state: ControlState
+    may_act: Callable[[str], bool]
+    routing: Routing
+    rng: random.Random
+    now_ms: int
+
+
+@define(kw_only=True)
+class Selection:
+    """Hold one service's state while its waiting calls are chosen from."""
+
+    rows: list[EndpointRow]
+    blocked: set[str] = field(factory=set)
+
+
+def dispatch(
+    tables: CallTables, permits: PermitTable, context: DispatchContext
+) -> list[CallAction]:
+    """Run one tick: expire calls, refresh endpoints and start what can start."""
+    refresh_endpoints(tables, context.now_ms)
+    _release_lingering(tables, permits, context.now_ms)
+    actions: list[CallAction] = _refuse_waiting(tables, context)
+    wanted: dict[str, int] = {}
+    for service in sorted(tables.queued):
+        actions += _start_service(tables, permits, context, service, wanted)
+    permits.want("calls", wanted)
+    return actions
+
+
+def _release_lingering(tables: CallTables, permits: PermitTable, now_ms: int) -> None:
+    for lingering in [item for item in tables.lingering if item.release_ms <= now_ms]:
+        permits.release(lingering.team)
+        tables.lingering.remove(lingering)
+        row = tables.endpoints.get(lingering.endpoint)
+        if row is not None:
+            row.running -= 1
+
+
+def _refuse_waiting(tables: CallTables, context: DispatchContext) -> list[CallAction]:
+    """Refuse waiting calls that are late or may not run any more."""
+    refused: list[CallAction] = []
+    for call in list(tables.calls.values()):
+        fault = None if call.running else _fault(call, context)
+        if fault is not None:
+            tables.drop(call.id)
+            refused.append(RefuseCall(call=call, reason=fault[0], detail=fault[1]))
+    return refused
+
+
+def _fault(call: CallRow, context: DispatchContext) -> tuple[Reason, str] | None:
+    if call.deadline_ms <= context.now_ms:
+        waited = f"its deadline passed while it waited for {call.waits_for or 'its turn'}"
+        return Reason.DEADLINE_PASSED, waited
+    if call.service not in context.state.table.services:
+        return Reason.UNKNOWN_SERVICE, f"service {call.service} was deleted"
+    key = context.state.keys.get(call.key_hash)
+    if key is None or key.team != call.team:
+        return Reason.UNKNOWN_KEY, "the key was withdrawn"
+    if not context.may_act(call.team):
+        detail = f"this entry VM may not act for team {call.team} while it is cut off"
+        return Reason.AUTHORITY_LAPSED, detail
+    return None
+
+
+def _start_service(
+    tables: CallTables,
+    permits: PermitTable,
+    context: DispatchContext,
+    service: str,
+    wanted: dict[str, int],
+) -> list[CallAction]:
+    selection = Selection(rows=_usable_rows(tables, context, service))
+    actions: list[CallAction] = []
+    while (call := _next_call(tables, context, service, selection)) is not None:
+        free = [row for row in selection.rows if row.free_credits() > 0]
+        if not free:
+            call.waits_for = "a free endpoint" if selection.rows else "an endpoint"
+            break
+        if not permits.acquire(call.team):
+            call.waits_for = f"a permit of team {call.team}"
+            wanted[call.team] = wanted.get(call.team, 0) + len(tables.queued[service][call.team])
+            selection.blocked.add(call.team)
+            continue
+        untried = [row for row in free if row.id not in call.tried]
+        row = context.routing(untried or free, context.rng)
+        actions.append(_start(tables, call, row, context.now_ms))
+    return actions
+
+
+def _usable_rows(tables: CallTables, context: DispatchContext, service: str) -> list[EndpointRow]:
+    state = context.state
+    return [
+        row
+        for row in tables.service_endpoints(service)
+        if is_usable(row, context.now_ms)
+        and state.vm_state(row.vm).phase in (VmPhase.IN_SERVICE, VmPhase.PROBATION)
+    ]
+
+
+def _next_call(
+    tables: CallTables, context: DispatchContext, service: str, selection: Selection
+) -> CallRow | None:
+    """Return the first call of the team that is furthest below its share."""
+    best: tuple[tuple[bool, float, int], CallRow] | None = None
+    for team, waiting in tables.queued.get(service, {}).items():
+        call = _first_ready(tables, waiting, context.now_ms)
+        if call is None or team in selection.blocked:
+            continue
+        row = context.state.table.teams.get(team)
+        share = tables.running_by_team.get(team, 0) / (row.weight if row else 1.0)
+        aged = context.now_ms - call.arrived_ms >= DEFERRABLE_AGE_MS
+        rank = (not (call.urgent or aged), share, call.arrived_ms)
+        if best is None or rank < best[0]:
+            best = (rank, call)
+    return best[1] if best else None
+
+
+def _first_ready(tables: CallTables, waiting: Iterable[str], now_ms: int) -> CallRow | None:
+    for call_id in waiting:
+        call = tables.calls[call_id]
+        if call.not_before_ms <= now_ms:
+            return call
+    return None
+
+
+def _start(tables: CallTables, call: CallRow, row: EndpointRow, now_ms: int) -> StartCall:
+    tables.queued[call.service][call.team].remove(call.id)
+    call.running = True
+    call.attempts += 1
+    call.endpoint = row.id
+    call.started_ms = now_ms
+    call.waits_for = ""
+    call.tried.add(row.id)
+    row.running += 1
+    row.last_sent = now_ms
+    tables.count_running(call.team, 1)
+    return StartCall(call=call, endpoint=row)
--- /dev/null
+++ b/src/hornbeamreach/systems/endpoint_health.py
@@ -0,0 +1,65 @@
+"""Ejecting endpoints that fail, and trying them again."""
+
+from __future__ import annotations
+
+from hornbeamreach.tables.calls import CallTables, EndpointHealth, EndpointRow
+
+ANNOUNCE_TTL_MS = 3_000
+FORGET_AFTER_MS = 30_000
+FAILURES_TO_EJECT = 3
+BASE_EJECTION_MS = 2_000
+MAX_EJECTION_MS = 60_000
+PROBES_TO_TRUST = 3
+# At most this part of a service's endpoints is ejected at once.
+MAX_EJECTED_DIVISOR = 2
+LATENCY_WEIGHT = 0.2
+
+
+def is_usable(row: EndpointRow, now_ms: int) -> bool:
+    """Tell whether an endpoint may be given new calls."""
+    heard = now_ms - row.heard_ms <= ANNOUNCE_TTL_MS
+    return heard and not row.leaving and row.health is not EndpointHealth.EJECTED
+
+
+def record_success(row: EndpointRow, latency_ms: float) -> None:
+    """Learn from a call that an endpoint answered."""
+    if row.latency_ms:
+        row.latency_ms += LATENCY_WEIGHT * (latency_ms - row.latency_ms)
+    else:
+        row.latency_ms = latency_ms
+    row.failures_in_row = 0
+    if row.health is EndpointHealth.PROBATION:
+        row.probes_left -= 1
+        if row.probes_left <= 0:
+            row.health = EndpointHealth.HEALTHY
+            row.ejections = 0
+
+
+def record_failure(tables: CallTables, row: EndpointRow, now_ms: int) -> bool:
+    """Learn from a call that an endpoint failed; return whether it was ejected."""
+    row.failures_in_row += 1
+    suspect = row.health is EndpointHealth.PROBATION or row.failures_in_row >= FAILURES_TO_EJECT
+    if not suspect or row.health is EndpointHealth.EJECTED or not _may_eject(tables, row):
+        return False
+    row.health = EndpointHealth.EJECTED
+    row.ejections += 1
+    wait_ms = min(BASE_EJECTION_MS * 2 ** (row.ejections - 1), MAX_EJECTION_MS)
+    row.ejected_until_ms = now_ms + wait_ms
+    return True
+
+
+def _may_eject(tables: CallTables, row: EndpointRow) -> bool:
+    rows = tables.service_endpoints(row.service)
+    ejected = sum(1 for other in rows if other.health is EndpointHealth.EJECTED)
+    return ejected + 1 <= len(rows) // MAX_EJECTED_DIVISOR
+
+
+def refresh_endpoints(tables: CallTables, now_ms: int) -> None:
+    """Try ejected endpoints again in time, and forget those long silent."""
+    for row in list(tables.endpoints.values()):
+        if row.health is EndpointHealth.EJECTED and row.ejected_until_ms <= now_ms:
+            row.health = EndpointHealth.PROBATION
+            row.probes_left = PROBES_TO_TRUST
+            row.failures_in_row = 0
+        if now_ms - row.heard_ms > FORGET_AFTER_MS and not row.running:
+            del tables.endpoints[row.id]
--- /dev/null
+++ b/src/hornbeamreach/systems/retries.py
@@ -0,0 +1,59 @@
+"""Deciding whether a failed attempt of a call is tried again."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from hornbeamreach.tables.calls import CallRow, CallTables, RetryBudget
+from hornbeamreach.verdict import Reason, Verdict
+
+MAX_ATTEMPTS = 3
+INITIAL_TOKENS = 3.0
+MAX_TOKENS = 20.0
+BASE_BACKOFF_MS = 10
+PERCENT = 100.0
+
+
+@define(frozen=True, kw_only=True)
+class FailedAttempt:
+    """Describe how an attempt ended, and whether it may have run."""
+
+    reason: Reason
+    verdict: Verdict
+    detail: str
+
+
+def budget_of(tables: CallTables, team: str, service: str) -> RetryBudget:
+    """Return the retry budget of a team at a service."""
+    key = (team, service)
+    if key not in tables.retry_budgets:
+        tables.retry_budgets[key] = RetryBudget(tokens=INITIAL_TOKENS)
+    return tables.retry_budgets[key]
+
+
+def earn_retry(tables: CallTables, call: CallRow, retry_percent: float) -> None:
+    """Let a success pay for a part of a later retry."""
+    budget = budget_of(tables, call.team, call.service)
+    budget.tokens = min(MAX_TOKENS, budget.tokens + retry_percent / PERCENT)
+
+
+def may_retry(
+    tables: CallTables, call: CallRow, failed: FailedAttempt, now_ms: int
+) -> Reason | None:
+    """Take a retry from the budget and return None, or return why there is no retry."""
+    if failed.verdict is not Verdict.NOT_RUN and not call.idempotent:
+        return failed.reason
+    if call.attempts >= MAX_ATTEMPTS:
+        return failed.reason
+    if now_ms >= call.deadline_ms:
+        return Reason.DEADLINE_PASSED
+    budget = budget_of(tables, call.team, call.service)
+    if budget.tokens < 1.0:
+        return Reason.RETRY_BUDGET_SPENT
+    budget.tokens -= 1.0
+    return None
+
+
+def backoff_ms(attempts: int) -> int:
+    """Return how long a call waits before its next attempt."""
+    return BASE_BACKOFF_MS * 2**attempts
--- /dev/null
+++ b/src/hornbeamreach/systems/schedule.py
@@ -0,0 +1,279 @@
+"""The tick of the scheduling process: which jobs start, stop, move or end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+
+from hornbeamreach.systems.placement import (
+    Placement,
+    can_take,
+    could_ever_fit,
+    fitting_workers,
+)
+from hornbeamreach.systems.shares import Share, TeamUsage, candidates_of, pool_usage
+from hornbeamreach.systems.sizing import SizeTable, estimate, expected_run_ms
+from hornbeamreach.tables.control_state import ControlState, VmPhase
+from hornbeamreach.tables.jobs import (
+    JobRow,
+    JobState,
+    JobTables,
+    Resources,
+    WorkerRow,
+    declared_resources,
+)
+from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.verdict import Reason
+
+# A task that no report names for this long after its lease ended is lost.
+LOST_AFTER_MS = 15_000
+
+
+@define(frozen=True, kw_only=True)
+class StartTask:
+    """Start a job on a worker; its permit and resources are taken."""
+
+    job: JobRow
+
+
+@define(frozen=True, kw_only=True)
+class StopTask:
+    """Stop a started job's task, with a checkpoint if it is to go on elsewhere."""
+
+    job: JobRow
+    checkpoint: bool
+    reason: Reason
+
+
+@define(frozen=True, kw_only=True)
+class EndJob:
+    """Record that a waiting job ends without running."""
+
+    job: JobRow
+    state: JobState
+    reason: Reason
+    detail: str
+
+
+@define(frozen=True, kw_only=True)
+class LoseTask:
+    """Settle a job whose task nobody has heard of for too long."""
+
+    job: JobRow
+
+
+@define(frozen=True, kw_only=True)
+class ThrottleTask:
+    """Hold a task's processor use to a limit."""
+
+    job: JobRow
+    cpu_millis: int
+
+
+JobAction = StartTask | StopTask | EndJob | LoseTask | ThrottleTask
+
+
+@define(frozen=True, kw_only=True)
+class ScheduleContext:
+    """Hold what the scheduling reads besides its tables."""
+
+    state: ControlState
+    may_act: Callable[[str], bool]
+    share: Share
+    placement: Placement
+    sizes: SizeTable
+    now_ms: int
+
+
+def schedule(tables: JobTables, permits: PermitTable, context: ScheduleContext) -> list[JobAction]:
+    """Run one tick of all systems in their fixed order."""
+    actions: list[JobAction] = []
+    actions += cancel_jobs(tables)
+    actions += lose_silent_tasks(tables, context.now_ms)
+    actions += stop_overload(tables)
+    actions += drain_workers(tables, context)
+    actions += start_jobs(tables, permits, context)
+    return actions
+
+
+def cancel_jobs(tables: JobTables) -> list[JobAction]:
+    """End cancelled jobs that wait, and stop those that run."""
+    actions: list[JobAction] = []
+    for job in list(tables.jobs.values()):
+        if not job.cancelled or job.busy:
+            continue
+        if job.state is JobState.QUEUED:
+            tables.leave_queue(job)
+            job.busy = True
+            actions.append(_end(job, JobState.CANCELLED, Reason.CANCELLED, "cancelled"))
+        elif not job.stopping:
+            actions.append(_stop(job, checkpoint=False, reason=Reason.CANCELLED))
+    return actions
+
+
+def _end(job: JobRow, state: JobState, reason: Reason, detail: str) -> EndJob:
+    return EndJob(job=job, state=state, reason=reason, detail=detail)
+
+
+def _stop(job: JobRow, *, checkpoint: bool, reason: Reason) -> StopTask:
+    job.stopping = True
+    return StopTask(job=job, checkpoint=checkpoint, reason=reason)
+
+
+def lose_silent_tasks(tables: JobTables, now_ms: int) -> list[JobAction]:
+    """Give up tasks that no report has named since their leases ended."""
+    return [
+        LoseTask(job=job)
+        for job in list(tables.jobs.values())
+        if job.state is JobState.STARTED
+        and not job.busy
+        and now_ms - max(job.heard_ms, job.started_ms) >= LOST_AFTER_MS
+    ]
+
+
+def stop_overload(tables: JobTables) -> list[JobAction]:
+    """Relieve workers whose tasks use more than there is.
+
+    Memory can't be shared out, so the youngest deferrable task is moved; processor use
+    above the reservation is throttled.
+    """
+    actions: list[JobAction] = []
+    by_worker: dict[str, list[JobRow]] = {}
+    for job in tables.jobs.values():
+        if job.state is JobState.STARTED and not job.stopping:
+            by_worker.setdefault(job.worker, []).append(job)
+    for vm, jobs in by_worker.items():
+        worker = tables.workers.get(vm)
+        if worker is not None:
+            actions += _relieve(worker, jobs)
+    return actions
+
+
+def _relieve(worker: WorkerRow, jobs: list[JobRow]) -> list[JobAction]:
+    used = Resources()
+    for job in jobs:
+        used = used.plus(job.used)
+    if used.memory_mb > worker.capacity.memory_mb:
+        victim = max(jobs, key=lambda job: (not job.urgent, job.started_ms, job.id))
+        return [_stop(victim, checkpoint=True, reason=Reason.NEVER_FITS)]
+    if used.cpu_millis <= worker.capacity.cpu_millis:
+        return []
+    return [
+        ThrottleTask(job=job, cpu_millis=job.reserved.cpu_millis)
+        for job in jobs
+        if job.used.cpu_millis > job.reserved.cpu_millis
+    ]
+
+
+def drain_workers(tables: JobTables, context: ScheduleContext) -> list[JobAction]:
+    """Checkpoint tasks on draining workers that would not finish in time."""
+    actions: list[JobAction] = []
+    for job in list(tables.jobs.values()):
+        worker = tables.workers.get(job.worker)
+        if job.state is not JobState.STARTED or job.stopping or job.busy or worker is None:
+            continue
+        moved = worker.pool != _pool_of(context.state, job)
+        if worker.phase is not VmPhase.DRAINING and not moved:
+            continue
+        if moved or _outlasts_drain(job, worker, context):
+            actions.append(_stop(job, checkpoint=True, reason=Reason.WORKER_DRAINED))
+    return actions
+
+
+def _outlasts_drain(job: JobRow, worker: WorkerRow, context: ScheduleContext) -> bool:
+    pool = context.state.table.pools.get(worker.pool)
+    drain_ms = pool.drain_ms if pool else 0
+    drain_end_ms = worker.phase_since_ms + drain_ms
+    if context.now_ms >= drain_end_ms:
+        return True
+    return job.started_ms + expected_run_ms(context.sizes, job) > drain_end_ms
+
+
+def _pool_of(state: ControlState, job: JobRow) -> str:
+    queue = state.table.queues.get(job.queue)
+    return queue.pool if queue else ""
+
+
+def start_jobs(
+    tables: JobTables, permits: PermitTable, context: ScheduleContext
+) -> list[JobAction]:
+    """Start waiting jobs, pool by pool, in the order of the share policy."""
+    wanted: dict[str, int] = {}
+    actions: list[JobAction] = []
+    for pool in sorted({row.pool for row in context.state.table.queues.values()}):
+        actions += _start_in_pool(tables, permits, context, pool, wanted)
+    permits.want("jobs", wanted)
+    return actions
+
+
+def _start_in_pool(
+    tables: JobTables,
+    permits: PermitTable,
+    context: ScheduleContext,
+    pool: str,
+    wanted: dict[str, int],
+) -> list[JobAction]:
+    if not any(w.pool == pool and can_take(w, context.now_ms) for w in tables.workers.values()):
+        return []
+    actions: list[JobAction] = []
+    blocked: set[tuple[str, str]] = set()
+    usage: TeamUsage | None = None
+    while candidates := candidates_of(tables, context.state, pool, context.now_ms, blocked):
+        usage = usage or pool_usage(tables, pool)
+        job = context.share(candidates, usage).job
+        action = _try_start(tables, permits, context, pool, job, wanted)
+        if isinstance(action, StartTask):
+            usage.add(job.team, job.reserved)
+        if action is None:
+            blocked.add((job.queue, job.team))
+        else:
+            actions.append(action)
+    return actions
+
+
+def _try_start(
+    tables: JobTables,
+    permits: PermitTable,
+    context: ScheduleContext,
+    pool: str,
+    job: JobRow,
+    wanted: dict[str, int],
+) -> StartTask | EndJob | None:
+    """Start a job, or end it if it can never run, or note what it waits for."""
+    amount = estimate(context.sizes, job)
+    if not could_ever_fit(tables, pool, amount):
+        amount = declared_resources(job.spec)
+    if not could_ever_fit(tables, pool, amount):
+        tables.leave_queue(job)
+        job.busy = True
+        detail = f"no worker of pool {pool} in this data centre is large enough"
+        return _end(job, JobState.QUARANTINED, Reason.NEVER_FITS, detail)
+    if not context.may_act(job.team):
+        job.waits_for = "authority to act while cut off"
+        return None
+    workers = fitting_workers(tables, pool, amount, job, context.now_ms)
+    if not workers:
+        job.waits_for = f"room on a worker of pool {pool}"
+        return None
+    if not permits.acquire(job.team):
+        job.waits_for = f"a permit of team {job.team}"
+        wanted[job.team] = wanted.get(job.team, 0) + len(tables.waiting[job.queue][job.team])
+        return None
+    worker = context.placement(tables, job, amount, workers)
+    return _start(tables, job, worker, amount, context.now_ms)
+
+
+def _start(
+    tables: JobTables, job: JobRow, worker: WorkerRow, amount: Resources, now_ms: int
+) -> StartTask:
+    tables.leave_queue(job)
+    tables.reserve(job, worker, amount)
+    job.state = JobState.STARTED
+    job.has_permit = True
+    job.busy = True
+    job.attempt += 1
+    job.started_ms = now_ms
+    job.heard_ms = now_ms
+    job.waits_for = ""
+    return StartTask(job=job)
--- /dev/null
+++ b/src/hornbeamreach/systems/shares.py
@@ -0,0 +1,108 @@
+"""Choosing the next job: weighted max-min fairness over the dominant resource."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from attrs import define, field
+
+from hornbeamreach.registry import Registry
+from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.jobs import NOTHING, JobRow, JobState, JobTables, Resources
+
+# A deferrable job that has waited this long goes among the urgent ones.
+DEFERRABLE_AGE_MS = 60_000
+
+
+@define(kw_only=True)
+class TeamUsage:
+    """Hold what each team's started jobs have reserved in one pool."""
+
+    total: Resources
+    by_team: dict[str, Resources] = field(factory=dict)
+
+    def dominant_share(self, team: str) -> float:
+        """Return the largest part of the pool that a team has reserved."""
+        return self.by_team.get(team, NOTHING).dominant_part(self.total)
+
+    def add(self, team: str, amount: Resources) -> None:
+        """Count resources that a team takes."""
+        self.by_team[team] = self.by_team.get(team, NOTHING).plus(amount)
+
+
+def pool_usage(tables: JobTables, pool: str) -> TeamUsage:
+    """Collect a pool's capacity and what each team has reserved of it."""
+    total = NOTHING
+    for worker in tables.workers.values():
+        if worker.pool == pool:
+            total = total.plus(worker.capacity)
+    usage = TeamUsage(total=total)
+    for job in tables.jobs.values():
+        worker = tables.workers.get(job.worker)
+        if job.state is JobState.STARTED and worker is not None and worker.pool == pool:
+            usage.add(job.team, job.reserved)
+    return usage
+
+
+@define(frozen=True, kw_only=True)
+class Candidate:
+    """Hold the first waiting job of one team in one queue."""
+
+    job: JobRow
+    weight: float
+    aged: bool
+
+
+Share = Callable[[list[Candidate], TeamUsage], Candidate]
+shares: Registry[Share] = Registry("share policy")
+
+
+@shares.register("max_min")
+def max_min(candidates: list[Candidate], usage: TeamUsage) -> Candidate:
+    """Take the team with the lowest weighted dominant share, urgent jobs first.
+
+    Source: Ghodsi et al., "Dominant Resource Fairness".
+    """
+    return min(
+        candidates,
+        key=lambda candidate: (
+            not (candidate.job.urgent or candidate.aged),
+            usage.dominant_share(candidate.job.team) / candidate.weight,
+            candidate.job.enqueued_ms,
+            candidate.job.id,
+        ),
+    )
+
+
+@shares.register("first_come")
+def first_come(candidates: list[Candidate], usage: TeamUsage) -> Candidate:
+    """Take the job that has waited longest, as a baseline."""
+    return min(candidates, key=lambda candidate: (candidate.job.enqueued_ms, candidate.job.id))
+
+
+def candidates_of(
+    tables: JobTables, state: ControlState, pool: str, now_ms: int, blocked: set[tuple[str, str]]
+) -> list[Candidate]:
+    """List the first ready job of each team in each queue of a pool."""
+    found = []
+    for queue, by_team in tables.waiting.items():
+        row = state.table.queues.get(queue)
+        if row is None or row.pool != pool:
+            continue
+        for team, line in by_team.items():
+            job = None if (queue, team) in blocked else _first_ready(tables, line, now_ms)
+            if job is not None:
+                team_row = state.table.teams.get(team)
+                aged = now_ms - job.enqueued_ms >= DEFERRABLE_AGE_MS
+                weight = team_row.weight if team_row else 1.0
+                found.append(Candidate(job=job, weight=weight, aged=aged))
+    return found
+
+
+def _first_ready(tables: JobTables, line: deque[str], now_ms: int) -> JobRow | None:
+    for job_id in line:
+        job = tables.jobs[job_id]
+        if job.not_before_ms <= now_ms and not job.cancelled and not job.busy:
+            return job
+    return None
--- /dev/null
+++ b/src/hornbeamreach/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities: what the systems read and change, without any I/O."""
--- /dev/null
+++ b/src/hornbeamreach/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, endpoints, the platform and operators, by library."""
--- /dev/null
+++ b/src/hornbeamreach/web/problems.py
@@ -0,0 +1,119 @@
+"""Answers to callers: JSON, and problem details with a verdict and a reason."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from starlette.requests import Request
+from starlette.responses import Response
+
+from hornbeamreach.clock import MILLISECONDS_PER_SECOND
+from hornbeamreach.converters import to_plain
+from hornbeamreach.exceptions import InvalidInputError, NotLeaderError, RefusedError
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.verdict import Reason, Verdict, http_status
+
+VERDICT_HEADER = "Hornbeamreach-Verdict"
+REASON_HEADER = "Hornbeamreach-Reason"
+PROBLEM_TYPE = "application/problem+json"
+HTTP_OK = 200
+JSON_OPTIONS = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+
+Endpoint = Callable[[Request], Awaitable[Response]]
+
+
+def json_response(value: Any, *, status: int = HTTP_OK) -> Response:
+    """Answer with attrs or plain data as JSON."""
+    content = orjson.dumps(to_plain(value), option=JSON_OPTIONS)
+    return Response(content + b"\n", status_code=status, media_type="application/json")
+
+
+def problem_response(error: RefusedError, *, request_id: str = "") -> Response:
+    """Answer with a refusal as problem details (RFC 9457)."""
+    status = http_status(error.reason)
+    body = {
+        "type": f"urn:hornbeamreach:{error.reason.value}",
+        "title": error.reason.value.replace("_", " "),
+        "status": status,
+        "detail": error.detail,
+        "verdict": error.verdict.value,
+        "reason": error.reason.value,
+    }
+    if request_id:
+        body["request_id"] = request_id
+    headers = {VERDICT_HEADER: error.verdict.value, REASON_HEADER: error.reason.value}
+    if error.retry_after_ms is not None:
+        wait_seconds = -(-error.retry_after_ms // MILLISECONDS_PER_SECOND)
+        headers["Retry-After"] = str(max(1, wait_seconds))
+    content = orjson.dumps(body, option=JSON_OPTIONS) + b"\n"
+    return Response(content, status_code=status, media_type=PROBLEM_TYPE, headers=headers)
+
+
+def refusing(kind: str, metrics: Metrics) -> Callable[[Endpoint], Endpoint]:
+    """Return a decorator that counts refusals and turns them into problem details."""
+
+    def decorate(endpoint: Endpoint) -> Endpoint:
+        async def wrapped(request: Request) -> Response:
+            try:
+                return await endpoint(request)
+            except RefusedError as exc:
+                refusal = exc
+            except NotLeaderError as exc:
+                refusal = RefusedError(Reason.NO_LEADER, str(exc))
+            except InvalidInputError as exc:
+                refusal = RefusedError(Reason.MALFORMED, str(exc))
+            metrics.refused(kind, refusal.reason)
+            metrics.finished(kind, refusal.verdict.value)
+            return problem_response(refusal)
+
+        return wrapped
+
+    return decorate
+
+
+async def read_body(request: Request, max_bytes: int) -> bytes:
+    """Read a whole body, or refuse it as soon as it is too large."""
+    declared = request.headers.get("content-length", "0")
+    if declared.isdigit() and int(declared) > max_bytes:
+        raise RefusedError(Reason.BODY_TOO_LARGE, f"the body is over {max_bytes} bytes")
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > max_bytes:
+            raise RefusedError(Reason.BODY_TOO_LARGE, f"the body is over {max_bytes} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+async def read_json(request: Request, max_bytes: int) -> dict[str, Any]:
+    """Read a JSON object."""
+    try:
+        value = orjson.loads(await read_body(request, max_bytes))
+    except orjson.JSONDecodeError as exc:
+        raise RefusedError(Reason.MALFORMED, f"the body is not JSON: {exc}") from None
+    if not isinstance(value, dict):
+        raise RefusedError(Reason.MALFORMED, "the body is not a JSON object")
+    return value
+
+
+def check_headers(request: Request, max_bytes: int) -> None:
+    """Refuse a request whose headers are too large."""
+    size = sum(len(name) + len(value) for name, value in request.headers.raw)
+    if size > max_bytes:
+        raise RefusedError(Reason.HEADERS_TOO_LARGE, f"the headers are over {max_bytes} bytes")
+
+
+def bearer_token(request: Request) -> str | None:
+    """Return the bearer token of a request, or None."""
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        return None
+    return token.strip()
+
+
+def not_run(reason: Reason, detail: str, **fields: Any) -> RefusedError:
+    """Build a refusal of something that certainly did not run."""
+    return RefusedError(reason, detail, verdict=Verdict.NOT_RUN, **fields)
