--- a/benches/__init__.py
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, printed and not judged in CI unless a bound file says so."""
--- a/src/hornbeamreach/cli/main.py
+++ b/src/hornbeamreach/cli/main.py
@@ -16,6 +16,7 @@
 from hornbeamreach.converters import structure, to_plain
 from hornbeamreach.demo.deployment import sha256
 from hornbeamreach.demo.scenario import run_demo
+from hornbeamreach.demo.serve import run_serve
 from hornbeamreach.exceptions import HornbeamreachError, RefusedError, TableError
 from hornbeamreach.logs import configure_logs
 from hornbeamreach.settings import guess_kind, load_settings
@@ -329,6 +330,16 @@
         if not ledger.holds():
             sys.exit(EXIT_REFUSED)
 
+    def serve(self, folder: str, example: str = "examples/brettwerk.toml") -> None:
+        """Run a local fleet with stand-in minions until Ctrl-C, to try commands on.
+
+        Args:
+            folder: an empty folder for its data and the operator's profile.
+            example: a table file with a deployment section.
+        """
+        configure_logs(level="ERROR")
+        trio.run(run_serve, example, Path(folder), say)
+
 
 def _status_line(status: dict[str, Any]) -> str:
     if "unreachable" in status:
--- a/src/hornbeamreach/converters.py
+++ b/src/hornbeamreach/converters.py
@@ -49,7 +49,7 @@
         return _first_fault(inner, _join(path, _note_name(inner)))
     if isinstance(exc, KeyError):
         return _join(path, str(exc.args[0])), "missing"
-    return path, str(exc)
+    return _join(path, getattr(exc, "field", "")), str(exc)
 
 
 def _join(path: str, name: str) -> str:
--- a/src/hornbeamreach/entry/calls.py
+++ b/src/hornbeamreach/entry/calls.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from hornbeamreach.clock import Clock, seconds
+from hornbeamreach.entry.attempts import Attempt, Race
 from hornbeamreach.entry.authority import Authority
 from hornbeamreach.entry.call_records import CallRecords
 from hornbeamreach.entry.endpoint_client import AttemptError, EndpointClient
@@ -23,10 +24,16 @@
     DispatchContext,
     StartCall,
     dispatch,
+    second_endpoint,
 )
 from hornbeamreach.systems.endpoint_health import record_failure, record_success
 from hornbeamreach.systems.patience import learn_latency, patience_ms
-from hornbeamreach.systems.retries import FailedAttempt, backoff_ms, earn_retry, may_retry
+from hornbeamreach.systems.retries import (
+    FailedAttempt,
+    backoff_ms,
+    earn_retry,
+    may_retry,
+)
 from hornbeamreach.systems.routing import Routing
 from hornbeamreach.tables.calls import CallRow, CallTables, EndpointRow, LingeringCall
 from hornbeamreach.tables.declared import URGENT
@@ -39,6 +46,8 @@
 # An attempt that nobody waits for may run on until its deadline and this much longer.
 LINGER_MS = 1_000
 RETRY_AFTER_MS = 1_000
+# How often a waiting call looks for a second endpoint that is free.
+HEDGE_RETRY_MS = 100
 
 
 @define(frozen=True, kw_only=True)
@@ -75,6 +84,13 @@
         self.done.set()
 
 
+def _refusal(call: CallRow, reason: Reason, detail: str, verdict: Verdict) -> RefusedError:
+    """Build a refusal that is true of every attempt of the call."""
+    if call.may_have_run and verdict is Verdict.NOT_RUN:
+        verdict = Verdict.MAY_HAVE_RUN
+    return RefusedError(reason, detail, verdict=verdict)
+
+
 class CallService:
     """Queue calls, run the dispatch and carry out its actions."""
 
@@ -179,15 +195,17 @@
 
     def tick(self) -> list[CallAction]:
         """Run the systems over the tables once."""
+        return dispatch(self.tables, self.permits, self._context())
+
+    def _context(self) -> DispatchContext:
         now_ms = self.clock.now_ms()
-        context = DispatchContext(
+        return DispatchContext(
             state=self.view.state,
             may_act=lambda team: self.authority.may_act(self.view.state, team, now_ms),
             routing=self.routing,
             rng=self.rng,
             now_ms=now_ms,
         )
-        return dispatch(self.tables, self.permits, context)
 
     def _carry_out(self, action: CallAction, nursery: trio.Nursery) -> None:
         if isinstance(action, StartCall):
@@ -195,55 +213,99 @@
             return
         waiter = self.waiters.get(action.call.id)
         if waiter is not None:
-            refusal = RefusedError(action.reason, action.detail, verdict=Verdict.NOT_RUN)
-            waiter.settle(refusal)
+            waiter.settle(_refusal(action.call, action.reason, action.detail, Verdict.NOT_RUN))
 
     # Attempts
 
     async def _attempt(self, call: CallRow, row: EndpointRow) -> None:
         waiter = self.waiters.get(call.id)
         if waiter is None:
-            self._finish(call, row, linger=False)
+            self._abandon(call, row)
             return
         request = waiter.request
         try:
             if request.idempotency_key:
                 await self.records.start(request, row.id)
         except RefusedError as exc:
-            self._finish(call, row, linger=False)
+            self._abandon(call, row)
             waiter.settle(exc)
             return
+        race = Race(attempts=[self._new_attempt(call, row)])
+        left_ms = max(1, call.deadline_ms - self.clock.now_ms())
+        with trio.move_on_after(seconds(left_ms)):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._exchange, race, race.attempts[0], call, request)
+                if call.idempotent:
+                    nursery.start_soon(self._hedge, nursery, race, call, request)
+                await race.done.wait()
+                nursery.cancel_scope.cancel()
+        await self._settle(race, call, waiter)
+
+    def _new_attempt(self, call: CallRow, row: EndpointRow) -> Attempt:
         self._note(call, f"attempt {call.attempts} sent to {row.id}")
-        try:
-            answer = await self._send(call, row, request)
-        except AttemptError as exc:
-            await self._on_failed(call, row, waiter, exc.failed)
-        else:
-            await self._on_answered(call, row, waiter, evolve(answer, endpoint=row.id))
+        return Attempt(row=row, number=call.attempts, started_ms=self.clock.now_ms())
 
-    async def _send(self, call: CallRow, row: EndpointRow, request: CallRequest) -> CallAnswer:
+    async def _exchange(
+        self, race: Race, attempt: Attempt, call: CallRow, request: CallRequest
+    ) -> None:
         left_ms = max(1, call.deadline_ms - self.clock.now_ms())
-        silent_ms = left_ms
-        if call.idempotent:
-            silent_ms = patience_ms(self.tables, call.service, left_ms)
-        with trio.move_on_after(seconds(left_ms)):
-            return await self._client(row).send(
+        try:
+            answer = await self._client(attempt.row).send(
                 service=call.service,
-                request_id=f"{call.id}.{call.attempts}",
+                request_id=f"{call.id}.{attempt.number}",
                 team=call.team,
                 content_type=request.content_type,
                 body=request.body,
                 deadline_ms=left_ms,
-                silent_ms=silent_ms,
+                silent_ms=left_ms,
                 max_answer_bytes=self.max_answer_bytes,
             )
-        raise AttemptError(
-            FailedAttempt(
-                reason=Reason.DEADLINE_PASSED,
-                verdict=Verdict.MAY_HAVE_RUN,
-                detail=f"{row.id} did not finish its answer before the deadline",
-            )
-        )
+            attempt.answer = evolve(answer, endpoint=attempt.row.id)
+        except AttemptError as exc:
+            attempt.failed = exc.failed
+        race.check()
+
+    async def _hedge(
+        self, nursery: trio.Nursery, race: Race, call: CallRow, request: CallRequest
+    ) -> None:
+        """Send the call to a second endpoint if the first one stays silent for long.
+
+        The first attempt goes on: a service that has only become slow still answers.
+        """
+        left_ms = max(1, call.deadline_ms - self.clock.now_ms())
+        await trio.sleep(seconds(patience_ms(self.tables, call.service, left_ms)))
+        while (row := second_endpoint(self.tables, self.permits, self._context(), call)) is None:
+            await trio.sleep(seconds(HEDGE_RETRY_MS))
+        self.metrics.retried("call", Reason.CONNECTION_SILENT)
+        attempt = self._new_attempt(call, row)
+        race.attempts.append(attempt)
+        nursery.start_soon(self._exchange, race, attempt, call, request)
+
+    async def _settle(self, race: Race, call: CallRow, waiter: Waiter) -> None:
+        """Give back what the attempts held, and answer or retry."""
+        winner = race.winner()
+        for attempt in race.attempts:
+            if attempt is not winner:
+                await self._learn_failure(attempt, call)
+            self._release(call, attempt.row, linger=attempt.may_be_running())
+        if winner is not None:
+            await self._on_answered(call, winner, waiter)
+        else:
+            await self._on_failed(call, race.failure(), waiter)
+        self.wake()
+
+    async def _learn_failure(self, attempt: Attempt, call: CallRow) -> None:
+        row, failed = attempt.row, attempt.failed
+        why = failed.reason if failed else Reason.CONNECTION_SILENT
+        detail = failed.detail if failed else "no answer yet"
+        self._note(call, f"attempt {attempt.number} on {row.id} failed: {why.value}, {detail}")
+        if why is Reason.ENDPOINT_BUSY:
+            return
+        if record_failure(self.tables, row, self.clock.now_ms()):
+            self.metrics.event("endpoint_ejected")
+            log.warning("ejected endpoint {}: {}", row.id, detail)
+        if why is Reason.CONNECTION_SILENT:
+            await self._client(row).drop_connections()
 
     def _client(self, row: EndpointRow) -> EndpointClient:
         client = self.clients.get(row.id)
@@ -252,61 +314,33 @@
             self.clients[row.id] = client
         return client
 
-    async def _on_answered(
-        self, call: CallRow, row: EndpointRow, waiter: Waiter, answer: CallAnswer
-    ) -> None:
-        latency_ms = self.clock.now_ms() - call.started_ms
-        record_success(row, latency_ms)
+    async def _on_answered(self, call: CallRow, winner: Attempt, waiter: Waiter) -> None:
+        assert winner.answer is not None
+        latency_ms = self.clock.now_ms() - winner.started_ms
+        record_success(winner.row, latency_ms)
         learn_latency(self.tables, call.service, latency_ms)
         team = self.view.state.table.teams.get(call.team)
         earn_retry(self.tables, call, team.retry_percent if team else 0.0)
-        self._finish(call, row, linger=False)
-        self._note(call, f"ran on {row.id} with status {answer.status}")
+        self.tables.calls.pop(call.id, None)
+        self._note(call, f"ran on {winner.row.id} with status {winner.answer.status}")
         if waiter.request.idempotency_key:
-            await self.records.finish(waiter.request, answer)
-        waiter.settle(answer)
+            await self.records.finish(waiter.request, winner.answer)
+        waiter.settle(winner.answer)
 
-    async def _on_failed(
-        self, call: CallRow, row: EndpointRow, waiter: Waiter, failed: FailedAttempt
-    ) -> None:
+    async def _on_failed(self, call: CallRow, failed: FailedAttempt, waiter: Waiter) -> None:
+        not_run = failed.verdict is Verdict.NOT_RUN
+        call.may_have_run = call.may_have_run or not not_run
+        if waiter.request.idempotency_key and not_run:
+            await self.records.withdraw(waiter.request)
         now_ms = self.clock.now_ms()
-        self._note(call, f"attempt on {row.id} failed: {failed.reason.value}, {failed.detail}")
-        if failed.reason is not Reason.ENDPOINT_BUSY and record_failure(self.tables, row, now_ms):
-            self.metrics.event("endpoint_ejected")
-            log.warning("ejected endpoint {}: {}", row.id, failed.detail)
-        if failed.reason in (Reason.CONNECTION_SILENT, Reason.DEADLINE_PASSED):
-            await self._client(row).drop_connections()
         against = may_retry(self.tables, call, failed, now_ms)
-        may_be_running = failed.verdict is Verdict.MAY_HAVE_RUN
         if against is None:
-            await self._retry(call, row, waiter, failed, linger=may_be_running)
+            self.metrics.retried("call", failed.reason)
+            call.not_before_ms = now_ms + backoff_ms(call.attempts)
+            self.tables.requeue(call)
             return
-        self._finish(call, row, linger=may_be_running)
-        if waiter.request.idempotency_key and failed.verdict is Verdict.NOT_RUN:
-            await self.records.withdraw(waiter.request)
-        waiter.settle(RefusedError(against, failed.detail, verdict=failed.verdict))
-
-    async def _retry(
-        self,
-        call: CallRow,
-        row: EndpointRow,
-        waiter: Waiter,
-        failed: FailedAttempt,
-        *,
-        linger: bool,
-    ) -> None:
-        self.metrics.retried("call", failed.reason)
-        if waiter.request.idempotency_key:
-            await self.records.withdraw(waiter.request)
-        self._release(call, row, linger=linger)
-        call.not_before_ms = self.clock.now_ms() + backoff_ms(call.attempts)
-        self.tables.requeue(call)
-        self.wake()
-
-    def _finish(self, call: CallRow, row: EndpointRow, *, linger: bool) -> None:
         self.tables.calls.pop(call.id, None)
-        self._release(call, row, linger=linger)
-        self.wake()
+        waiter.settle(_refusal(call, against, failed.detail, failed.verdict))
 
     def _release(self, call: CallRow, row: EndpointRow, *, linger: bool) -> None:
         """Give permit and credit back, unless the attempt may still be running."""
@@ -320,6 +354,12 @@
         row.running -= 1
         self.permits.release(call.team)
 
+    def _abandon(self, call: CallRow, row: EndpointRow) -> None:
+        """Forget a call of which nothing was sent."""
+        self.tables.calls.pop(call.id, None)
+        self._release(call, row, linger=False)
+        self.wake()
+
     def _note(self, call: CallRow, line: str) -> None:
         self.history.note(call.id, self.clock.wall_ms(), line)
 
--- a/src/hornbeamreach/settings.py
+++ b/src/hornbeamreach/settings.py
@@ -20,12 +20,14 @@
 
 def _secret(instance: Any, attribute: Any, value: str) -> None:
     if len(value) < MIN_SECRET_LENGTH:
-        raise ValueError(f"is shorter than {MIN_SECRET_LENGTH} characters")
+        raise validators.InvalidValueError(
+            attribute, f"is shorter than {MIN_SECRET_LENGTH} characters"
+        )
 
 
 def _sha256(instance: Any, attribute: Any, value: str) -> None:
     if len(value) != 64 or any(digit not in "0123456789abcdef" for digit in value):
-        raise ValueError("is not a SHA-256 in lower-case hex")
+        raise validators.InvalidValueError(attribute, "is not a SHA-256 in lower-case hex")
 
 
 def _addresses(instance: Any, attribute: Any, value: dict[str, str]) -> None:
--- a/src/hornbeamreach/systems/dispatch.py
+++ b/src/hornbeamreach/systems/dispatch.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from hornbeamreach.systems.endpoint_health import is_usable, refresh_endpoints
+from hornbeamreach.systems.retries import give_retry_back, take_retry
 from hornbeamreach.systems.routing import Routing
 from hornbeamreach.tables.calls import CallRow, CallTables, EndpointRow
 from hornbeamreach.tables.control_state import ControlState, VmPhase
@@ -141,6 +142,25 @@
     ]
 
 
+def second_endpoint(
+    tables: CallTables, permits: PermitTable, context: DispatchContext, call: CallRow
+) -> EndpointRow | None:
+    """Take another endpoint for a call whose first one is silent, if one is free now."""
+    rows = [
+        row
+        for row in _usable_rows(tables, context, call.service)
+        if row.free_credits() > 0 and row.id not in call.tried
+    ]
+    if not rows or take_retry(tables, call, context.now_ms) is not None:
+        return None
+    if not permits.acquire(call.team):
+        give_retry_back(tables, call)
+        return None
+    row = context.routing(rows, context.rng)
+    _occupy(tables, call, row, context.now_ms)
+    return row
+
+
 def _next_call(
     tables: CallTables, context: DispatchContext, service: str, selection: Selection
 ) -> CallRow | None:
@@ -170,12 +190,16 @@
 def _start(tables: CallTables, call: CallRow, row: EndpointRow, now_ms: int) -> StartCall:
     tables.queued[call.service][call.team].remove(call.id)
     call.running = True
-    call.attempts += 1
-    call.endpoint = row.id
     call.started_ms = now_ms
     call.waits_for = ""
+    _occupy(tables, call, row, now_ms)
+    return StartCall(call=call, endpoint=row)
+
+
+def _occupy(tables: CallTables, call: CallRow, row: EndpointRow, now_ms: int) -> None:
+    call.attempts += 1
+    call.endpoint = row.id
     call.tried.add(row.id)
     row.running += 1
     row.last_sent = now_ms
     tables.count_running(call.team, 1)
-    return StartCall(call=call, endpoint=row)
--- a/src/hornbeamreach/systems/retries.py
+++ b/src/hornbeamreach/systems/retries.py
@@ -37,14 +37,10 @@
     budget.tokens = min(MAX_TOKENS, budget.tokens + retry_percent / PERCENT)
 
 
-def may_retry(
-    tables: CallTables, call: CallRow, failed: FailedAttempt, now_ms: int
-) -> Reason | None:
-    """Take a retry from the budget and return None, or return why there is no retry."""
-    if failed.verdict is not Verdict.NOT_RUN and not call.idempotent:
-        return failed.reason
+def take_retry(tables: CallTables, call: CallRow, now_ms: int) -> Reason | None:
+    """Take a retry from the budget and return None, or return why there is none."""
     if call.attempts >= MAX_ATTEMPTS:
-        return failed.reason
+        return Reason.RETRY_BUDGET_SPENT
     if now_ms >= call.deadline_ms:
         return Reason.DEADLINE_PASSED
     budget = budget_of(tables, call.team, call.service)
@@ -54,6 +50,23 @@
     return None
 
 
+def give_retry_back(tables: CallTables, call: CallRow) -> None:
+    """Give back a retry that could not be made."""
+    budget_of(tables, call.team, call.service).tokens += 1.0
+
+
+def may_retry(
+    tables: CallTables, call: CallRow, failed: FailedAttempt, now_ms: int
+) -> Reason | None:
+    """Return None if the call is tried again, or the reason that its caller is told."""
+    if failed.verdict is not Verdict.NOT_RUN and not call.idempotent:
+        return failed.reason
+    against = take_retry(tables, call, now_ms)
+    if against is Reason.RETRY_BUDGET_SPENT and call.attempts >= MAX_ATTEMPTS:
+        return failed.reason
+    return against
+
+
 def backoff_ms(attempts: int) -> int:
     """Return how long a call waits before its next attempt."""
     return BASE_BACKOFF_MS * 2**attempts
--- a/src/hornbeamreach/tables/calls.py
+++ b/src/hornbeamreach/tables/calls.py
@@ -35,6 +35,8 @@
     tried: set[str] = field(factory=set)
     not_before_ms: int = 0
     waits_for: str = ""
+    # An attempt that failed may have run, so no later refusal may say otherwise.
+    may_have_run: bool = False
 
 
 @define(kw_only=True)
--- a/src/hornbeamreach/validators.py
+++ b/src/hornbeamreach/validators.py
@@ -12,19 +12,29 @@
 MAX_OCTET = 255
 
 
+class InvalidValueError(ValueError):
+    """Report a value that a validator refused, with the name of its field."""
+
+    def __init__(self, attribute: Any, message: str) -> None:
+        self.field = getattr(attribute, "name", "")
+        super().__init__(message)
+
+
 def name(instance: Any, attribute: Any, value: Any) -> None:
     """Require a short lower-case name."""
     if not isinstance(value, str) or not NAME_PATTERN.match(value):
-        raise ValueError(f"{value!r} is not a name: use a-z, 0-9, '.', '_', '-', at most 63")
+        raise InvalidValueError(
+            attribute, f"{value!r} is not a name: use a-z, 0-9, '.', '_', '-', at most 63"
+        )
 
 
 def address(instance: Any, attribute: Any, value: Any) -> None:
     """Require an IPv4 address with a port."""
     if not isinstance(value, str) or not ADDRESS_PATTERN.match(value):
-        raise ValueError(f"{value!r} is not an address of the form 10.0.0.1:7000")
+        raise InvalidValueError(attribute, f"{value!r} is not an address of the form 10.0.0.1:7000")
     host, port = value.split(":")
     if int(port) > MAX_PORT or any(int(octet) > MAX_OCTET for octet in host.split(".")):
-        raise ValueError(f"{value!r} has an octet or port out of range")
+        raise InvalidValueError(attribute, f"{value!r} has an octet or port out of range")
 
 
 def in_range(low: float, high: float) -> Callable[[Any, Any, Any], None]:
@@ -32,9 +42,9 @@
 
     def validate(instance: Any, attribute: Any, value: Any) -> None:
         if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise ValueError(f"{value!r} is not a number")
+            raise InvalidValueError(attribute, f"{value!r} is not a number")
         if not low <= value <= high:
-            raise ValueError(f"{value!r} is not between {low} and {high}")
+            raise InvalidValueError(attribute, f"{value!r} is not between {low} and {high}")
 
     return validate
 
@@ -44,6 +54,6 @@
 
     def validate(instance: Any, attribute: Any, value: Any) -> None:
         if value not in allowed:
-            raise ValueError(f"{value!r} is not one of {', '.join(allowed)}")
+            raise InvalidValueError(attribute, f"{value!r} is not one of {', '.join(allowed)}")
 
     return validate
--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -4,16 +4,17 @@
 
 import pytest
 import trio
+from attrs import evolve
 
 from hornbeamreach.control import state_machine
 from hornbeamreach.entry import authority as authority_module
+from hornbeamreach.entry.attempts import Race
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.records.acceptor import Acceptor
 from hornbeamreach.systems import maintenance
 from hornbeamreach.tables.permits import PermitTable
-from hornbeamreach.verdict import Reason, Verdict
+from hornbeamreach.verdict import Verdict
 
-from . import fakes
 from .test_fleet_faults import TestMaintenance, in_faults, withdraw
 
 
@@ -84,14 +85,10 @@
             in_faults(scenario, traffic=False)
 
     def test_verdicts_fail_when_silence_is_called_not_run(self, monkeypatch):
-        original = fakes._failed
-
-        def lie(reason, verdict):
-            if reason is Reason.CONNECTION_SILENT:
-                verdict = Verdict.NOT_RUN
-            return original(reason, verdict)
-
-        monkeypatch.setattr(fakes, "_failed", lie)
+        original = Race.failure
+        monkeypatch.setattr(
+            Race, "failure", lambda self: evolve(original(self), verdict=Verdict.NOT_RUN)
+        )
 
         async def scenario(fleet, watch, load):
             for endpoint in fleet.endpoints.values():
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -84,3 +84,74 @@
             assert fleet.runs_of(b"second") == 0
 
         in_fleet(scenario)
+
+
+class TestSlowAndSilent:
+    def test_calls_of_a_service_that_turns_slow_are_all_answered(self):
+        async def scenario(fleet):
+            for number in range(10):
+                await fleet.call("dc1-e1", "red", body=f"quick {number}".encode())
+            for endpoint in fleet.endpoints.values():
+                endpoint.work_ms = 2_500
+            answers = []
+
+            async def one(number):
+                body = f"slow {number}".encode()
+                answers.append((await fleet.call("dc1-e1", "red", body=body)).body == body)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    nursery.start_soon(one, number)
+            assert answers == [True] * 4
+
+        in_fleet(scenario)
+
+    def test_a_silent_endpoint_is_left_for_another_one(self):
+        async def scenario(fleet):
+            for number in range(10):
+                await fleet.call("dc1-e1", "red", body=f"quick {number}".encode())
+            fleet.endpoints["quotes-dc1-w1"].silent = True
+            for number in range(12):
+                body = f"beside silence {number}".encode()
+                assert (await fleet.call("dc1-e1", "red", body=body)).body == body
+
+        in_fleet(scenario)
+
+    def test_refused_connections_are_tried_elsewhere(self):
+        async def scenario(fleet):
+            fleet.endpoints["bookings-dc1-w1"].refuse_connections = True
+            for number in range(6):
+                key = fleet.idempotency_key(f"refused{number}")
+                body = f"refused {number}".encode()
+                answer = await fleet.call("dc1-e1", "red", "bookings", body, key)
+                assert answer.body == body
+                assert fleet.runs_of(body) == 1
+
+        in_fleet(scenario)
+
+    def test_a_silent_non_idempotent_call_is_never_sent_twice(self):
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.silent = True
+            key = fleet.idempotency_key("silent")
+            for entry in ("dc1-e1", "dc1-e2"):
+                with pytest.raises(RefusedError) as caught:
+                    await fleet.call(entry, "red", "bookings", b"silent", key, 2_000)
+                assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+            assert fleet.runs_of(b"silent") == 1
+
+        in_fleet(scenario)
+
+
+class TestLeavingEndpoint:
+    def test_no_call_reaches_an_endpoint_that_leaves(self):
+        async def scenario(fleet):
+            leaving = fleet.endpoints["quotes-dc1-w1"]
+            leaving.leaving = True
+            fleet.announce()
+            before = len(leaving.runs)
+            for number in range(20):
+                await fleet.call("dc1-e2", "red", body=f"after {number}".encode())
+            assert len(leaving.runs) == before
+
+        in_fleet(scenario)
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -336,6 +336,7 @@
                 await trio.sleep(1)
                 with trio.move_on_after(8):
                     weight = 2.0 + round_number
+                    await fleet.wait_leader()
                     await fleet.change([fleet.edit("teams", "blue", weight=weight)])
             await trio.sleep(5)
             assert load.answered() > 100
