Keep the outcome of a task that ended before its job was known to a new scheduler

Cause: after a scheduling process was killed, the next one took the platform's report before it had read the job records, held the finished task for unknown and let the platform forget it; the job was then given up as lost, although it had run.

Change: reports wait for the first scan of the records; an unknown task is forgotten only if its job's record says that it has ended, and taken over otherwise.

Ruled out: a too short lease on tasks; the task had finished within its lease.

--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -127,7 +127,7 @@
         self.tables = JobTables()
         self.sizes = SizeTable()
         self.announced: deque[WakeScheduler] = deque()
-        self.scanned = False
+        self.scan_done = trio.Event()
         self.stopping = False
         handlers.on(WakeScheduler, self._on_wake)
 
@@ -149,7 +149,7 @@
     async def _run_term(self) -> None:
         log.info("{} schedules the jobs of {}", self.process, self.data_center)
         self.tables = JobTables()
-        self.scanned = False
+        self.scan_done = trio.Event()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._rescan_forever)
@@ -233,7 +233,7 @@
             try:
                 for key, record in (await self.store.scan(JOB_PREFIX)).items():
                     self._adopt(key.removeprefix(JOB_PREFIX), record)
-                self.scanned = True
+                self.scan_done.set()
             except RefusedError as exc:
                 self.metrics.refused("scan", exc.reason)
             await trio.sleep(seconds(RESCAN_MS))
@@ -304,6 +304,7 @@
 
     async def _report_forever(self) -> None:
         while True:
+            await self.scan_done.wait()
             asked_ms = self.clock.now_ms()
             try:
                 await self._take_report(await self.platform.report(), asked_ms)
@@ -325,7 +326,7 @@
         for task in report.tasks:
             job = by_task.get(task.task_id)
             if job is None or job.state is not JobState.STARTED:
-                settled += self._unknown_task(task)
+                settled += await self._unknown_task(task)
             elif await self._take_task_report(job, task, now_ms):
                 settled.append(task.task_id)
         if settled:
@@ -339,9 +340,19 @@
             reported[vm] = evolve(vm_report, up=vm_report.up and not suspect)
         return reported
 
-    def _unknown_task(self, task: TaskReport) -> list[str]:
-        job = self.tables.jobs.get(task.task_id.rpartition(".")[0])
-        return [] if job is not None or task.state == "running" else [task.task_id]
+    async def _unknown_task(self, task: TaskReport) -> list[str]:
+        """Forget a task whose job has ended; take over one that was not known yet."""
+        job_id = task.task_id.rpartition(".")[0]
+        if job_id in self.tables.jobs or task.state == "running":
+            return []
+        try:
+            read = await self.store.read(job_key(job_id))
+        except RefusedError:
+            return []
+        if read.record is not None and read.record.state not in FINAL_STATE_NAMES:
+            self._adopt(job_id, read.record)
+            return []
+        return [task.task_id]
 
     async def _take_task_report(self, job: JobRow, task: TaskReport, now_ms: int) -> bool:
         """Take one task's report; return whether the task is settled."""
@@ -627,7 +638,7 @@
 
     def idle_vms(self) -> list[str]:
         """Return the draining VMs on which no task is left, if this process can tell."""
-        if not self.lease.held() or not self.scanned:
+        if not self.lease.held() or not self.scan_done.is_set():
             return []
         busy = self.busy_vms()
         return [
