Index the started jobs, so that a tick does not grow with the queue

Cause: share, rack spread, overload and lease checks each went through every job, queued ones included.

Change: the job table keeps the started jobs apart; the systems read only those.

--- /dev/null
+++ b/benches/measure.py
@@ -0,0 +1,62 @@
+"""Small helpers for measurements."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Callable
+
+from attrs import define
+
+PERCENT = 100
+
+
+@define(frozen=True, kw_only=True)
+class Summary:
+    """Hold the median and the 99th percentile of a sample."""
+
+    median: float
+    p99: float
+    count: int
+
+
+def summarize(values: list[float]) -> Summary:
+    """Summarize a sample."""
+    ordered = sorted(values)
+    p99 = ordered[min(len(ordered) - 1, len(ordered) * 99 // PERCENT)]
+    return Summary(median=statistics.median(ordered), p99=p99, count=len(ordered))
+
+
+def median_seconds(function: Callable[[], object], repeats: int) -> float:
+    """Return the median time of a function in seconds."""
+    times = []
+    for _ in range(repeats):
+        start = time.perf_counter()
+        function()
+        times.append(time.perf_counter() - start)
+    return statistics.median(times)
+
+
+def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return the least-squares slope and intercept of points."""
+    mean_x = statistics.fmean(x for x, _ in points)
+    mean_y = statistics.fmean(y for _, y in points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return rise, mean_y - rise * mean_x
+
+
+def resident_mb(pid: int) -> float:
+    """Return a process's resident memory in MB."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -199,8 +199,8 @@
 
     def _take_missing_permits(self) -> None:
         """Take permits for tasks that another process started before this one's term."""
-        for job in self.tables.jobs.values():
-            if job.state is JobState.STARTED and not job.has_permit:
+        for job in self.tables.started.values():
+            if not job.has_permit:
                 job.has_permit = self.permits.acquire(job.team)
 
     # Workers
@@ -285,7 +285,6 @@
             self.tables.enqueue(job)
 
     def _adopt_started(self, job: JobRow, record: Record, now_ms: int) -> None:
-        job.state = JobState.STARTED
         job.started_ms, job.heard_ms = now_ms, now_ms
         self.update_workers()
         worker = self.tables.workers.get(record.target)
@@ -298,7 +297,7 @@
             self.tables.reserve(job, worker, amount)
         else:
             job.worker = record.target
-        self.tables.jobs[job.id] = job
+        self.tables.add_started(job)
 
     # What the platform reports
 
@@ -321,11 +320,11 @@
                 worker.up = vm_report.up
                 worker.boot_operation = vm_report.boot_operation
         self.feed.vm_reports = self._reported_vms(report, now_ms)
-        by_task = {job.task_id(): job for job in self.tables.jobs.values() if not job.busy}
+        by_task = {job.task_id(): job for job in self.tables.started.values() if not job.busy}
         settled = []
         for task in report.tasks:
             job = by_task.get(task.task_id)
-            if job is None or job.state is not JobState.STARTED:
+            if job is None:
                 settled += await self._unknown_task(task)
             elif await self._take_task_report(job, task, now_ms):
                 settled.append(task.task_id)
@@ -445,7 +444,7 @@
         except StepRefusedError as exc:
             log.warning("job {} was {} already", job.id, exc)
         self._free(job)
-        self.tables.jobs.pop(job.id, None)
+        self.tables.forget(job)
         self.metrics.finished("job", end.verdict.value)
         self._note(job, f"{end.state.value} on {job.worker}: {end.detail}".rstrip(": "))
 
@@ -461,7 +460,7 @@
         except StepRefusedError as exc:
             log.warning("job {} was {} already", job.id, exc)
             self._free(job)
-            self.tables.jobs.pop(job.id, None)
+            self.tables.forget(job)
             return
         self._free(job)
         job.checkpoint = record.checkpoint
@@ -510,7 +509,7 @@
             )
         except StepRefusedError as exc:
             self._free(job)
-            self.tables.jobs.pop(job.id, None)
+            self.tables.forget(job)
             self._note(job, f"not started: it was {exc} already")
             return
         except RefusedError:
@@ -531,7 +530,7 @@
         job.attempt -= 1
         job.busy = False
         job.not_before_ms = self.clock.now_ms() + BASE_BACKOFF_MS
-        self.tables.jobs.pop(job.id, None)
+        self.tables.forget(job)
 
     async def _start_on_platform(self, job: JobRow) -> bool:
         """Ask for the task; return False only if it certainly was not started."""
@@ -576,7 +575,7 @@
                 reason=action.reason,
                 detail=action.detail,
             )
-        self.tables.jobs.pop(job.id, None)
+        self.tables.forget(job)
         self.metrics.finished("job", verdict.value)
         self._note(job, f"{action.state.value} without running: {action.detail}")
 
@@ -594,8 +593,8 @@
             await trio.sleep(seconds(LEASE_RENEW_MS))
             tasks = [
                 job.task_id()
-                for job in self.tables.jobs.values()
-                if job.state is JobState.STARTED and job.has_permit and self._may_renew(job)
+                for job in self.tables.started.values()
+                if job.has_permit and self._may_renew(job)
             ]
             if not tasks:
                 continue
@@ -630,9 +629,8 @@
     def busy_vms(self) -> dict[str, int]:
         """Count the started tasks on VMs that are being drained."""
         counts: dict[str, int] = {}
-        for job in self.tables.jobs.values():
-            draining = self.view.state.vm_state(job.worker).phase is VmPhase.DRAINING
-            if job.state is JobState.STARTED and draining:
+        for job in self.tables.started.values():
+            if self.view.state.vm_state(job.worker).phase is VmPhase.DRAINING:
                 counts[job.worker] = counts.get(job.worker, 0) + 1
         return counts
 
--- a/src/hornbeamreach/systems/placement.py
+++ b/src/hornbeamreach/systems/placement.py
@@ -6,7 +6,7 @@
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.tables.control_state import VmPhase
-from hornbeamreach.tables.jobs import JobRow, JobState, JobTables, Resources, WorkerRow
+from hornbeamreach.tables.jobs import JobRow, JobTables, Resources, WorkerRow
 
 Placement = Callable[[JobTables, JobRow, Resources, list[WorkerRow]], WorkerRow]
 placements: Registry[Placement] = Registry("placement policy")
@@ -43,9 +43,9 @@
 ) -> WorkerRow:
     """Take the rack with the fewest tasks of the team, and in it the tightest fit."""
     in_rack: dict[str, int] = {}
-    for other in tables.jobs.values():
+    for other in tables.started.values():
         worker = tables.workers.get(other.worker)
-        if other.state is JobState.STARTED and other.team == job.team and worker is not None:
+        if other.team == job.team and worker is not None:
             in_rack[worker.rack] = in_rack.get(worker.rack, 0) + 1
     return min(
         workers,
--- a/src/hornbeamreach/systems/schedule.py
+++ b/src/hornbeamreach/systems/schedule.py
@@ -125,10 +125,8 @@
     """Give up tasks that no report has named since their leases ended."""
     return [
         LoseTask(job=job)
-        for job in list(tables.jobs.values())
-        if job.state is JobState.STARTED
-        and not job.busy
-        and now_ms - max(job.heard_ms, job.started_ms) >= LOST_AFTER_MS
+        for job in list(tables.started.values())
+        if not job.busy and now_ms - max(job.heard_ms, job.started_ms) >= LOST_AFTER_MS
     ]
 
 
@@ -140,8 +138,8 @@
     """
     actions: list[JobAction] = []
     by_worker: dict[str, list[JobRow]] = {}
-    for job in tables.jobs.values():
-        if job.state is JobState.STARTED and not job.stopping:
+    for job in tables.started.values():
+        if not job.stopping:
             by_worker.setdefault(job.worker, []).append(job)
     for vm, jobs in by_worker.items():
         worker = tables.workers.get(vm)
@@ -169,9 +167,9 @@
 def drain_workers(tables: JobTables, context: ScheduleContext) -> list[JobAction]:
     """Checkpoint tasks on draining workers that would not finish in time."""
     actions: list[JobAction] = []
-    for job in list(tables.jobs.values()):
+    for job in list(tables.started.values()):
         worker = tables.workers.get(job.worker)
-        if job.state is not JobState.STARTED or job.stopping or job.busy or worker is None:
+        if job.stopping or job.busy or worker is None:
             continue
         moved = worker.pool != _pool_of(context.state, job)
         if worker.phase is not VmPhase.DRAINING and not moved:
@@ -269,7 +267,7 @@
 ) -> StartTask:
     tables.leave_queue(job)
     tables.reserve(job, worker, amount)
-    job.state = JobState.STARTED
+    tables.add_started(job)
     job.has_permit = True
     job.busy = True
     job.attempt += 1
--- a/src/hornbeamreach/systems/shares.py
+++ b/src/hornbeamreach/systems/shares.py
@@ -9,7 +9,7 @@
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.tables.control_state import ControlState
-from hornbeamreach.tables.jobs import NOTHING, JobRow, JobState, JobTables, Resources
+from hornbeamreach.tables.jobs import NOTHING, JobRow, JobTables, Resources
 
 # A deferrable job that has waited this long goes among the urgent ones.
 DEFERRABLE_AGE_MS = 60_000
@@ -38,9 +38,9 @@
         if worker.pool == pool:
             total = total.plus(worker.capacity)
     usage = TeamUsage(total=total)
-    for job in tables.jobs.values():
+    for job in tables.started.values():
         worker = tables.workers.get(job.worker)
-        if job.state is JobState.STARTED and worker is not None and worker.pool == pool:
+        if worker is not None and worker.pool == pool:
             usage.add(job.team, job.reserved)
     return usage
 
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -141,6 +141,8 @@
     """Hold the jobs and workers of one data centre."""
 
     jobs: dict[str, JobRow] = field(factory=dict)
+    # Those of the jobs that have been started; most of a long queue has not.
+    started: dict[str, JobRow] = field(factory=dict)
     workers: dict[str, WorkerRow] = field(factory=dict)
     # queue -> team -> ids of the jobs that wait, oldest first
     waiting: dict[str, dict[str, deque[str]]] = field(factory=dict)
@@ -148,6 +150,7 @@
     def enqueue(self, job: JobRow, *, first: bool = False) -> None:
         """Let a job wait in its queue."""
         self.jobs[job.id] = job
+        self.started.pop(job.id, None)
         job.state = JobState.QUEUED
         line = self.waiting.setdefault(job.queue, {}).setdefault(job.team, deque())
         if first:
@@ -161,6 +164,17 @@
         if line is not None and job.id in line:
             line.remove(job.id)
 
+    def add_started(self, job: JobRow) -> None:
+        """Count a job among the started ones."""
+        job.state = JobState.STARTED
+        self.jobs[job.id] = job
+        self.started[job.id] = job
+
+    def forget(self, job: JobRow) -> None:
+        """Drop a job that has ended."""
+        self.jobs.pop(job.id, None)
+        self.started.pop(job.id, None)
+
     def reserve(self, job: JobRow, worker: WorkerRow, amount: Resources) -> None:
         """Reserve a worker's resources for a job."""
         job.worker, job.reserved = worker.vm, amount
@@ -172,9 +186,3 @@
         if worker is not None:
             worker.reserved = worker.reserved.minus(job.reserved)
         job.reserved, job.used = NOTHING, NOTHING
-
-    def on_worker(self, vm: str) -> list[JobRow]:
-        """Return the started jobs on a worker."""
-        return [
-            job for job in self.jobs.values() if job.worker == vm and job.state is JobState.STARTED
-        ]
