--- a/src/hornbeamreach/control/facts.py
+++ b/src/hornbeamreach/control/facts.py
@@ -19,6 +19,7 @@
             work_left[vm] = work_left.get(vm, 0) + count
     return VmFacts(
         down=frozenset(state.table.vms.keys() - up),
+        reported=frozenset(reports),
         boots={vm: report.boot_operation for vm, report in reports.items() if report.up},
         idle=frozenset(vm for vm in _draining(state) if _is_idle(state, table, vm, now_ms)),
         work_left=work_left,
--- a/src/hornbeamreach/control/state_machine.py
+++ b/src/hornbeamreach/control/state_machine.py
@@ -38,6 +38,8 @@
 MAX_ANSWERS = 50_000
 SNAPSHOT_FORMAT = 1
 SPREAD_STEPS = 10_000
+# No VM is due at once: the first turns lie in the rest of the interval.
+SPREAD_PERCENT = 80
 
 
 @define(frozen=True, kw_only=True)
@@ -214,10 +216,10 @@
     old, new = before.vms.get(vm), state.table.vms[vm]
     vm_state = state.vm_state(vm)
     if old is None:
-        # Spread the first maintenance of VMs added together over the whole interval.
+        # Spread the first maintenance of VMs that are added together.
         interval = state.table.pools[new.pool].maintenance_interval_ms
         part = zlib.crc32(vm.encode()) % SPREAD_STEPS
-        maintained_ms = at_ms - interval * part // SPREAD_STEPS
+        maintained_ms = at_ms - interval * part // SPREAD_STEPS * SPREAD_PERCENT // 100
         state.vm_states[vm] = VmState(since_ms=at_ms, maintained_ms=maintained_ms)
     elif old.pool != new.pool:
         state.vm_states[vm] = attrs.evolve(
--- a/src/hornbeamreach/systems/maintenance.py
+++ b/src/hornbeamreach/systems/maintenance.py
@@ -25,6 +25,8 @@
     """Hold what is known of the VMs apart from the replicated state."""
 
     down: frozenset[str] = frozenset()
+    # VMs that a platform reports on; of the others nobody could tell when they come back.
+    reported: frozenset[str] = frozenset()
     # The reboot that each healthy VM last came up from.
     boots: dict[str, str] = field(factory=dict)
     # VMs on which nothing runs, as every process that could have used them reports.
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -447,3 +447,16 @@
                 assert "extra" not in process.node.view.state.table.services
 
         in_faults(scenario, traffic=False)
+
+
+class TestUnreportedVms:
+    def test_a_vm_that_no_platform_reports_is_not_drained(self):
+        async def scenario(fleet, watch, load):
+            leader = await fleet.wait_leader()
+            del fleet.platforms["dc1"].vms["dc1-w1"]
+            await trio.sleep(3)
+            await leader.replica.propose(TestMaintenance().order(fleet, "dc1-w1", 1))
+            await trio.sleep(5)
+            watch.check_in_service()
+
+        in_faults(scenario, traffic=False)
