Lend spare VMs by payback, and make room for urgent jobs below their share

Cause: no policy moved VMs, and an urgent job waited for deferrable tasks on a full pool until one of them ended.

An urgent job that has waited 600 ms for room, of a team below its share, has the fewest deferrable tasks of one worker checkpointed.

--- a/src/hornbeamreach/control/commands.py
+++ b/src/hornbeamreach/control/commands.py
@@ -125,6 +125,16 @@
     also_down: list[str] = field(factory=list)
 
 
+@wire_type("move_vm")
+@define(frozen=True, kw_only=True)
+class MoveVm:
+    """Let a VM serve another pool if it is still in the expected epoch."""
+
+    vm: str
+    expected_epoch: int
+    pool: str
+
+
 Command = (
     NoOp
     | PrepareChange
@@ -136,4 +146,5 @@
     | SetSlices
     | OrderMaintenance
     | SetVmPhase
+    | MoveVm
 )
--- a/src/hornbeamreach/control/facts.py
+++ b/src/hornbeamreach/control/facts.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from hornbeamreach.link.messages import VmReport
+from hornbeamreach.link.messages import PoolLoad, VmReport
 from hornbeamreach.systems.authority import holders
 from hornbeamreach.systems.maintenance import VmFacts
+from hornbeamreach.systems.moves import Place
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.sessions import HOLD_MS, SESSION_MS, SessionTable
 
@@ -67,3 +68,14 @@
         learnt_ms = max(learnt_ms, acked_ms)
         sessions.append(session)
     return any(vm in s.idle_vms and s.reported_ms >= learnt_ms for s in sessions)
+
+
+def pool_loads(state: ControlState, table: SessionTable, now_ms: int) -> dict[Place, PoolLoad]:
+    """Return what the scheduling processes report of their pools."""
+    loads: dict[Place, PoolLoad] = {}
+    for holder, grant in holders(state):
+        session = table.get(holder)
+        if session.is_live(now_ms):
+            for pool, load in session.pool_loads.items():
+                loads[Place(pool, grant.data_center)] = load
+    return loads
--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -6,7 +6,7 @@
 
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.control import commands
-from hornbeamreach.control.facts import vm_facts
+from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.state_machine import Outcome, encode_state, limit_in_use
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
@@ -23,6 +23,7 @@
 )
 from hornbeamreach.systems.escrow import SliceHolder, plan_slices
 from hornbeamreach.systems.maintenance import due_vms, permits, progress
+from hornbeamreach.systems.moves import Mover, MoverTable
 from hornbeamreach.tables.control_state import OrderAction, PreparedChange
 from hornbeamreach.tables.sessions import HolderKey, Session, SessionTable
 from hornbeamreach.verdict import Reason
@@ -48,7 +49,10 @@
         handlers: HandlerTable,
         clock: Clock,
         metrics: Metrics,
+        mover: Mover,
     ) -> None:
+        self.mover = mover
+        self.mover_table = MoverTable()
         self.replica = replica
         self.clock = clock
         self.metrics = metrics
@@ -70,6 +74,7 @@
             # What an earlier leader's sessions allow is not known: count them from now.
             self.table = SessionTable(leader_since_ms=self.clock.now_ms())
             self.targets = {}
+            self.mover_table = MoverTable()
             self.dirty_teams = set(self.replica.state.table.teams)
 
     # Sessions
@@ -113,6 +118,7 @@
         session.vm_reports = dict(message.vm_reports)
         session.busy_vms = dict(message.busy_vms)
         session.idle_vms = list(message.idle_vms)
+        session.pool_loads = dict(message.pool_loads)
         session.reported_ms = now_ms
         self.notify_news()
 
@@ -280,6 +286,7 @@
         await self.retire_holders()
         await self.plan_slices()
         await self.maintain()
+        await self.move_vms()
 
     async def retire_holders(self) -> None:
         """Suspend silent processes, and free the slices of those that have ended."""
@@ -379,3 +386,17 @@
                     also_down=sorted(facts.down),
                 )
             )
+
+    async def move_vms(self) -> None:
+        """Lend spare VMs to pools that lack capacity, and take idle ones back."""
+        now_ms = self.clock.now_ms()
+        state = self.replica.state
+        facts = vm_facts(state, self.table, now_ms)
+        loads = pool_loads(state, self.table, now_ms)
+        for move in self.mover(state, loads, self.mover_table, facts.down, now_ms):
+            outcome = await self.replica.propose(
+                commands.MoveVm(vm=move.vm, expected_epoch=move.expected_epoch, pool=move.pool)
+            )
+            if outcome.accepted:
+                self.metrics.event("vm_moved")
+                log.info("VM {} serves pool {}", move.vm, move.pool)
--- a/src/hornbeamreach/control/node.py
+++ b/src/hornbeamreach/control/node.py
@@ -16,6 +16,7 @@
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.settings import ControlSettings
+from hornbeamreach.systems.moves import movers
 
 HANDOVER_MS = 1_000
 
@@ -49,7 +50,11 @@
             run_blocking=run_blocking,
         )
         self.leader = Leader(
-            replica=self.replica, handlers=handlers, clock=clock, metrics=self.metrics
+            replica=self.replica,
+            handlers=handlers,
+            clock=clock,
+            metrics=self.metrics,
+            mover=movers.get(settings.mover),
         )
         self.api = OperatorApi(
             replica=self.replica,
--- a/src/hornbeamreach/control/state_machine.py
+++ b/src/hornbeamreach/control/state_machine.py
@@ -168,7 +168,7 @@
             for vm, vm_state in state.vm_states.items()
             if vm_state.phase is not VmPhase.IN_SERVICE
             and vm in table.vms
-            and table.vms[vm].pool == pool
+            and state.loans.get(vm, table.vms[vm].pool) == pool
         ]
         if pool in table.pools and len(out) > table.pools[pool].max_down:
             detail = f"{len(out)} VMs of pool {pool} are out for maintenance"
@@ -222,6 +222,8 @@
         maintained_ms = at_ms - interval * part // SPREAD_STEPS * SPREAD_PERCENT // 100
         state.vm_states[vm] = VmState(since_ms=at_ms, maintained_ms=maintained_ms)
     elif old.pool != new.pool:
+        # What operators declare ends a loan.
+        state.loans.pop(vm, None)
         state.vm_states[vm] = attrs.evolve(
             vm_state, epoch=vm_state.epoch + 1, index=state.applied_index
         )
@@ -241,6 +243,9 @@
     for vms in (state.vm_states, state.orders):
         for vm in [vm for vm in vms if vm not in table.vms]:
             del vms[vm]
+    for vm, pool in list(state.loans.items()):
+        if vm not in table.vms or pool not in table.pools:
+            del state.loans[vm]
 
 
 @appliers.register("CommitChange")
@@ -417,6 +422,25 @@
             del state.orders[command.vm]
 
 
+@appliers.register("MoveVm")
+def _apply_move(state: ControlState, command: commands.MoveVm) -> Outcome:
+    if command.vm not in state.table.vms or command.pool not in state.table.pools:
+        return _refuse(state, Reason.UNKNOWN_ROW, f"no VM {command.vm} or pool {command.pool}")
+    vm_state = state.vm_state(command.vm)
+    if vm_state.epoch != command.expected_epoch:
+        return _refuse(state, Reason.VERSION_CONFLICT, f"epoch is {vm_state.epoch}")
+    if vm_state.phase is not VmPhase.IN_SERVICE:
+        return _refuse(state, Reason.VERSION_CONFLICT, f"the VM is {vm_state.phase.value}")
+    if state.table.vms[command.vm].pool == command.pool:
+        state.loans.pop(command.vm, None)
+    else:
+        state.loans[command.vm] = command.pool
+    state.vm_states[command.vm] = attrs.evolve(
+        vm_state, epoch=vm_state.epoch + 1, index=state.applied_index
+    )
+    return _accept(state)
+
+
 # Snapshots and digests
 
 
--- a/src/hornbeamreach/entry/feed.py
+++ b/src/hornbeamreach/entry/feed.py
@@ -11,7 +11,7 @@
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
 from hornbeamreach.link.interface import Link
-from hornbeamreach.link.messages import Leave, Renew, RenewReply, UseReport, VmReport
+from hornbeamreach.link.messages import Leave, PoolLoad, Renew, RenewReply, UseReport, VmReport
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.tables.permits import PermitTable
@@ -57,6 +57,7 @@
         self.vm_reports: dict[str, VmReport] = {}
         self.busy_vms: Callable[[], dict[str, int]] = dict
         self.idle_vms: Callable[[], list[str]] = list
+        self.pool_loads: Callable[[], dict[str, PoolLoad]] = dict
         self.reported_wanted: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -97,6 +98,7 @@
             vm_reports=dict(self.vm_reports),
             busy_vms=self.busy_vms(),
             idle_vms=self.idle_vms(),
+            pool_loads=self.pool_loads(),
         )
 
     def _take(self, reply: RenewReply, sent_ms: int) -> None:
--- a/src/hornbeamreach/entry/node.py
+++ b/src/hornbeamreach/entry/node.py
@@ -122,6 +122,7 @@
         self.scheduler = self._build_scheduler(platform, handlers)
         self.feed.busy_vms = self.busy_vms
         self.feed.idle_vms = self.scheduler.idle_vms
+        self.feed.pool_loads = self.scheduler.pool_loads
         self.forwarder = Forwarder(
             data_center=process.data_center,
             remote=settings.remote,
--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -24,7 +24,7 @@
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
-from hornbeamreach.link.messages import Done, VmReport, WakeScheduler
+from hornbeamreach.link.messages import Done, PoolLoad, VmReport, WakeScheduler
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.interface import (
@@ -40,6 +40,7 @@
     record_task_failure,
     record_task_success,
 )
+from hornbeamreach.systems.loads import collect_loads
 from hornbeamreach.systems.maintenance import boot_operation
 from hornbeamreach.systems.placement import Placement
 from hornbeamreach.systems.schedule import (
@@ -219,9 +220,10 @@
             )
             worker = self.tables.workers.get(vm)
             if worker is None:
-                worker = WorkerRow(vm=vm, pool=row.pool, rack=row.rack, capacity=capacity)
+                pool = state.pool_of(vm)
+                worker = WorkerRow(vm=vm, pool=pool, rack=row.rack, capacity=capacity)
                 self.tables.workers[vm] = worker
-            worker.pool, worker.rack, worker.capacity = row.pool, row.rack, capacity
+            worker.pool, worker.rack, worker.capacity = state.pool_of(vm), row.rack, capacity
             phase = state.vm_state(vm).phase
             if phase is not worker.phase:
                 worker.phase, worker.phase_since_ms = phase, self.clock.now_ms()
@@ -645,6 +647,12 @@
             if self.view.state.vm_state(vm).phase is VmPhase.DRAINING and vm not in busy
         ]
 
+    def pool_loads(self) -> dict[str, PoolLoad]:
+        """Report how full the pools are here, if this process schedules."""
+        if not self.lease.held() or not self.scan_done.is_set():
+            return {}
+        return collect_loads(self.tables, self.view.state)
+
     def _note(self, job: JobRow, line: str) -> None:
         self.history.note(job.id, self.clock.wall_ms(), line)
 
--- a/src/hornbeamreach/link/messages.py
+++ b/src/hornbeamreach/link/messages.py
@@ -35,6 +35,17 @@
     boot_operation: str = ""
 
 
+@define(frozen=True, kw_only=True)
+class PoolLoad:
+    """Report how full a pool's workers of one data centre are, and what waits for them."""
+
+    capacity_cpu_millis: int = 0
+    used_cpu_millis: int = 0
+    waiting_cpu_millis: int = 0
+    # Size of one of its VMs.
+    vm_cpu_millis: int = 0
+
+
 @wire_type("renew")
 @define(frozen=True, kw_only=True)
 class Renew:
@@ -56,6 +67,7 @@
     busy_vms: dict[str, int] = field(factory=dict)
     # Draining VMs on which, as the scheduling process knows, no task is left.
     idle_vms: list[str] = field(factory=list)
+    pool_loads: dict[str, PoolLoad] = field(factory=dict)
 
 
 @wire_type("renew_reply")
--- a/src/hornbeamreach/settings.py
+++ b/src/hornbeamreach/settings.py
@@ -66,6 +66,8 @@
     replicas: dict[str, str] = field(validator=_addresses)
     # Join an existing group: wait to be added instead of forming a group.
     join: bool = False
+    # Name of the registered policy that moves VMs between pools.
+    mover: str = "payback"
     snapshot_every: int = field(default=2_000, validator=validators.in_range(10, 1_000_000))
     log: LogSettings = field(factory=LogSettings)
 
--- a/src/hornbeamreach/systems/budget.py
+++ b/src/hornbeamreach/systems/budget.py
@@ -18,15 +18,16 @@
 def exceeded_budget(state: ControlState, vm: str, also_down: Set[str]) -> str | None:
     """Return which budget taking a VM out would exceed, or None if none."""
     row = state.table.vms[vm]
-    pool = state.table.pools[row.pool]
+    name = state.pool_of(vm)
+    pool = state.table.pools[name]
     down = unavailable_vms(state, also_down) | {vm}
-    rows = [state.table.vms[name] for name in down if state.table.vms[name].pool == row.pool]
+    rows = [state.table.vms[other] for other in down if state.pool_of(other) == name]
     in_data_center = [other for other in rows if other.data_center == row.data_center]
     in_rack = [other for other in in_data_center if other.rack == row.rack]
     if len(rows) > pool.max_down:
-        return f"pool {row.pool}: max_down {pool.max_down}"
+        return f"pool {name}: max_down {pool.max_down}"
     if len(in_data_center) > pool.max_down_per_data_center:
-        return f"pool {row.pool}: max_down_per_data_center {pool.max_down_per_data_center}"
+        return f"pool {name}: max_down_per_data_center {pool.max_down_per_data_center}"
     if len(in_rack) > pool.max_down_per_rack:
-        return f"pool {row.pool}: max_down_per_rack {pool.max_down_per_rack}"
+        return f"pool {name}: max_down_per_rack {pool.max_down_per_rack}"
     return None
--- a/src/hornbeamreach/systems/maintenance.py
+++ b/src/hornbeamreach/systems/maintenance.py
@@ -52,8 +52,8 @@
 def due_vms(state: ControlState, now_ms: int) -> list[str]:
     """List the VMs whose regular reboot is due, the longest overdue first."""
     due = []
-    for vm, row in state.table.vms.items():
-        interval = state.table.pools[row.pool].maintenance_interval_ms
+    for vm in state.table.vms:
+        interval = state.table.pools[state.pool_of(vm)].maintenance_interval_ms
         if not interval or vm in state.orders:
             continue
         vm_state = state.vm_state(vm)
@@ -75,7 +75,7 @@
         came_up = facts.boots.get(vm) == boot_operation(vm, vm_state.epoch)
         return VmPhase.PROBATION if came_up else None
     if vm_state.phase is VmPhase.PROBATION:
-        probation_ms = state.table.pools[state.table.vms[vm].pool].probation_ms
+        probation_ms = state.table.pools[state.pool_of(vm)].probation_ms
         healthy = vm not in facts.down
         served = now_ms - vm_state.since_ms >= probation_ms
         return VmPhase.IN_SERVICE if healthy and served else None
@@ -126,7 +126,9 @@
     waiting = [
         vm
         for vm, order in state.orders.items()
-        if order.action is not OrderAction.RETURN and state.vm_state(vm).phase is VmPhase.IN_SERVICE
+        if order.action is not OrderAction.RETURN
+        and vm in facts.reported
+        and state.vm_state(vm).phase is VmPhase.IN_SERVICE
     ]
     taken = set(facts.down)
     actions = []
--- a/src/hornbeamreach/systems/schedule.py
+++ b/src/hornbeamreach/systems/schedule.py
@@ -12,10 +12,12 @@
     could_ever_fit,
     fitting_workers,
 )
+from hornbeamreach.systems.preemption import victims
 from hornbeamreach.systems.shares import Share, TeamUsage, candidates_of, pool_usage
 from hornbeamreach.systems.sizing import SizeTable, estimate, expected_run_ms
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.jobs import (
+    WAITS_FOR_ROOM,
     JobRow,
     JobState,
     JobTables,
@@ -94,6 +96,7 @@
     actions += stop_overload(tables)
     actions += drain_workers(tables, context)
     actions += start_jobs(tables, permits, context)
+    actions += preempt(tables, context)
     return actions
 
 
@@ -193,6 +196,17 @@
     return queue.pool if queue else ""
 
 
+def preempt(tables: JobTables, context: ScheduleContext) -> list[JobAction]:
+    """Checkpoint tasks for urgent jobs that wait for room below their team's share."""
+    actions: list[JobAction] = []
+    for pool in sorted({row.pool for row in context.state.table.queues.values()}):
+        candidates = candidates_of(tables, context.state, pool, context.now_ms, set())
+        waiting = [c.job for c in candidates if c.job.waits_for.startswith(WAITS_FOR_ROOM)]
+        for job in victims(tables, context.state, pool, waiting, context.now_ms):
+            actions.append(_stop(job, checkpoint=True, reason=Reason.PREEMPTED))
+    return actions
+
+
 def start_jobs(
     tables: JobTables, permits: PermitTable, context: ScheduleContext
 ) -> list[JobAction]:
@@ -252,7 +266,7 @@
         return None
     workers = fitting_workers(tables, pool, amount, job, context.now_ms)
     if not workers:
-        job.waits_for = f"room on a worker of pool {pool}"
+        job.waits_for = f"{WAITS_FOR_ROOM} on a worker of pool {pool}"
         return None
     if not permits.acquire(job.team):
         job.waits_for = f"a permit of team {job.team}"
--- a/src/hornbeamreach/tables/control_state.py
+++ b/src/hornbeamreach/tables/control_state.py
@@ -137,6 +137,12 @@
     grants: dict[str, dict[str, EntryGrant]] = field(factory=dict)
     vm_states: dict[str, VmState] = field(factory=dict)
     orders: dict[str, MaintenanceOrder] = field(factory=dict)
+    # VMs that serve another pool than their declared one, and which.
+    loans: dict[str, str] = field(factory=dict)
+
+    def pool_of(self, vm: str) -> str:
+        """Return the one pool that a VM serves now."""
+        return self.loans.get(vm) or self.table.vms[vm].pool
 
     def row_version(self, kind: str, name: str) -> int:
         """Return a row's version; 0 for a row that never was."""
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -22,6 +22,8 @@
     QUARANTINED = "quarantined"
 
 
+# How a job says that it waits for capacity, and not for a permit.
+WAITS_FOR_ROOM = "room"
 FINAL_JOB_STATES = frozenset(
     {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.QUARANTINED}
 )
--- a/src/hornbeamreach/tables/sessions.py
+++ b/src/hornbeamreach/tables/sessions.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import TeamUse, VmReport
+from hornbeamreach.link.messages import PoolLoad, TeamUse, VmReport
 
 # How long a renewal lets an entry process act as being in touch with control.
 SESSION_MS = 4_000
@@ -34,6 +34,7 @@
     vm_reports: dict[str, VmReport] = field(factory=dict)
     busy_vms: dict[str, int] = field(factory=dict)
     idle_vms: list[str] = field(factory=list)
+    pool_loads: dict[str, PoolLoad] = field(factory=dict)
     reported_ms: int = -1
 
     def acknowledge(self, index: int, now_ms: int) -> None:
--- a/src/hornbeamreach/verdict.py
+++ b/src/hornbeamreach/verdict.py
@@ -61,6 +61,7 @@
     TASK_FAILED = "task_failed"
     TASK_LEASE_LAPSED = "task_lease_lapsed"
     WORKER_DRAINED = "worker_drained"
+    PREEMPTED = "preempted"
     # Configuration
     VERSION_CONFLICT = "version_conflict"
     CHANGE_PENDING = "change_pending"
