--- a/tests/builders.py
+++ b/tests/builders.py
@@ -205,12 +205,12 @@
 
 
 def entry_settings(
-    control: dict[str, ControlSettings], per_data_center: int = 3, **fields: Any
+    control: dict[str, ControlSettings], per_data_center: tuple[int, ...], **fields: Any
 ) -> dict[str, EntrySettings]:
     processes = [
         link_settings(f"{data_center}-e{number + 1}", data_center, 100 + 10 * place + number)
         for place, data_center in enumerate(DATA_CENTERS)
-        for number in range(per_data_center)
+        for number in range(per_data_center[place])
     ]
     replicas = {name: settings.process.link_address for name, settings in control.items()}
     by_dc = {
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -29,6 +29,7 @@
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.link.interface import HandlerTable, unwrap_reply
 from hornbeamreach.link.messages import CallAnswer
+from hornbeamreach.settings import PolicySettings
 from hornbeamreach.standins.platform import StandInPlatform
 from hornbeamreach.systems.retries import FailedAttempt
 from hornbeamreach.tables.control_state import Change, KeyEdit
@@ -293,16 +294,22 @@
         *,
         declared: DeclaredTable | None = None,
         replicas: int = 3,
-        per_data_center: int = 3,
+        per_data_center: tuple[int, ...] = (3, 3, 3),
         seed: int = 1,
         disk_entries: bool = False,
+        mover: str = "payback",
+        policy: PolicySettings | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = virtual_clock()
         self.declared = declared if declared is not None else builders.table()
         self.network = MemoryNetwork(rng=self.rng)
-        self.control_settings = builders.control_settings(replicas, snapshot_every=200)
-        self.entry_settings = builders.entry_settings(self.control_settings, per_data_center)
+        self.control_settings = builders.control_settings(
+            replicas, snapshot_every=200, mover=mover
+        )
+        self.entry_settings = builders.entry_settings(
+            self.control_settings, per_data_center, policy=policy or PolicySettings()
+        )
         self.disks = {name: MemoryDisk() for name in self.control_settings}
         self.entry_disks = {
             name: MemoryDisk()
