Attain shares over time: debts, held workers, and margins within the declaration

Change: a margin alone does not exceed the declaration; a job that finds no room holds the worker that lacks least; teams are owed what they had less than their entitlement, bounded to twice 2 s of their share, and the owed come first.

Ruled out: permits, which were free for every team.

--- a/benches/scenarios.py
+++ b/benches/scenarios.py
@@ -77,9 +77,7 @@
     """Every team floods one queue; only shares and limits decide."""
     queue = sorted(load.fleet.declared.queues)[0]
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            lambda: load.flood(queue, "dc1", backlog=24, duration_s=seconds + 5)
-        )
+        nursery.start_soon(lambda: load.flood(queue, "dc1", backlog=24, duration_s=seconds + 5))
         await trio.sleep(5)
         before = dict(load.cpu_ms)
         await trio.sleep(seconds)
--- a/src/hornbeamreach/systems/placement.py
+++ b/src/hornbeamreach/systems/placement.py
@@ -17,14 +17,34 @@
     return worker.up and worker.phase is VmPhase.IN_SERVICE and worker.suspect_until_ms <= now_ms
 
 
+def hold_worker(
+    tables: JobTables, pool: str, amount: Resources, now_ms: int, held: set[str]
+) -> None:
+    """Hold the worker that lacks least for a job, so that its room can grow."""
+    candidates = [
+        worker
+        for worker in tables.workers.values()
+        if worker.pool == pool
+        and worker.vm not in held
+        and can_take(worker, now_ms)
+        and amount.fits_in(worker.capacity)
+    ]
+    if candidates:
+        best = max(candidates, key=lambda w: (w.free().dominant_part(w.capacity), w.vm))
+        held.add(best.vm)
+
+
 def fitting_workers(
-    tables: JobTables, pool: str, amount: Resources, job: JobRow, now_ms: int
+    tables: JobTables, pool: str, amount: Resources, job: JobRow, now_ms: int, held: set[str]
 ) -> list[WorkerRow]:
-    """List a pool's workers with room for a job, those it has not failed on first."""
+    """List a pool's workers with room for a job, but those held for jobs before it."""
     fitting = [
         worker
         for worker in tables.workers.values()
-        if worker.pool == pool and can_take(worker, now_ms) and amount.fits_in(worker.free())
+        if worker.pool == pool
+        and worker.vm not in held
+        and can_take(worker, now_ms)
+        and amount.fits_in(worker.free())
     ]
     fresh = [worker for worker in fitting if worker.vm not in job.failed_on]
     return fresh or fitting
--- a/src/hornbeamreach/systems/preemption.py
+++ b/src/hornbeamreach/systems/preemption.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hornbeamreach.systems.placement import can_take
-from hornbeamreach.systems.shares import TeamUsage, pool_usage
+from hornbeamreach.systems.shares import TeamUsage, entitled_parts, pool_usage
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.jobs import JobRow, JobTables, Resources, WorkerRow
 
@@ -13,13 +13,6 @@
 MIN_RUN_MS = 2_000
 
 
-def entitled_part(state: ControlState, team: str, active: set[str]) -> float:
-    """Return the part of a pool that a team is entitled to beside the other active ones."""
-    rows = state.table.teams
-    total = sum(rows[name].weight for name in active | {team} if name in rows)
-    return rows[team].weight / total if team in rows and total else 0.0
-
-
 def victims(
     tables: JobTables, state: ControlState, pool: str, waiting: list[JobRow], now_ms: int
 ) -> list[JobRow]:
@@ -29,12 +22,12 @@
         return []
     usage = pool_usage(tables, pool)
     active = set(usage.by_team) | {job.team for job in waiting}
+    entitled = entitled_parts(state, active)
     chosen: list[JobRow] = []
     for job in urgent:
-        entitled = entitled_part(state, job.team, active)
-        if usage.dominant_share(job.team) >= entitled:
+        if usage.dominant_share(job.team) >= entitled.get(job.team, 0.0):
             continue
-        found = _victims_for(tables, state, pool, job, usage, active, chosen, now_ms)
+        found = _victims_for(tables, pool, job, usage, entitled, chosen, now_ms)
         chosen += found
     return chosen
 
@@ -45,11 +38,10 @@
 
 def _victims_for(
     tables: JobTables,
-    state: ControlState,
     pool: str,
     job: JobRow,
     usage: TeamUsage,
-    active: set[str],
+    entitled: dict[str, float],
     chosen: list[JobRow],
     now_ms: int,
 ) -> list[JobRow]:
@@ -68,7 +60,7 @@
             for other in tables.started.values()
             if other.worker == worker.vm
             and other not in chosen
-            and _may_be_stopped(other, job, state, usage, active, now_ms)
+            and _may_be_stopped(other, job, usage, entitled, now_ms)
         ]
         enough = _fewest(worker, amount, candidates, chosen)
         if enough is not None and (best is None or len(enough) < len(best)):
@@ -77,16 +69,11 @@
 
 
 def _may_be_stopped(
-    other: JobRow,
-    job: JobRow,
-    state: ControlState,
-    usage: TeamUsage,
-    active: set[str],
-    now_ms: int,
+    other: JobRow, job: JobRow, usage: TeamUsage, entitled: dict[str, float], now_ms: int
 ) -> bool:
     if other.busy or other.stopping or now_ms - other.started_ms < MIN_RUN_MS:
         return False
-    over = usage.dominant_share(other.team) > entitled_part(state, other.team, active)
+    over = usage.dominant_share(other.team) > entitled.get(other.team, 0.0)
     return not other.urgent or (over and other.team != job.team)
 
 
--- a/src/hornbeamreach/systems/schedule.py
+++ b/src/hornbeamreach/systems/schedule.py
@@ -11,9 +11,16 @@
     can_take,
     could_ever_fit,
     fitting_workers,
+    hold_worker,
 )
 from hornbeamreach.systems.preemption import victims
-from hornbeamreach.systems.shares import Share, TeamUsage, candidates_of, pool_usage
+from hornbeamreach.systems.shares import (
+    Share,
+    TeamUsage,
+    candidates_of,
+    pool_usage,
+    settle_debts,
+)
 from hornbeamreach.systems.sizing import SizeTable, estimate, expected_run_ms
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.jobs import (
@@ -95,6 +102,7 @@
     actions += lose_silent_tasks(tables, context.now_ms)
     actions += stop_overload(tables)
     actions += drain_workers(tables, context)
+    settle_debts(tables, context.state, context.now_ms)
     actions += start_jobs(tables, permits, context)
     actions += preempt(tables, context)
     return actions
@@ -230,11 +238,12 @@
         return []
     actions: list[JobAction] = []
     blocked: set[tuple[str, str]] = set()
+    held: set[str] = set()
     usage: TeamUsage | None = None
     while candidates := candidates_of(tables, context.state, pool, context.now_ms, blocked):
         usage = usage or pool_usage(tables, pool)
         job = context.share(candidates, usage).job
-        action = _try_start(tables, permits, context, pool, job, wanted)
+        action = _try_start(tables, permits, context, pool, job, wanted, held)
         if isinstance(action, StartTask):
             usage.add(job.team, job.reserved)
         if action is None:
@@ -251,8 +260,13 @@
     pool: str,
     job: JobRow,
     wanted: dict[str, int],
+    held: set[str],
 ) -> StartTask | EndJob | None:
-    """Start a job, or end it if it can never run, or note what it waits for."""
+    """Start a job, or end it if it can never run, or note what it waits for.
+
+    A job that comes first by its share but finds no room holds one worker until that has
+    room enough; else smaller jobs of others would take each gap before it grows.
+    """
     amount = estimate(context.sizes, job)
     if not could_ever_fit(tables, pool, amount):
         amount = declared_resources(job.spec)
@@ -264,8 +278,9 @@
     if not context.may_act(job.team):
         job.waits_for = "authority to act while cut off"
         return None
-    workers = fitting_workers(tables, pool, amount, job, context.now_ms)
+    workers = fitting_workers(tables, pool, amount, job, context.now_ms, held)
     if not workers:
+        hold_worker(tables, pool, amount, context.now_ms, held)
         job.waits_for = f"{WAITS_FOR_ROOM} on a worker of pool {pool}"
         return None
     if not permits.acquire(job.team):
--- a/src/hornbeamreach/systems/shares.py
+++ b/src/hornbeamreach/systems/shares.py
@@ -13,6 +13,10 @@
 
 # A deferrable job that has waited this long goes among the urgent ones.
 DEFERRABLE_AGE_MS = 60_000
+# A debt counts as if it were paid back over this time, and never exceeds twice that of the
+# team's whole share, so that a team that was short for long does not push out the others.
+DEBT_MS = 2_000
+MAX_DEBT_FACTOR = 2.0
 
 
 @define(kw_only=True)
@@ -21,11 +25,21 @@
 
     total: Resources
     by_team: dict[str, Resources] = field(factory=dict)
+    # Share milliseconds that each team is owed from the past.
+    owed: dict[str, float] = field(factory=dict)
 
     def dominant_share(self, team: str) -> float:
         """Return the largest part of the pool that a team has reserved."""
         return self.by_team.get(team, NOTHING).dominant_part(self.total)
 
+    def balanced_share(self, team: str) -> float:
+        """Return a team's present share, less what it is owed from the past.
+
+        Tasks are few and large beside a share, so that no present share is exact; over
+        time the debts make it so.
+        """
+        return self.dominant_share(team) - self.owed.get(team, 0.0) / DEBT_MS
+
     def add(self, team: str, amount: Resources) -> None:
         """Count resources that a team takes."""
         self.by_team[team] = self.by_team.get(team, NOTHING).plus(amount)
@@ -37,7 +51,8 @@
     for worker in tables.workers.values():
         if worker.pool == pool:
             total = total.plus(worker.capacity)
-    usage = TeamUsage(total=total)
+    owed = {team: debt for (name, team), debt in tables.owed.items() if name == pool}
+    usage = TeamUsage(total=total, owed=owed)
     for job in tables.started.values():
         worker = tables.workers.get(job.worker)
         if worker is not None and worker.pool == pool:
@@ -68,7 +83,7 @@
         candidates,
         key=lambda candidate: (
             not (candidate.job.urgent or candidate.aged),
-            usage.dominant_share(candidate.job.team) / candidate.weight,
+            usage.balanced_share(candidate.job.team) / candidate.weight,
             candidate.job.enqueued_ms,
             candidate.job.id,
         ),
@@ -106,3 +121,46 @@
         if job.not_before_ms <= now_ms and not job.cancelled and not job.busy:
             return job
     return None
+
+
+def entitled_parts(state: ControlState, active: set[str]) -> dict[str, float]:
+    """Return the parts of a pool that active teams are entitled to by their weights."""
+    rows = state.table.teams
+    known = sorted(team for team in active if team in rows)
+    total = sum(rows[team].weight for team in known)
+    return {team: rows[team].weight / total for team in known}
+
+
+def settle_debts(tables: JobTables, state: ControlState, now_ms: int) -> None:
+    """Count what each team had beside what it was entitled to since the last tick."""
+    since_ms = tables.owed_until_ms if tables.owed_until_ms is not None else now_ms
+    tables.owed_until_ms = now_ms
+    elapsed_ms = now_ms - since_ms
+    for pool in sorted({row.pool for row in state.table.queues.values()}):
+        _settle_pool(tables, state, pool, elapsed_ms)
+
+
+def _settle_pool(tables: JobTables, state: ControlState, pool: str, elapsed_ms: int) -> None:
+    waiting = {
+        team
+        for queue, by_team in tables.waiting.items()
+        if queue in state.table.queues and state.table.queues[queue].pool == pool
+        for team, line in by_team.items()
+        if line
+    }
+    usage = pool_usage(tables, pool)
+    parts = entitled_parts(state, waiting | set(usage.by_team))
+    for key in [key for key in tables.owed if key[0] == pool and key[1] not in parts]:
+        del tables.owed[key]
+    if not waiting:
+        # Nobody was short of anything, so nobody is owed anything.
+        for team in parts:
+            tables.owed.pop((pool, team), None)
+        return
+    for team, part in parts.items():
+        debt = tables.owed.get((pool, team), 0.0)
+        debt += (part - usage.dominant_share(team)) * elapsed_ms
+        most = part * DEBT_MS * MAX_DEBT_FACTOR
+        # A team without waiting jobs took all that it wanted.
+        highest = most if team in waiting else 0.0
+        tables.owed[(pool, team)] = max(-most, min(highest, debt))
--- a/src/hornbeamreach/systems/sizing.py
+++ b/src/hornbeamreach/systems/sizing.py
@@ -47,12 +47,19 @@
     if history is None or len(history.memory_mb) < MIN_SAMPLES:
         return declared
     return Resources(
-        cpu_millis=max(1, round(quantile(history.cpu_millis) * CPU_MARGIN)),
-        memory_mb=max(1, round(quantile(history.memory_mb) * MEMORY_MARGIN)),
+        cpu_millis=_with_margin(history.cpu_millis, CPU_MARGIN, declared.cpu_millis),
+        memory_mb=_with_margin(history.memory_mb, MEMORY_MARGIN, declared.memory_mb),
         accelerators=declared.accelerators,
     )
 
 
+def _with_margin(peaks: deque[int], margin: float, declared: int) -> int:
+    """Return a peak with a margin, which alone does not exceed what was declared."""
+    peak = quantile(peaks)
+    padded = max(1, round(peak * margin))
+    return min(padded, declared) if peak <= declared else padded
+
+
 def expected_run_ms(sizes: SizeTable, job: JobRow) -> int:
     """Return how long a job is expected to run."""
     history = sizes.kinds.get((job.team, job.spec.kind))
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -148,6 +148,9 @@
     workers: dict[str, WorkerRow] = field(factory=dict)
     # queue -> team -> ids of the jobs that wait, oldest first
     waiting: dict[str, dict[str, deque[str]]] = field(factory=dict)
+    # (pool, team) -> share milliseconds that the team is owed beside what it had
+    owed: dict[tuple[str, str], float] = field(factory=dict)
+    owed_until_ms: int | None = None
 
     def enqueue(self, job: JobRow, *, first: bool = False) -> None:
         """Let a job wait in its queue."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -304,9 +304,7 @@
         self.clock = virtual_clock()
         self.declared = declared if declared is not None else builders.table()
         self.network = MemoryNetwork(rng=self.rng)
-        self.control_settings = builders.control_settings(
-            replicas, snapshot_every=200, mover=mover
-        )
+        self.control_settings = builders.control_settings(replicas, snapshot_every=200, mover=mover)
         self.entry_settings = builders.entry_settings(
             self.control_settings, per_data_center, policy=policy or PolicySettings()
         )
