--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -25,8 +25,9 @@
 from hornbeamreach.control.raft import RaftCore
 from hornbeamreach.control.state_machine import apply_command, decode_state, encode_state
 from hornbeamreach.control.storage import LOG_NAME, RaftStorage
+from hornbeamreach.entry.reports import ReportContent, ReportSender
 from hornbeamreach.link.codec import decode, encode
-from hornbeamreach.link.messages import PoolLoad, Renew, TeamUse, VmReport
+from hornbeamreach.link.messages import EntryReport, PoolLoad, Renew, TeamUse, VmReport
 from hornbeamreach.systems.escrow import SliceHolder, plan_slices
 from hornbeamreach.systems.maintenance import due_vms, permits, progress
 from hornbeamreach.systems.moves import MoverTable, payback
@@ -164,31 +165,57 @@
 
 
 def measure_messages(workers: int) -> dict[str, float]:
-    """Measure an entry's renewal at one size; its data centre has an eighth of the workers."""
+    """Measure an entry's first renewal and a later one, of which 5 % changed.
+
+    Its data centre has an eighth of the workers.
+    """
     teams = max(2, TARGET["teams"] * workers // TARGET["workers"])
-    renew = Renew(
-        entry_id="dc1-e1",
-        incarnation="0123456789abcdef",
-        data_center="dc1",
-        address="10.0.0.1:7000",
-        peer_count=3,
-        applied_index=123_456,
-        hold_ms=900,
+    pools = TARGET["pools"] * workers // TARGET["workers"]
+    content = ReportContent(
         uses={f"team-{n:03d}": TeamUse(in_use=3, wanted=1) for n in range(teams)},
         vm_reports={f"vm-{n:04d}": VmReport(up=True) for n in range(workers // 8)},
         pool_loads={
             f"pool-{n:03d}": PoolLoad(capacity_cpu_millis=192_000, vm_cpu_millis=16_000)
-            for n in range(TARGET["pools"] * workers // TARGET["workers"])
+            for n in range(pools)
+        },
+    )
+    later = ReportContent(
+        uses={
+            team: TeamUse(in_use=4) if n % 20 == 0 else use
+            for n, (team, use) in enumerate(content.uses.items())
+        },
+        vm_reports=content.vm_reports,
+        pool_loads={
+            pool: PoolLoad(used_cpu_millis=9_000) if n % 20 == 0 else load
+            for n, (pool, load) in enumerate(content.pool_loads.items())
         },
     )
-    data = encode(renew)
+    sender = ReportSender()
+    first = _renew(sender.build(content))
+    sender.acknowledge(sender.number)
+    second = _renew(sender.build(later))
+    data = encode(second)
     return {
-        "renew_bytes": len(data),
-        "renew_encode_ms": median_seconds(lambda: encode(renew), 9) * MILLISECONDS,
-        "renew_decode_ms": median_seconds(lambda: decode(data), 9) * MILLISECONDS,
+        "first_renew_bytes": len(encode(first)),
+        "later_renew_bytes": len(data),
+        "later_renew_encode_ms": median_seconds(lambda: encode(second), 9) * MILLISECONDS,
+        "later_renew_decode_ms": median_seconds(lambda: decode(data), 9) * MILLISECONDS,
     }
 
 
+def _renew(report: EntryReport) -> Renew:
+    return Renew(
+        entry_id="dc1-e1",
+        incarnation="0123456789abcdef",
+        data_center="dc1",
+        address="10.0.0.1:7000",
+        peer_count=3,
+        applied_index=123_456,
+        hold_ms=900,
+        report=report,
+    )
+
+
 def measure_fsync() -> dict[str, float]:
     """Compare commits of one replica with bare appends and syncs, in one run."""
     rounds = 200
--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -8,6 +8,7 @@
 from hornbeamreach.control import commands
 from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.replica import Replica
+from hornbeamreach.control.reports import build_loads, take_report
 from hornbeamreach.control.state_machine import Outcome, encode_state, limit_in_use
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
@@ -39,6 +40,8 @@
 log = part_logger("control")
 
 LEADER_TICK_MS = 200
+MAINTAIN_INTERVAL_MS = 500
+PLAN_INTERVAL_MS = 10_000
 PREPARE_TIMEOUT_MS = 6_000
 IN_FORCE_TIMEOUT_MS = 11_000
 MAX_RENEW_HOLD_MS = 1_500
@@ -65,6 +68,8 @@
         self.clock = clock
         self.metrics = metrics
         self.led_term = -1
+        self.maintained_ms = 0
+        self.planned_ms = 0
         self.table = SessionTable(leader_since_ms=clock.now_ms())
         self.targets: dict[HolderKey, dict[str, int]] = {}
         self.news = trio.Event()
@@ -80,7 +85,7 @@
         if self.led_term != self.replica.core.term:
             self.led_term = self.replica.core.term
             # What an earlier leader's sessions allow is not known: count them from now.
-            self.table = SessionTable(leader_since_ms=self.clock.now_ms())
+            self.table = SessionTable(leader_since_ms=self.clock.now_ms(), term=self.led_term)
             self.targets = {}
             self.mover_table = MoverTable()
             self.dirty_teams = set(self.replica.state.table.teams)
@@ -98,7 +103,7 @@
             await self._wait_news(holder, message.applied_index)
         self.require_leader()
         self.table.get(holder).renewed_ms = self.clock.now_ms()
-        return self._build_reply(holder, message.applied_index)
+        return self._build_reply(holder, message)
 
     async def _register_if_new(self, message: Renew) -> None:
         grant = self.replica.state.grants.get(message.entry_id, {}).get(message.incarnation)
@@ -121,12 +126,9 @@
         now_ms = self.clock.now_ms()
         session.renewed_ms = now_ms
         session.acknowledge(message.applied_index, now_ms)
-        self.dirty_teams |= message.uses.keys() | session.uses.keys()
-        session.uses = dict(message.uses)
-        session.vm_reports = dict(message.vm_reports)
+        self.dirty_teams |= take_report(session, message.report)
         session.busy_vms = dict(message.busy_vms)
         session.idle_vms = list(message.idle_vms)
-        session.pool_loads = dict(message.pool_loads)
         session.reported_ms = now_ms
         self.notify_news()
 
@@ -139,28 +141,29 @@
         while self.replica.state.applied_index <= applied_index and not self.targets.get(holder):
             await self.replica.wait_changed()
 
-    def _build_reply(self, holder: HolderKey, applied_index: int) -> RenewReply:
+    def _build_reply(self, holder: HolderKey, message: Renew) -> RenewReply:
         committed = self.replica.state.applied_index
-        targets = self.targets.pop(holder, {})
         base = self.replica.core.log.base_index
-        behind = committed - applied_index
-        if applied_index < base or behind > MAX_ITEMS_PER_REPLY:
+        behind = committed - message.applied_index
+        state, items = None, []
+        if message.applied_index < base or behind > MAX_ITEMS_PER_REPLY:
             state = encode_state(self.replica.state)
-            return RenewReply(
-                committed_index=committed, state=state, targets=targets, loads=self.loads()
-            )
-        entries = self.replica.core.log.slice_from(applied_index + 1, behind)
-        items = [LogItem(index=entry.index, data=entry.data) for entry in entries]
+        else:
+            entries = self.replica.core.log.slice_from(message.applied_index + 1, behind)
+            items = [LogItem(index=entry.index, data=entry.data) for entry in entries]
+        session = self.table.get(holder)
         return RenewReply(
-            committed_index=committed, items=items, targets=targets, loads=self.loads()
+            committed_index=committed,
+            items=items,
+            state=state,
+            targets=self.targets.pop(holder, {}),
+            report_number=session.report_number,
+            loads=build_loads(session, message.loads_number, self._loads()),
         )
 
-    def loads(self) -> dict[str, dict[str, PoolLoad]]:
-        """Return how full the pools are by data centre, for every entry process."""
-        found: dict[str, dict[str, PoolLoad]] = {}
-        for place, load in pool_loads(self.replica.state, self.table, self.clock.now_ms()).items():
-            found.setdefault(place.data_center, {})[place.pool] = load
-        return found
+    def _loads(self) -> dict[str, PoolLoad]:
+        loads = pool_loads(self.replica.state, self.table, self.clock.now_ms())
+        return {f"{place.data_center}/{place.pool}": load for place, load in loads.items()}
 
     async def on_use_report(self, message: UseReport) -> Done:
         """Take an urgent report of use and plan the team's slices at once."""
@@ -300,12 +303,16 @@
                 continue
 
     async def tick(self) -> None:
-        """Run every system once."""
+        """Run every system whose turn it is."""
         await self.finish_prepared()
-        await self.retire_holders()
         await self.plan_slices()
-        await self.maintain()
-        await self.move_vms()
+        now_ms = self.clock.now_ms()
+        if now_ms - self.maintained_ms >= MAINTAIN_INTERVAL_MS:
+            self.maintained_ms = now_ms
+            self.metrics.gauge("control_sessions", len(self.table.sessions))
+            await self.retire_holders()
+            await self.maintain()
+            await self.move_vms()
 
     async def retire_holders(self) -> None:
         """Suspend silent processes, and free the slices of those that have ended."""
@@ -377,10 +384,18 @@
                 )
         return found
 
+    def _due_vms(self) -> list[str]:
+        """Return the VMs that are due, looked for only now and then."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.planned_ms < PLAN_INTERVAL_MS:
+            return []
+        self.planned_ms = now_ms
+        return due_vms(self.replica.state, self.clock.wall_ms())
+
     async def maintain(self) -> None:
         """Order what is due, and move VMs through their phases."""
         state, wall_ms = self.replica.state, self.clock.wall_ms()
-        for vm in due_vms(state, wall_ms):
+        for vm in self._due_vms():
             await self.replica.propose(
                 commands.OrderMaintenance(
                     operation_id=f"plan.{vm}.{state.vm_state(vm).epoch}",
--- a/src/hornbeamreach/entry/feed.py
+++ b/src/hornbeamreach/entry/feed.py
@@ -8,6 +8,7 @@
 
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.entry.authority import Authority
+from hornbeamreach.entry.reports import LoadsReceiver, ReportContent, ReportSender
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
 from hornbeamreach.link.interface import Link
@@ -59,7 +60,8 @@
         self.idle_vms: Callable[[], list[str]] = list
         self.pool_loads: Callable[[], dict[str, PoolLoad]] = dict
         self.reported_wanted: dict[str, int] = {}
-        self.loads: dict[str, dict[str, PoolLoad]] = {}
+        self.reports = ReportSender()
+        self.loads_receiver = LoadsReceiver()
 
     async def run(self) -> None:
         """Renew again and again until cancelled."""
@@ -95,16 +97,26 @@
             peer_count=self.authority.peer_count,
             applied_index=self.view.index(),
             hold_ms=RENEW_HOLD_MS,
-            uses=self.permits.report(),
-            vm_reports=dict(self.vm_reports),
+            report=self.reports.build(
+                ReportContent(
+                    uses=self.permits.report(),
+                    vm_reports=dict(self.vm_reports),
+                    pool_loads=self.pool_loads(),
+                )
+            ),
+            loads_number=self.loads_receiver.number,
             busy_vms=self.busy_vms(),
             idle_vms=self.idle_vms(),
-            pool_loads=self.pool_loads(),
         )
 
+    def loads(self) -> dict[str, dict[str, PoolLoad]]:
+        """Return how full the pools of every data centre are."""
+        return self.loads_receiver.by_data_center
+
     def _take(self, reply: RenewReply, sent_ms: int) -> None:
         self.view.take(reply.items, reply.state)
-        self.loads = reply.loads
+        self.reports.acknowledge(reply.report_number)
+        self.loads_receiver.take(reply.loads)
         self.update_permits()
         if self.view.index() >= reply.committed_index:
             # The session lets this process act, so it must not begin on an older state.
--- a/src/hornbeamreach/entry/forwarding.py
+++ b/src/hornbeamreach/entry/forwarding.py
@@ -134,7 +134,7 @@
         queue = self.view.state.table.queues.get(message.queue)
         if queue is None:
             return self.data_center
-        loads = self.feed.loads
+        loads = self.feed.loads()
         if loads is not self.seen_loads:
             self.seen_loads, self.sent_millis = loads, {}
         sent = self.sent_millis.setdefault(queue.pool, {})
--- a/src/hornbeamreach/link/messages.py
+++ b/src/hornbeamreach/link/messages.py
@@ -46,6 +46,33 @@
     vm_cpu_millis: int = 0
 
 
+@define(frozen=True, kw_only=True)
+class EntryReport:
+    """Report what an entry process knows, as changes since the report that control has."""
+
+    # Number of this report, and of the one that the changes count from; 0 counts from
+    # nothing.
+    number: int = 1
+    since: int = 0
+    uses: dict[str, TeamUse] = field(factory=dict)
+    uses_removed: list[str] = field(factory=list)
+    vm_reports: dict[str, VmReport] = field(factory=dict)
+    vm_reports_removed: list[str] = field(factory=list)
+    pool_loads: dict[str, PoolLoad] = field(factory=dict)
+    pool_loads_removed: list[str] = field(factory=list)
+
+
+@define(frozen=True, kw_only=True)
+class LoadsReport:
+    """Tell how full the pools are, as changes since what the entry process has."""
+
+    number: int = 1
+    since: int = 0
+    # "data centre/pool" -> load
+    loads: dict[str, PoolLoad] = field(factory=dict)
+    removed: list[str] = field(factory=list)
+
+
 @wire_type("renew")
 @define(frozen=True, kw_only=True)
 class Renew:
@@ -61,13 +88,13 @@
     peer_count: int
     applied_index: int
     hold_ms: int
-    uses: dict[str, TeamUse] = field(factory=dict)
-    vm_reports: dict[str, VmReport] = field(factory=dict)
+    report: EntryReport = EntryReport()
+    # Number of the loads report that the process has.
+    loads_number: int = 0
     # Calls in flight and tasks on VMs that are being drained.
     busy_vms: dict[str, int] = field(factory=dict)
     # Draining VMs on which, as the scheduling process knows, no task is left.
     idle_vms: list[str] = field(factory=list)
-    pool_loads: dict[str, PoolLoad] = field(factory=dict)
 
 
 @wire_type("renew_reply")
@@ -80,8 +107,10 @@
     state: bytes | None = None
     # Slices that the process should come down to.
     targets: dict[str, int] = field(factory=dict)
-    # How full the pools of each data centre are.
-    loads: dict[str, dict[str, PoolLoad]] = field(factory=dict)
+    # Number of the report that control has now; a process whose report was not taken
+    # sends all of it again.
+    report_number: int = 0
+    loads: LoadsReport = LoadsReport()
 
 
 @wire_type("use_report")
--- a/src/hornbeamreach/systems/loads.py
+++ b/src/hornbeamreach/systems/loads.py
@@ -6,6 +6,8 @@
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.jobs import WAITS_FOR_ROOM, JobTables
 
+STEPS_PER_VM = 8
+
 
 def collect_loads(tables: JobTables, state: ControlState) -> dict[str, PoolLoad]:
     """Sum capacity, reservations and waiting work by pool."""
@@ -21,14 +23,20 @@
     return {
         pool: PoolLoad(
             capacity_cpu_millis=capacity.get(pool, 0),
-            used_cpu_millis=used.get(pool, 0),
-            waiting_cpu_millis=waiting.get(pool, 0),
+            used_cpu_millis=_rounded(used.get(pool, 0), largest.get(pool, 0)),
+            waiting_cpu_millis=_rounded(waiting.get(pool, 0), largest.get(pool, 0)),
             vm_cpu_millis=largest.get(pool, 0),
         )
         for pool in state.table.pools
     }
 
 
+def _rounded(amount: int, vm_cpu_millis: int) -> int:
+    """Round to a part of a VM, so that small changes are no news."""
+    step = max(1, vm_cpu_millis // STEPS_PER_VM)
+    return -(-amount // step) * step
+
+
 def _waiting(tables: JobTables, state: ControlState) -> dict[str, int]:
     """Sum the declared processors of waiting jobs that could use another worker."""
     waiting: dict[str, int] = {}
--- a/src/hornbeamreach/tables/sessions.py
+++ b/src/hornbeamreach/tables/sessions.py
@@ -13,6 +13,7 @@
 # The longest that a call or a task lease can outlive the process that started it.
 HOLD_MS = 32_000
 ACK_HISTORY = 64
+NUMBERS_PER_TERM = 2**32
 
 
 @define(frozen=True, order=True)
@@ -36,6 +37,10 @@
     idle_vms: list[str] = field(factory=list)
     pool_loads: dict[str, PoolLoad] = field(factory=dict)
     reported_ms: int = -1
+    report_number: int = 0
+    # The loads that the process has, as far as its latest renewal told.
+    loads_number: int = 0
+    loads_sent: dict[str, PoolLoad] = field(factory=dict)
 
     def acknowledge(self, index: int, now_ms: int) -> None:
         """Record that the process has applied an index."""
@@ -61,10 +66,15 @@
     """Hold the sessions known to a leader since it began to lead."""
 
     leader_since_ms: int
+    term: int = 0
     sessions: dict[HolderKey, Session] = field(factory=dict)
 
     def get(self, holder: HolderKey) -> Session:
         """Return a holder's session; an unheard one counts from the leader's start."""
         if holder not in self.sessions:
-            self.sessions[holder] = Session(renewed_ms=self.leader_since_ms)
+            # Numbers of loads reports begin anew with each term, and never coincide.
+            first_number = self.term * NUMBERS_PER_TERM
+            self.sessions[holder] = Session(
+                renewed_ms=self.leader_since_ms, loads_number=first_number
+            )
         return self.sessions[holder]
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -405,7 +405,13 @@
                 "every VM is rebooted",
                 120_000,
             )
-            await trio.sleep(3)
+            await fleet.wait_until(
+                lambda: not [
+                    vm for vm, s in fleet.state().vm_states.items() if s.phase.value != "in_service"
+                ],
+                "every VM is back in service",
+                10_000,
+            )
             watch.check_in_service()
 
         in_faults(scenario)
