--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,46 @@
+"""Imports run one way, and the pure layers stay pure."""
+
+from __future__ import annotations
+
+import ast
+
+import pytest
+
+from .processes import ROOT
+
+SOURCE = ROOT / "src/hornbeamreach"
+IMPURE = {"trio", "httpcore", "hypercorn", "starlette", "websockets", "time", "os", "socket"}
+
+
+def imports(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+
+
+@pytest.mark.parametrize("layer", ["tables", "systems"])
+class TestPureLayers:
+    def test_no_module_imports_io_or_a_clock(self, layer):
+        for path in (SOURCE / layer).glob("*.py"):
+            names = {name.partition(".")[0] for name in imports(path)}
+            assert not names & IMPURE, path
+
+    def test_no_module_imports_a_daemon_or_service(self, layer):
+        for path in (SOURCE / layer).glob("*.py"):
+            parts = {n.split(".")[1] for n in imports(path) if n.startswith("hornbeamreach.")}
+            assert not parts & {"control", "entry", "records", "daemons", "web", "demo"}, path
+
+
+class TestHouse:
+    def test_no_file_carries_a_notice(self):
+        for path in SOURCE.rglob("*.py"):
+            text = path.read_text()
+            assert "Copyright" not in text
+            assert "SPDX" not in text
+
+    def test_every_example_of_the_docs_folder_is_named_in_the_readme(self):
+        readme = (ROOT / "README.md").read_text()
+        for page in (ROOT / "docs").glob("*.md"):
+            assert f"docs/{page.name}" in readme, page
