Avoid endpoints that are silent, here or towards a peer

Cause: a third of the endpoints accepted calls and never answered; each process learnt that alone, by three calls that ran into their deadlines.

Change: a call silent beyond its service's patience makes its endpoint the last choice at once, and heartbeats tell the peers; also for calls that may not be hedged.

Conclusion: what is left are non-idempotent calls that reached a silent endpoint first.

--- a/src/hornbeamreach/entry/attempts.py
+++ b/src/hornbeamreach/entry/attempts.py
@@ -18,6 +18,7 @@
     row: EndpointRow
     number: int
     started_ms: int
+    overdue: bool = False
     answer: CallAnswer | None = None
     failed: FailedAttempt | None = None
 
@@ -25,6 +26,17 @@
         """Tell whether the endpoint answered or the attempt failed."""
         return self.answer is not None or self.failed is not None
 
+    def mark_overdue(self) -> None:
+        """Count the attempt as silent for too long."""
+        self.overdue = True
+        self.row.overdue += 1
+
+    def clear_overdue(self) -> None:
+        """Count the attempt no more: it has ended or nobody waits for it."""
+        if self.overdue:
+            self.overdue = False
+            self.row.overdue -= 1
+
     def may_be_running(self) -> bool:
         """Tell whether the endpoint may still be at work on it."""
         if self.answer is not None:
--- a/src/hornbeamreach/entry/calls.py
+++ b/src/hornbeamreach/entry/calls.py
@@ -235,8 +235,7 @@
         with trio.move_on_after(seconds(left_ms)):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._exchange, race, race.attempts[0], call, request)
-                if call.idempotent:
-                    nursery.start_soon(self._hedge, nursery, race, call, request)
+                nursery.start_soon(self._watch_silence, nursery, race, call, request)
                 await race.done.wait()
                 nursery.cancel_scope.cancel()
         await self._settle(race, call, waiter)
@@ -265,15 +264,23 @@
             attempt.failed = exc.failed
         race.check()
 
+    async def _watch_silence(
+        self, nursery: trio.Nursery, race: Race, call: CallRow, request: CallRequest
+    ) -> None:
+        """Let others avoid an endpoint that stays silent, and hedge an idempotent call."""
+        left_ms = max(1, call.deadline_ms - self.clock.now_ms())
+        await trio.sleep(seconds(patience_ms(self.tables, call.service, left_ms)))
+        race.attempts[0].mark_overdue()
+        if call.idempotent:
+            await self._hedge(nursery, race, call, request)
+
     async def _hedge(
         self, nursery: trio.Nursery, race: Race, call: CallRow, request: CallRequest
     ) -> None:
-        """Send the call to a second endpoint if the first one stays silent for long.
+        """Send the call to a second endpoint, as soon as one may be used for it.
 
         The first attempt goes on: a service that has only become slow still answers.
         """
-        left_ms = max(1, call.deadline_ms - self.clock.now_ms())
-        await trio.sleep(seconds(patience_ms(self.tables, call.service, left_ms)))
         while (row := second_endpoint(self.tables, self.permits, self._context(), call)) is None:
             await trio.sleep(seconds(HEDGE_RETRY_MS))
         self.metrics.retried("call", Reason.CONNECTION_SILENT)
@@ -285,6 +292,7 @@
         """Give back what the attempts held, and answer or retry."""
         winner = race.winner()
         for attempt in race.attempts:
+            attempt.clear_overdue()
             if attempt is not winner:
                 await self._learn_failure(attempt, call)
             self._release(call, attempt.row, linger=attempt.may_be_running())
--- a/src/hornbeamreach/entry/peers.py
+++ b/src/hornbeamreach/entry/peers.py
@@ -16,6 +16,7 @@
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.link.messages import FetchLog, LogPage, PeerHeartbeat, PeerStatus
 from hornbeamreach.systems.credits import assign_credits
+from hornbeamreach.systems.endpoint_health import is_suspect
 from hornbeamreach.tables.calls import CallTables
 from hornbeamreach.tables.sessions import PEER_SESSION_MS
 
@@ -75,6 +76,10 @@
         now_ms = self.clock.now_ms()
         self.heard[message.entry_id] = HeardPeer(at_ms=now_ms, leaving=message.leaving)
         take_news(self.calls, message.endpoints, now_ms)
+        for endpoint in message.suspects:
+            row = self.calls.endpoints.get(endpoint)
+            if row is not None:
+                row.peer_suspects_ms = now_ms
         self.refresh_credits()
         return PeerStatus(
             entry_id=self.entry_id,
@@ -112,6 +117,7 @@
             applied_index=self.view.index(),
             leaving=self.leaving,
             endpoints=endpoint_news(self.calls, self.clock, NEWS_AGE_MS),
+            suspects=[row.id for row in self.calls.endpoints.values() if is_suspect(row)],
         )
         status = await self.link.request(address, message, timeout_ms=PEER_TIMEOUT_MS)
         self.authority.contacts[peer] = PeerContact(
--- a/src/hornbeamreach/link/messages.py
+++ b/src/hornbeamreach/link/messages.py
@@ -181,6 +181,8 @@
     applied_index: int
     leaving: bool = False
     endpoints: list[EndpointNews] = field(factory=list)
+    # Endpoints that are silent towards this process, or that it has ejected.
+    suspects: list[str] = field(factory=list)
 
 
 @wire_type("peer_status")
--- a/src/hornbeamreach/systems/dispatch.py
+++ b/src/hornbeamreach/systems/dispatch.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.systems.endpoint_health import is_usable, refresh_endpoints
+from hornbeamreach.systems.endpoint_health import is_silent, is_usable, refresh_endpoints
 from hornbeamreach.systems.retries import give_retry_back, take_retry
 from hornbeamreach.systems.routing import Routing
 from hornbeamreach.tables.calls import CallRow, CallTables, EndpointRow
@@ -126,8 +126,7 @@
             wanted[call.team] = wanted.get(call.team, 0) + len(tables.queued[service][call.team])
             selection.blocked.add(call.team)
             continue
-        untried = [row for row in free if row.id not in call.tried]
-        row = context.routing(untried or free, context.rng)
+        row = context.routing(_preferred(free, call, context.now_ms), context.rng)
         actions.append(_start(tables, call, row, context.now_ms))
     return actions
 
@@ -142,6 +141,12 @@
     ]
 
 
+def _preferred(free: list[EndpointRow], call: CallRow, now_ms: int) -> list[EndpointRow]:
+    """Return the endpoints that are neither tried nor silent on others, if there are any."""
+    untried = [row for row in free if row.id not in call.tried] or free
+    return [row for row in untried if not is_silent(row, now_ms)] or untried
+
+
 def second_endpoint(
     tables: CallTables, permits: PermitTable, context: DispatchContext, call: CallRow
 ) -> EndpointRow | None:
@@ -149,7 +154,9 @@
     rows = [
         row
         for row in _usable_rows(tables, context, call.service)
-        if row.free_credits() > 0 and row.id not in call.tried
+        if row.free_credits() > 0
+        and row.id not in call.tried
+        and not is_silent(row, context.now_ms)
     ]
     if not rows or take_retry(tables, call, context.now_ms, runs_again=True) is not None:
         return None
--- a/src/hornbeamreach/systems/endpoint_health.py
+++ b/src/hornbeamreach/systems/endpoint_health.py
@@ -13,6 +13,8 @@
 # At most this part of a service's endpoints is ejected at once.
 MAX_EJECTED_DIVISOR = 2
 LATENCY_WEIGHT = 0.2
+# A peer's suspicion counts until its heartbeats have had time to repeat it.
+PEER_SUSPICION_MS = 1_500
 
 
 def is_usable(row: EndpointRow, now_ms: int) -> bool:
@@ -21,6 +23,17 @@
     return heard and not row.leaving and row.health is not EndpointHealth.EJECTED
 
 
+def is_suspect(row: EndpointRow) -> bool:
+    """Tell whether an endpoint is silent here, or was ejected."""
+    return row.overdue > 0 or row.health is EndpointHealth.EJECTED
+
+
+def is_silent(row: EndpointRow, now_ms: int) -> bool:
+    """Tell whether an endpoint is silent towards this process or towards a peer."""
+    told_ms = row.peer_suspects_ms
+    return row.overdue > 0 or (told_ms is not None and now_ms - told_ms < PEER_SUSPICION_MS)
+
+
 def record_success(row: EndpointRow, latency_ms: float) -> None:
     """Learn from a call that an endpoint answered."""
     if row.latency_ms:
--- a/src/hornbeamreach/tables/calls.py
+++ b/src/hornbeamreach/tables/calls.py
@@ -59,6 +59,10 @@
     last_sent: int = 0
     latency_ms: float = 0.0
     failures_in_row: int = 0
+    # Calls in flight that have been silent for longer than the service's patience.
+    overdue: int = 0
+    # When a peer last told that the endpoint is silent towards it.
+    peer_suspects_ms: int | None = None
     health: EndpointHealth = EndpointHealth.HEALTHY
     ejected_until_ms: int = 0
     ejections: int = 0
