--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench capacity clean
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,7 +24,12 @@
 	$(BIN)/ruff check --quiet --fix src tests benches
 
 bench: $(VENV)/.installed
-	$(BIN)/python -m benches.run_all
+	$(BIN)/python -m benches.policies
+	$(BIN)/python -m benches.ticks
+	$(BIN)/python -m benches.entry
 
 clean:
 	rm -rf $(VENV) build bench-out
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m benches.capacity
