--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -23,17 +23,27 @@
 from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.frames import encode_frame
 from hornbeamreach.control.raft import RaftCore
-from hornbeamreach.control.state_machine import apply_command, decode_state, encode_state
+from hornbeamreach.control.reports import build_rooms
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.storage import LOG_NAME, RaftStorage
 from hornbeamreach.entry.reports import ReportContent, ReportSender
 from hornbeamreach.link.codec import decode, encode
-from hornbeamreach.link.messages import EntryReport, PoolLoad, Renew, TeamUse, VmReport
+from hornbeamreach.link.messages import (
+    EndpointNews,
+    EntryReport,
+    PeerHeartbeat,
+    Renew,
+    RenewReply,
+)
 from hornbeamreach.systems.escrow import SliceHolder, plan_slices
 from hornbeamreach.systems.maintenance import due_vms, permits, progress
 from hornbeamreach.systems.moves import MoverTable, payback
+from hornbeamreach.tables.announcement import Announcement
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.declared import WEEK_MS, DeclaredTable
-from hornbeamreach.tables.sessions import HolderKey, SessionTable
+from hornbeamreach.tables.reports import PoolLoad, TeamUse, VmReport
+from hornbeamreach.tables.sessions import HolderKey, Session, SessionTable
 from tests import builders
 from tests.fakes import VirtualFleet, run_virtual
 
@@ -203,6 +213,47 @@
     }
 
 
+def measure_rooms(workers: int) -> dict[str, float]:
+    """Measure what the leader tells one process of 5 % changed rooms in 8 data centres."""
+    pools = TARGET["pools"] * workers // TARGET["workers"]
+    rooms = {f"dc{d}/pool-{n:03d}": 4_000 * d for d in range(1, 9) for n in range(pools)}
+    session = Session(renewed_ms=0)
+    first = build_rooms(session, 0, rooms)
+    changed = {
+        path: value + 4_000 if n % 20 == 0 else value
+        for n, (path, value) in enumerate(rooms.items())
+    }
+    later = build_rooms(session, first.number, changed)
+    return {
+        "first_rooms_bytes": len(encode(RenewReply(committed_index=1, rooms=first))),
+        "later_rooms_bytes": len(encode(RenewReply(committed_index=1, rooms=later))),
+    }
+
+
+def measure_heartbeat(endpoints: int) -> dict[str, float]:
+    """Measure a heartbeat that tells of announcements, and the busiest second's bytes."""
+    said = [
+        EndpointNews(
+            said=Announcement(
+                endpoint=f"quotes-{n}",
+                service="quotes",
+                address="10.0.0.1:9000",
+                vm="vm-0001",
+                slots=8,
+                connections=64,
+                instance="01234567",
+                sequence=100_000 + n,
+            ),
+            age_ms=250,
+        )
+        for n in range(endpoints)
+    ]
+    beat = PeerHeartbeat(
+        entry_id="dc1-e1", incarnation="0123456789abcdef", applied_index=1, endpoints=said
+    )
+    return {"heartbeat_bytes": len(encode(beat))}
+
+
 def _renew(report: EntryReport) -> Renew:
     return Renew(
         entry_id="dc1-e1",
@@ -402,6 +453,8 @@
             **measure_leader_tick(workers),
             **measure_change(workers),
             **measure_messages(workers),
+            **measure_rooms(workers),
+            **measure_heartbeat(workers // 48),
         }
         print(json.dumps({"workers": workers, **{k: round(v, 3) for k, v in figures.items()}}))
         for name, value in figures.items():
--- a/benches/workload.py
+++ b/benches/workload.py
@@ -11,11 +11,12 @@
 from hornbeamreach.entry.identity import parse_job_id
 from hornbeamreach.entry.scheduler import Scheduler
 from hornbeamreach.exceptions import RefusedError
-from hornbeamreach.link.messages import ForwardSubmit, JobSpec
+from hornbeamreach.link.messages import ForwardSubmit
 from hornbeamreach.settings import PolicySettings
 from hornbeamreach.systems.shares import entitled_parts, pool_usage
 from hornbeamreach.tables.declared import URGENT, DeclaredTable
 from hornbeamreach.tables.jobs import Resources
+from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.tables.table_file import load_table
 from hornbeamreach.verdict import Verdict
 from tests.fakes import VirtualFleet
--- a/src/hornbeamreach/control/facts.py
+++ b/src/hornbeamreach/control/facts.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from hornbeamreach.link.messages import PoolLoad, VmReport
 from hornbeamreach.systems.authority import holders
 from hornbeamreach.systems.maintenance import VmFacts
 from hornbeamreach.systems.moves import Place
 from hornbeamreach.tables.control_state import ControlState, VmPhase
+from hornbeamreach.tables.reports import PoolLoad, VmReport
 from hornbeamreach.tables.sessions import HOLD_MS, SESSION_MS, SessionTable
 
 
--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -8,15 +8,16 @@
 from hornbeamreach.control import commands
 from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.replica import Replica
-from hornbeamreach.control.reports import build_loads, take_report
-from hornbeamreach.control.state_machine import Outcome, encode_state, limit_in_use
+from hornbeamreach.control.reports import build_rooms, take_report
+from hornbeamreach.control.slice_planner import SlicePlanner
+from hornbeamreach.control.snapshots import encode_state
+from hornbeamreach.control.state_machine import Outcome, limit_in_use
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.messages import (
     Done,
     Leave,
     LogItem,
-    PoolLoad,
     Renew,
     RenewReply,
     UseReport,
@@ -30,9 +31,9 @@
     holders,
     holders_to_suspend,
 )
-from hornbeamreach.systems.escrow import SliceHolder, plan_slices
 from hornbeamreach.systems.maintenance import due_vms, permits, progress
 from hornbeamreach.systems.moves import Mover, MoverTable
+from hornbeamreach.systems.spill import room
 from hornbeamreach.tables.control_state import OrderAction, PreparedChange
 from hornbeamreach.tables.sessions import HolderKey, Session, SessionTable
 from hornbeamreach.verdict import Reason
@@ -42,6 +43,7 @@
 LEADER_TICK_MS = 200
 MAINTAIN_INTERVAL_MS = 500
 PLAN_INTERVAL_MS = 10_000
+ROOMS_INTERVAL_MS = 1_000
 PREPARE_TIMEOUT_MS = 6_000
 IN_FORCE_TIMEOUT_MS = 11_000
 MAX_RENEW_HOLD_MS = 1_500
@@ -70,10 +72,13 @@
         self.led_term = -1
         self.maintained_ms = 0
         self.planned_ms = 0
+        self.rooms_ms = -ROOMS_INTERVAL_MS
+        self.rooms: dict[str, int] = {}
         self.table = SessionTable(leader_since_ms=clock.now_ms())
-        self.targets: dict[HolderKey, dict[str, int]] = {}
         self.news = trio.Event()
-        self.dirty_teams: set[str] = set()
+        self.slices = SlicePlanner(
+            state=lambda: replica.state, notify=replica.notify_watchers, clock=clock
+        )
         handlers.on(Renew, self.on_renew)
         handlers.on(UseReport, self.on_use_report)
         handlers.on(Leave, self.on_leave)
@@ -86,9 +91,8 @@
             self.led_term = self.replica.core.term
             # What an earlier leader's sessions allow is not known: count them from now.
             self.table = SessionTable(leader_since_ms=self.clock.now_ms(), term=self.led_term)
-            self.targets = {}
+            self.slices.begin_term(self.table)
             self.mover_table = MoverTable()
-            self.dirty_teams = set(self.replica.state.table.teams)
 
     # Sessions
 
@@ -120,13 +124,13 @@
                     peer_count=message.peer_count,
                 )
             )
-            self.dirty_teams |= set(self.replica.state.table.teams)
+            self.slices.mark_all()
 
     def _take_reports(self, session: Session, message: Renew) -> None:
         now_ms = self.clock.now_ms()
         session.renewed_ms = now_ms
         session.acknowledge(message.applied_index, now_ms)
-        self.dirty_teams |= take_report(session, message.report)
+        self.slices.mark(take_report(session, message.report))
         session.busy_vms = dict(message.busy_vms)
         session.idle_vms = list(message.idle_vms)
         session.reported_ms = now_ms
@@ -138,9 +142,13 @@
         self.news = trio.Event()
 
     async def _wait_news(self, holder: HolderKey, applied_index: int) -> None:
-        while self.replica.state.applied_index <= applied_index and not self.targets.get(holder):
+        while not self._has_news(holder, applied_index):
             await self.replica.wait_changed()
 
+    def _has_news(self, holder: HolderKey, applied_index: int) -> bool:
+        newer = self.replica.state.applied_index > applied_index
+        return newer or bool(self.slices.targets.get(holder))
+
     def _build_reply(self, holder: HolderKey, message: Renew) -> RenewReply:
         committed = self.replica.state.applied_index
         base = self.replica.core.log.base_index
@@ -156,21 +164,28 @@
             committed_index=committed,
             items=items,
             state=state,
-            targets=self.targets.pop(holder, {}),
+            targets=self.slices.take_targets(holder),
             report_number=session.report_number,
-            loads=build_loads(session, message.loads_number, self._loads()),
+            rooms=build_rooms(session, message.rooms_number, self._rooms()),
         )
 
-    def _loads(self) -> dict[str, PoolLoad]:
-        loads = pool_loads(self.replica.state, self.table, self.clock.now_ms())
-        return {f"{place.data_center}/{place.pool}": load for place, load in loads.items()}
+    def _rooms(self) -> dict[str, int]:
+        """Return the pools' rooms, made anew only now and then for all processes alike."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.rooms_ms >= ROOMS_INTERVAL_MS:
+            self.rooms_ms = now_ms
+            loads = pool_loads(self.replica.state, self.table, now_ms)
+            self.rooms = {
+                f"{place.data_center}/{place.pool}": room(load) for place, load in loads.items()
+            }
+        return self.rooms
 
     async def on_use_report(self, message: UseReport) -> Done:
         """Take an urgent report of use and plan the team's slices at once."""
         self.require_leader()
         session = self.table.get(HolderKey(message.entry_id, message.incarnation))
         session.uses.update(message.uses)
-        self.dirty_teams |= message.uses.keys()
+        self.slices.mark(message.uses)
         await self.plan_slices()
         return Done()
 
@@ -180,7 +195,7 @@
         await self.replica.propose(
             commands.ForgetIncarnation(entry_id=message.entry_id, incarnation=message.incarnation)
         )
-        self.dirty_teams |= set(self.replica.state.table.teams)
+        self.slices.mark_all()
         return Done()
 
     # Acceptance
@@ -237,7 +252,7 @@
         if not blocking and over is None:
             return commands.CommitChange(operation_id=operation_id, at_ms=wall_ms)
         if waited_ms < PREPARE_TIMEOUT_MS:
-            self.dirty_teams |= {e.name for e in prepared.change.edits if e.kind == "teams"}
+            self.slices.mark(e.name for e in prepared.change.edits if e.kind == "teams")
             return None
         if over is not None:
             return self._abort(operation_id, Reason.TEAM_AT_LIMIT, over.detail, wall_ms)
@@ -328,62 +343,14 @@
             await self.replica.propose(
                 commands.ForgetIncarnation(entry_id=holder.entry_id, incarnation=holder.incarnation)
             )
-            self.dirty_teams |= set(state.table.teams)
+            self.slices.mark_all()
 
     async def plan_slices(self) -> None:
-        """Plan the slices of the teams whose use, limit or holders changed."""
-        teams, self.dirty_teams = self.dirty_teams, set()
-        changes: list[commands.SliceChange] = []
-        for team in sorted(teams):
-            changes += self._plan_team(team)
+        """Move permits to where work waits for them."""
+        changes = self.slices.plan()
         if changes:
             await self.replica.propose(commands.SetSlices(changes=changes))
 
-    def _plan_team(self, team: str) -> list[commands.SliceChange]:
-        holders = self._slice_holders(team)
-        plan = plan_slices(self.replica.state.lowest_limit(team), holders)
-        for holder in holders:
-            wanted = self.targets.get(holder.key, {})
-            wanted.pop(team, None)
-            if holder.key in plan.targets:
-                self.targets.setdefault(holder.key, {})[team] = plan.targets[holder.key]
-        if plan.targets:
-            self.replica.notify_watchers()
-        changed = [holder for holder in holders if holder.key in plan.sizes]
-        # Lowered slices first: the raised ones must fit beside them.
-        changed.sort(key=lambda holder: plan.sizes[holder.key] - holder.size)
-        return [
-            commands.SliceChange(
-                entry_id=holder.key.entry_id,
-                incarnation=holder.key.incarnation,
-                team=team,
-                size=plan.sizes[holder.key],
-                promised_index=holder.ceiling_index,
-            )
-            for holder in changed
-        ]
-
-    def _slice_holders(self, team: str) -> list[SliceHolder]:
-        now_ms = self.clock.now_ms()
-        found = []
-        for entry_id, incarnations in sorted(self.replica.state.grants.items()):
-            for incarnation, grant in sorted(incarnations.items()):
-                key = HolderKey(entry_id, incarnation)
-                session = self.table.get(key)
-                use = session.uses.get(team)
-                found.append(
-                    SliceHolder(
-                        key=key,
-                        size=grant.slices.get(team, 0),
-                        in_use=use.in_use if use else 0,
-                        wanted=use.wanted if use else 0,
-                        ceiling=use.ceiling if use else None,
-                        ceiling_index=use.ceiling_index if use else 0,
-                        live=session.is_live(now_ms) and not grant.suspended_index,
-                    )
-                )
-        return found
-
     def _due_vms(self) -> list[str]:
         """Return the VMs that are due, looked for only now and then."""
         now_ms = self.clock.now_ms()
--- a/src/hornbeamreach/control/operator_api.py
+++ b/src/hornbeamreach/control/operator_api.py
@@ -17,7 +17,8 @@
 from hornbeamreach.control import commands
 from hornbeamreach.control.leader import Leader
 from hornbeamreach.control.replica import Replica
-from hornbeamreach.control.state_machine import Outcome, state_digest
+from hornbeamreach.control.snapshots import state_digest
+from hornbeamreach.control.state_machine import Outcome
 from hornbeamreach.converters import structure, to_plain
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.metrics import Metrics
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -22,12 +22,8 @@
     VoteReply,
     VoteRequest,
 )
-from hornbeamreach.control.state_machine import (
-    Outcome,
-    apply_command,
-    decode_state,
-    encode_state,
-)
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.exceptions import NotLeaderError
 from hornbeamreach.link.codec import decode, encode
--- a/src/hornbeamreach/control/reports.py
+++ b/src/hornbeamreach/control/reports.py
@@ -1,8 +1,8 @@
-"""Taking entry processes' reports, and telling them how full the pools are."""
+"""Taking entry processes' reports, and telling them what room the pools have."""
 
 from __future__ import annotations
 
-from hornbeamreach.link.messages import EntryReport, LoadsReport, PoolLoad
+from hornbeamreach.link.messages import EntryReport, RoomsReport
 from hornbeamreach.tables.deltas import Delta, apply_delta, difference
 from hornbeamreach.tables.sessions import Session
 
@@ -33,14 +33,14 @@
     }
 
 
-def build_loads(session: Session, known_number: int, loads: dict[str, PoolLoad]) -> LoadsReport:
-    """Return what a process lacks of the loads, or all if it has not got the last report."""
-    since = known_number if known_number == session.loads_number else 0
-    delta = difference(session.loads_sent if since else {}, loads)
+def build_rooms(session: Session, known_number: int, rooms: dict[str, int]) -> RoomsReport:
+    """Return what a process lacks of the rooms, or all if it has not got the last report."""
+    since = known_number if known_number == session.rooms_number else 0
+    delta = difference(session.rooms_sent if since else {}, rooms)
     if since and not delta.changed and not delta.removed:
-        return LoadsReport(number=since, since=since)
-    session.loads_number += 1
-    session.loads_sent = dict(loads)
-    return LoadsReport(
-        number=session.loads_number, since=since, loads=delta.changed, removed=delta.removed
+        return RoomsReport(number=since, since=since)
+    session.rooms_number += 1
+    session.rooms_sent = dict(rooms)
+    return RoomsReport(
+        number=session.rooms_number, since=since, rooms=delta.changed, removed=delta.removed
     )
--- /dev/null
+++ b/src/hornbeamreach/control/slice_planner.py
@@ -0,0 +1,96 @@
+"""Planning the slices of teams' limits from what entry processes report."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.control import commands
+from hornbeamreach.systems.escrow import SliceHolder, plan_slices
+from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.sessions import HolderKey, SessionTable
+
+
+class SlicePlanner:
+    """Remember which teams to plan, and what each holder should come down to."""
+
+    def __init__(
+        self, *, state: Callable[[], ControlState], notify: Callable[[], None], clock: Clock
+    ) -> None:
+        self.state = state
+        self.notify = notify
+        self.clock = clock
+        self.table = SessionTable(leader_since_ms=clock.now_ms())
+        self.dirty_teams: set[str] = set()
+        self.targets: dict[HolderKey, dict[str, int]] = {}
+
+    def begin_term(self, table: SessionTable) -> None:
+        """Forget what an earlier term planned, and plan every team."""
+        self.table = table
+        self.targets = {}
+        self.mark_all()
+
+    def mark(self, teams: Iterable[str]) -> None:
+        """Plan these teams at the next turn."""
+        self.dirty_teams |= set(teams)
+
+    def mark_all(self) -> None:
+        """Plan every team at the next turn."""
+        self.mark(self.state().table.teams)
+
+    def take_targets(self, holder: HolderKey) -> dict[str, int]:
+        """Return what a holder should come down to, once."""
+        return self.targets.pop(holder, {})
+
+    def plan(self) -> list[commands.SliceChange]:
+        """Plan the slices of the teams whose use, limit or holders changed."""
+        teams, self.dirty_teams = self.dirty_teams, set()
+        changes: list[commands.SliceChange] = []
+        for team in sorted(teams):
+            changes += self._plan_team(team)
+        return changes
+
+    def _plan_team(self, team: str) -> list[commands.SliceChange]:
+        holders = self._slice_holders(team)
+        plan = plan_slices(self.state().lowest_limit(team), holders)
+        for holder in holders:
+            wanted = self.targets.get(holder.key, {})
+            wanted.pop(team, None)
+            if holder.key in plan.targets:
+                self.targets.setdefault(holder.key, {})[team] = plan.targets[holder.key]
+        if plan.targets:
+            self.notify()
+        changed = [holder for holder in holders if holder.key in plan.sizes]
+        # Lowered slices first: the raised ones must fit beside them.
+        changed.sort(key=lambda holder: plan.sizes[holder.key] - holder.size)
+        return [
+            commands.SliceChange(
+                entry_id=holder.key.entry_id,
+                incarnation=holder.key.incarnation,
+                team=team,
+                size=plan.sizes[holder.key],
+                promised_index=holder.ceiling_index,
+            )
+            for holder in changed
+        ]
+
+    def _slice_holders(self, team: str) -> list[SliceHolder]:
+        now_ms = self.clock.now_ms()
+        found = []
+        for entry_id, incarnations in sorted(self.state().grants.items()):
+            for incarnation, grant in sorted(incarnations.items()):
+                key = HolderKey(entry_id, incarnation)
+                session = self.table.get(key)
+                use = session.uses.get(team)
+                found.append(
+                    SliceHolder(
+                        key=key,
+                        size=grant.slices.get(team, 0),
+                        in_use=use.in_use if use else 0,
+                        wanted=use.wanted if use else 0,
+                        ceiling=use.ceiling if use else None,
+                        ceiling_index=use.ceiling_index if use else 0,
+                        live=session.is_live(now_ms) and not grant.suspended_index,
+                    )
+                )
+        return found
--- a/src/hornbeamreach/control/state_machine.py
+++ b/src/hornbeamreach/control/state_machine.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import hashlib
 import zlib
 from collections.abc import Callable
 from typing import Any
 
 import attrs
-import cbor2
 from attrs import define
 
 from hornbeamreach.control import commands
 from hornbeamreach.exceptions import TableError
-from hornbeamreach.link.codec import wire_converter
 from hornbeamreach.registry import Registry
 from hornbeamreach.systems.budget import exceeded_budget
 from hornbeamreach.systems.change_effect import change_effect
@@ -36,7 +33,6 @@
 
 ANSWER_RETENTION_MS = 3 * 24 * 3_600_000
 MAX_ANSWERS = 50_000
-SNAPSHOT_FORMAT = 1
 SPREAD_STEPS = 10_000
 # No VM is due at once: the first turns lie in the rest of the interval.
 SPREAD_PERCENT = 80
@@ -439,28 +435,3 @@
         vm_state, epoch=vm_state.epoch + 1, index=state.applied_index
     )
     return _accept(state)
-
-
-# Snapshots and digests
-
-
-def encode_state(state: ControlState) -> bytes:
-    """Encode the whole state in canonical CBOR."""
-    plain = wire_converter.unstructure(state)
-    return cbor2.dumps({"format": SNAPSHOT_FORMAT, "state": plain}, canonical=True)
-
-
-def decode_state(data: bytes) -> ControlState:
-    """Decode a state that encode_state wrote."""
-    decoded = cbor2.loads(data)
-    if decoded.get("format") != SNAPSHOT_FORMAT:
-        raise TableError(f"snapshot format {decoded.get('format')} is not {SNAPSHOT_FORMAT}")
-    state = wire_converter.structure(decoded["state"], ControlState)
-    # Canonical CBOR sorts by key; expiry needs the order in which answers were given.
-    state.answers = dict(sorted(state.answers.items(), key=lambda item: item[1].index))
-    return state
-
-
-def state_digest(state: ControlState) -> str:
-    """Return a digest that equal states share on every replica."""
-    return hashlib.sha256(encode_state(state)).hexdigest()[:16]
--- a/src/hornbeamreach/entry/endpoints.py
+++ b/src/hornbeamreach/entry/endpoints.py
@@ -4,13 +4,11 @@
 
 from typing import Any
 
-from attrs import define
-
 from hornbeamreach import validators
-from hornbeamreach.clock import Clock
 from hornbeamreach.converters import structure
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.link.messages import EndpointNews
+from hornbeamreach.tables.announcement import Announcement
 from hornbeamreach.tables.calls import CallTables, EndpointHealth, EndpointRow
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.verdict import Reason
@@ -18,21 +16,6 @@
 MAX_SLOTS = 10_000
 
 
-@define(frozen=True, kw_only=True)
-class Announcement:
-    """Hold what an endpoint says of itself; the sequence orders what one instance says."""
-
-    endpoint: str
-    service: str
-    address: str
-    vm: str
-    slots: int
-    connections: int
-    instance: str
-    sequence: int
-    leaving: bool = False
-
-
 def parse_announcement(plain: dict[str, Any], state: ControlState, dc: str) -> Announcement:
     """Check an announcement against the declared table."""
     said = structure(plain, Announcement, error=InvalidInputError)
@@ -92,39 +75,25 @@
     row.health, row.ejections = EndpointHealth.HEALTHY, 0
 
 
-def endpoint_news(tables: CallTables, clock: Clock, max_age_ms: int) -> list[EndpointNews]:
-    """Return recent announcements for a peer."""
-    now_ms = clock.now_ms()
+def hear_announcement(tables: CallTables, said: Announcement, now_ms: int) -> bool:
+    """Take an announcement that came here, so that the peers are told of it."""
+    taken = take_announcement(tables, said, now_ms)
+    if taken:
+        row = tables.endpoints[said.endpoint]
+        row.announced_here, row.announced_here_ms = said, now_ms
+    return taken
+
+
+def endpoint_news(tables: CallTables, since_ms: int, now_ms: int) -> list[EndpointNews]:
+    """Return the announcements that came here since a peer was told."""
     return [
-        EndpointNews(
-            endpoint=row.id,
-            service=row.service,
-            address=row.address,
-            vm=row.vm,
-            slots=row.slots,
-            connections=row.connections,
-            instance=row.instance,
-            sequence=row.sequence,
-            leaving=row.leaving,
-            age_ms=now_ms - row.heard_ms,
-        )
+        EndpointNews(said=row.announced_here, age_ms=now_ms - row.announced_here_ms)
         for row in tables.endpoints.values()
-        if now_ms - row.heard_ms <= max_age_ms
+        if row.announced_here is not None and row.announced_here_ms >= since_ms
     ]
 
 
 def take_news(tables: CallTables, news: list[EndpointNews], now_ms: int) -> None:
     """Take the announcements that a peer has heard."""
     for item in news:
-        said = Announcement(
-            endpoint=item.endpoint,
-            service=item.service,
-            address=item.address,
-            vm=item.vm,
-            slots=item.slots,
-            connections=item.connections,
-            instance=item.instance,
-            sequence=item.sequence,
-            leaving=item.leaving,
-        )
-        take_announcement(tables, said, now_ms - item.age_ms)
+        take_announcement(tables, item.said, now_ms - item.age_ms)
--- a/src/hornbeamreach/entry/feed.py
+++ b/src/hornbeamreach/entry/feed.py
@@ -8,14 +8,20 @@
 
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.entry.authority import Authority
-from hornbeamreach.entry.reports import LoadsReceiver, ReportContent, ReportSender
+from hornbeamreach.entry.reports import ReportContent, ReportSender, RoomsReceiver
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
 from hornbeamreach.link.interface import Link
-from hornbeamreach.link.messages import Leave, PoolLoad, Renew, RenewReply, UseReport, VmReport
+from hornbeamreach.link.messages import (
+    Leave,
+    Renew,
+    RenewReply,
+    UseReport,
+)
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.tables.reports import PoolLoad, VmReport
 
 log = part_logger("feed")
 
@@ -61,7 +67,7 @@
         self.pool_loads: Callable[[], dict[str, PoolLoad]] = dict
         self.reported_wanted: dict[str, int] = {}
         self.reports = ReportSender()
-        self.loads_receiver = LoadsReceiver()
+        self.rooms = RoomsReceiver()
 
     async def run(self) -> None:
         """Renew again and again until cancelled."""
@@ -104,19 +110,15 @@
                     pool_loads=self.pool_loads(),
                 )
             ),
-            loads_number=self.loads_receiver.number,
+            rooms_number=self.rooms.number,
             busy_vms=self.busy_vms(),
             idle_vms=self.idle_vms(),
         )
 
-    def loads(self) -> dict[str, dict[str, PoolLoad]]:
-        """Return how full the pools of every data centre are."""
-        return self.loads_receiver.by_data_center
-
     def _take(self, reply: RenewReply, sent_ms: int) -> None:
         self.view.take(reply.items, reply.state)
         self.reports.acknowledge(reply.report_number)
-        self.loads_receiver.take(reply.loads)
+        self.rooms.take(reply.rooms)
         self.update_permits()
         if self.view.index() >= reply.committed_index:
             # The session lets this process act, so it must not begin on an older state.
--- a/src/hornbeamreach/entry/forwarding.py
+++ b/src/hornbeamreach/entry/forwarding.py
@@ -61,7 +61,7 @@
         self.remote = remote
         self.view = view
         self.feed = feed
-        self.seen_loads: object = None
+        self.seen_rooms: object = None
         # By pool and data centre, what was sent there since the figures were made.
         self.sent_millis: dict[str, dict[str, int]] = {}
         self.calls = calls
@@ -80,10 +80,10 @@
 
     async def call(self, *, request_id: str, **fields: Any) -> CallAnswer:
         """Serve a call here, or in the team's home if it must run at most once."""
-        forward = ForwardCall(**fields)
+        forward = ForwardCall(request_id=request_id, **fields)
         home = self._home(forward.team)
         if not forward.idempotency_key or home == self.data_center:
-            return await self._serve_call(forward, request_id)
+            return await self._serve_call(forward)
         self.history.note(request_id, self.calls.clock.wall_ms(), f"forwarded to {home}")
         timeout_ms = forward.deadline_ms + FORWARD_MARGIN_MS
         return await self._ask(home, forward, timeout_ms)
@@ -92,10 +92,10 @@
         row = self.view.state.table.teams.get(team)
         return row.home if row else self.data_center
 
-    async def _serve_call(self, forward: ForwardCall, request_id: str) -> CallAnswer:
+    async def _serve_call(self, forward: ForwardCall) -> CallAnswer:
         return await self.calls.call(
             CallRequest(
-                request_id=request_id,
+                request_id=forward.request_id,
                 team=forward.team,
                 key_hash=forward.key_hash,
                 service=forward.service,
@@ -110,8 +110,7 @@
         if self._home(message.team) != self.data_center:
             detail = f"{self.data_center} is not the home of team {message.team}"
             raise RefusedError(Reason.HOME_UNREACHABLE, detail)
-        request_id = f"fwd-{self.rng.getrandbits(64):016x}"
-        return await self._serve_call(message, request_id)
+        return await self._serve_call(message)
 
     # Jobs
 
@@ -134,12 +133,12 @@
         queue = self.view.state.table.queues.get(message.queue)
         if queue is None:
             return self.data_center
-        loads = self.feed.loads()
-        if loads is not self.seen_loads:
-            self.seen_loads, self.sent_millis = loads, {}
+        rooms = self.feed.rooms.rooms
+        if rooms is not self.seen_rooms:
+            self.seen_rooms, self.sent_millis = rooms, {}
         sent = self.sent_millis.setdefault(queue.pool, {})
         chosen = choose_data_center(
-            self.data_center, queue.pool, message.spec, loads, sent, self.rng
+            self.data_center, queue.pool, message.spec, rooms, sent, self.rng
         )
         sent[chosen] = sent.get(chosen, 0) + message.spec.cpu_millis
         return chosen
--- a/src/hornbeamreach/entry/http_api.py
+++ b/src/hornbeamreach/entry/http_api.py
@@ -13,7 +13,7 @@
 
 from hornbeamreach.clock import Clock
 from hornbeamreach.converters import structure
-from hornbeamreach.entry.endpoints import parse_announcement, take_announcement
+from hornbeamreach.entry.endpoints import hear_announcement, parse_announcement
 from hornbeamreach.entry.forwarding import Forwarder
 from hornbeamreach.entry.identity import hash_key, new_token, parse_job_id
 from hornbeamreach.entry.jobs import check_spec
@@ -24,13 +24,14 @@
     ForwardJob,
     ForwardSubmit,
     JobAnswer,
-    JobSpec,
 )
 from hornbeamreach.tables.declared import QueueRow, ServiceRow
 from hornbeamreach.tables.jobs import JobState
+from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.verdict import Reason, Verdict
 from hornbeamreach.web.problems import (
     HTTP_OK,
+    REQUEST_ID_HEADER,
     VERDICT_HEADER,
     Endpoint,
     bearer_token,
@@ -42,7 +43,6 @@
     refusing,
 )
 
-REQUEST_ID_HEADER = "Hornbeamreach-Request-Id"
 REPLAYED_HEADER = "Hornbeamreach-Replayed"
 DEADLINE_HEADER = "x-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
@@ -83,10 +83,16 @@
 
     def _route(self, path: str, kind: str, endpoint: Endpoint, method: str) -> Route:
         async def checked(request: Request) -> Response:
+            request.state.request_id = self._new_request_id()
             check_headers(request, self.settings.limits.max_header_bytes)
             return await endpoint(request)
 
-        return Route(path, refusing(kind, self.node.metrics)(checked), methods=[method])
+        guard = refusing(kind, self.node.metrics, self._note_refusal)
+        return Route(path, guard(checked), methods=[method])
+
+    def _note_refusal(self, request_id: str, refusal: RefusedError) -> None:
+        line = f"refused: {refusal.reason.value}, {refusal.verdict.value}: {refusal.detail}"
+        self.node.history.note(request_id, self.clock.wall_ms(), line)
 
     async def unknown_path(self, request: Request, exc: Exception) -> Response:
         """Refuse a path that is not served."""
@@ -145,10 +151,10 @@
             content_type=request.headers.get("content-type", DEFAULT_CONTENT_TYPE),
             body=await read_body(request, self.settings.limits.max_body_bytes),
             deadline_ms=self._deadline_ms(request, service),
-            request_id=(request_id := self._new_request_id()),
+            request_id=request.state.request_id,
         )
         self.node.metrics.finished("call", Verdict.RAN.value)
-        return _call_response(answer, request_id)
+        return _call_response(answer, request.state.request_id)
 
     def _new_request_id(self) -> str:
         return f"{self.settings.process.id}-{new_token(self.node.rng)}"
@@ -254,7 +260,7 @@
             said = parse_announcement(plain, state, data_center)
         except ValueError as exc:
             raise RefusedError(Reason.MALFORMED, str(exc)) from None
-        if take_announcement(self.node.call_tables, said, self.clock.now_ms()):
+        if hear_announcement(self.node.call_tables, said, self.clock.now_ms()):
             self.node.peers.refresh_credits()
             self.node.calls.wake()
         return json_response({"taken": True})
--- a/src/hornbeamreach/entry/job_records.py
+++ b/src/hornbeamreach/entry/job_records.py
@@ -6,10 +6,11 @@
 
 from attrs import evolve
 
-from hornbeamreach.link.messages import JobAnswer, JobSpec
+from hornbeamreach.link.messages import JobAnswer
 from hornbeamreach.records.messages import Record
 from hornbeamreach.records.store import RecordStore
 from hornbeamreach.tables.jobs import FINAL_JOB_STATES, JobState
+from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.verdict import Reason, Verdict
 
 JOB_PREFIX = "job/"
--- /dev/null
+++ b/src/hornbeamreach/entry/job_steps.py
@@ -0,0 +1,205 @@
+"""The recorded steps of jobs: ended, waiting again, or given up."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+from attrs import define
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.entry.history import History
+from hornbeamreach.entry.job_records import JobRecords, StepRefusedError
+from hornbeamreach.entry.view import ControlView
+from hornbeamreach.logs import part_logger
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.platform.interface import TaskReport
+from hornbeamreach.systems.blame import (
+    healthy_workers_failed,
+    record_task_failure,
+    record_task_success,
+)
+from hornbeamreach.systems.schedule import EndJob
+from hornbeamreach.systems.sizing import SizeTable, learn
+from hornbeamreach.tables.declared import QueueRow
+from hornbeamreach.tables.jobs import JobRow, JobState, JobTables
+from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.verdict import Reason, Verdict
+
+log = part_logger("jobs")
+
+BASE_BACKOFF_MS = 200
+MAX_BACKOFF_MS = 30_000
+BLAMED_WORKERS = 2
+
+
+@define(frozen=True, kw_only=True)
+class JobEnd:
+    """Say how a job ends."""
+
+    state: JobState
+    verdict: Verdict
+    reason: Reason | None = None
+    detail: str = ""
+    result: str = ""
+
+
+class JobSteps:
+    """Record the steps of one scheduling term's jobs, and keep the tables in step."""
+
+    def __init__(
+        self,
+        *,
+        tables: JobTables,
+        sizes: SizeTable,
+        permits: PermitTable,
+        records: JobRecords,
+        view: ControlView,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        history: History,
+    ) -> None:
+        self.tables = tables
+        self.sizes = sizes
+        self.permits = permits
+        self.records = records
+        self.view = view
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.history = history
+
+    async def settle(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
+        """Record how a task that has ended leaves its job."""
+        if task.state == "done":
+            learn(self.sizes, job, task.peak, task.run_ms)
+            record_task_success(self.tables, job, now_ms)
+            end = JobEnd(state=JobState.DONE, verdict=Verdict.RAN, result=task.result)
+            await self._end_started(job, end)
+        elif task.state == "checkpointed" and not job.cancelled:
+            await self.requeue(job, Reason.WORKER_DRAINED, task.detail, task.checkpoint)
+        elif task.state == "failed":
+            await self._on_task_failed(job, task, now_ms)
+        elif job.cancelled:
+            end = JobEnd(
+                state=JobState.CANCELLED,
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=Reason.CANCELLED,
+                detail="stopped while it ran",
+            )
+            await self._end_started(job, end)
+        else:
+            await self.lose(job, task.detail or f"the task was {task.state}")
+
+    async def _on_task_failed(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
+        if record_task_failure(self.tables, job, now_ms):
+            self.metrics.event("worker_suspected")
+            log.warning("worker {} fails what it starts and is taken out", job.worker)
+        blamed = healthy_workers_failed(job, self.tables, now_ms) >= BLAMED_WORKERS
+        exhausted = job.attempt >= self._queue_row(job).max_attempts
+        if job.spec.idempotent and not blamed and not exhausted and not job.cancelled:
+            self.metrics.retried("job", Reason.TASK_FAILED)
+            await self.requeue(job, Reason.TASK_FAILED, task.detail, "")
+            return
+        quarantined = job.spec.idempotent and (blamed or exhausted)
+        end = JobEnd(
+            state=JobState.QUARANTINED if quarantined else JobState.FAILED,
+            verdict=Verdict.RAN,
+            reason=Reason.QUARANTINED if quarantined else Reason.TASK_FAILED,
+            detail=f"failed on {', '.join(job.failed_on)}: {task.detail}",
+        )
+        await self._end_started(job, end)
+
+    async def lose(self, job: JobRow, detail: str) -> None:
+        """Settle a job whose task nobody has heard of, or whose lease has lapsed."""
+        if job.spec.idempotent and job.attempt < self._queue_row(job).max_attempts:
+            self.metrics.retried("job", Reason.TASK_LEASE_LAPSED)
+            await self.requeue(job, Reason.TASK_LEASE_LAPSED, detail, "")
+            return
+        end = JobEnd(
+            state=JobState.FAILED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.TASK_LEASE_LAPSED,
+            detail=detail,
+        )
+        await self._end_started(job, end)
+
+    def _queue_row(self, job: JobRow) -> QueueRow:
+        queue = self.view.state.table.queues.get(job.queue)
+        return queue if queue is not None else QueueRow(pool="none")
+
+    async def _end_started(self, job: JobRow, end: JobEnd) -> None:
+        """Record the end of a started job, and free what it held."""
+        try:
+            await self.records.end(
+                job.id,
+                attempt=job.attempt,
+                state=end.state,
+                verdict=end.verdict,
+                reason=end.reason,
+                detail=end.detail,
+                result=end.result,
+            )
+        except StepRefusedError as exc:
+            log.warning("job {} was {} already", job.id, exc)
+        self.free(job)
+        self.tables.forget(job)
+        self.metrics.finished("job", end.verdict.value)
+        self.note(job, f"{end.state.value} on {job.worker}: {end.detail}".rstrip(": "))
+
+    async def requeue(self, job: JobRow, reason: Reason, detail: str, checkpoint: str) -> None:
+        """Record that an attempt is over, and let the job wait again."""
+        try:
+            record = await self.records.requeue(
+                job.id,
+                attempt=job.attempt,
+                reason=reason,
+                detail=detail,
+                checkpoint=checkpoint,
+            )
+        except StepRefusedError as exc:
+            log.warning("job {} was {} already", job.id, exc)
+            self.free(job)
+            self.tables.forget(job)
+            return
+        self.free(job)
+        job.checkpoint = record.checkpoint
+        job.stopping = False
+        job.not_before_ms = self.clock.now_ms() + self._backoff_ms(job, reason)
+        self.tables.enqueue(job, first=True)
+        self.note(job, f"waits again after {reason.value}: {detail}")
+
+    def _backoff_ms(self, job: JobRow, reason: Reason) -> int:
+        if reason is Reason.WORKER_DRAINED:
+            return 0
+        longest_ms = min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2**job.attempt)
+        return self.rng.randint(longest_ms // 2, longest_ms)
+
+    def free(self, job: JobRow) -> None:
+        """Give back a job's resources and permit."""
+        self.tables.release(job)
+        if job.has_permit:
+            job.has_permit = False
+            self.permits.release(job.team)
+
+    async def end_waiting(self, action: EndJob) -> None:
+        """Record that a waiting job ends without running."""
+        job = action.job
+        verdict = Verdict.MAY_HAVE_RUN if job.attempt else Verdict.NOT_RUN
+        with contextlib.suppress(StepRefusedError):
+            await self.records.end(
+                job.id,
+                attempt=job.attempt,
+                state=action.state,
+                verdict=verdict,
+                reason=action.reason,
+                detail=action.detail,
+            )
+        self.tables.forget(job)
+        self.metrics.finished("job", verdict.value)
+        self.note(job, f"{action.state.value} without running: {action.detail}")
+
+    def note(self, job: JobRow, line: str) -> None:
+        """Note what happened to a job."""
+        self.history.note(job.id, self.clock.wall_ms(), line)
--- a/src/hornbeamreach/entry/jobs.py
+++ b/src/hornbeamreach/entry/jobs.py
@@ -33,13 +33,13 @@
     ForwardJob,
     ForwardSubmit,
     JobAnswer,
-    JobSpec,
     SubmitAnswer,
     WakeScheduler,
 )
 from hornbeamreach.records.messages import Record
 from hornbeamreach.records.store import RecordStore
 from hornbeamreach.tables.jobs import JobState, declared_resources
+from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.verdict import Reason, Verdict
 
 RETRY_AFTER_MS = 1_000
--- a/src/hornbeamreach/entry/peers.py
+++ b/src/hornbeamreach/entry/peers.py
@@ -14,7 +14,12 @@
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
 from hornbeamreach.link.interface import HandlerTable, Link
-from hornbeamreach.link.messages import FetchLog, LogPage, PeerHeartbeat, PeerStatus
+from hornbeamreach.link.messages import (
+    FetchLog,
+    LogPage,
+    PeerHeartbeat,
+    PeerStatus,
+)
 from hornbeamreach.systems.credits import assign_credits
 from hornbeamreach.systems.endpoint_health import is_suspect
 from hornbeamreach.tables.calls import CallTables
@@ -22,7 +27,6 @@
 
 PEER_HEARTBEAT_MS = 500
 PEER_TIMEOUT_MS = 1_000
-NEWS_AGE_MS = 1_000
 
 
 @define(frozen=True, kw_only=True)
@@ -58,6 +62,8 @@
         self.link = link
         self.clock = clock
         self.leaving = False
+        # Up to when each peer has been told of announcements.
+        self.told_ms: dict[str, int] = {}
         self.heard: dict[str, HeardPeer] = {}
         handlers.on(PeerHeartbeat, self._on_heartbeat)
         handlers.on(FetchLog, self._on_fetch_log)
@@ -116,10 +122,11 @@
             incarnation=self.authority.incarnation,
             applied_index=self.view.index(),
             leaving=self.leaving,
-            endpoints=endpoint_news(self.calls, self.clock, NEWS_AGE_MS),
+            endpoints=endpoint_news(self.calls, self.told_ms.get(peer, 0), asked_ms),
             suspects=[row.id for row in self.calls.endpoints.values() if is_suspect(row)],
         )
         status = await self.link.request(address, message, timeout_ms=PEER_TIMEOUT_MS)
+        self.told_ms[peer] = asked_ms
         self.authority.contacts[peer] = PeerContact(
             asked_ms=asked_ms, applied_index=status.applied_index
         )
--- a/src/hornbeamreach/entry/reports.py
+++ b/src/hornbeamreach/entry/reports.py
@@ -6,14 +6,9 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import (
-    EntryReport,
-    LoadsReport,
-    PoolLoad,
-    TeamUse,
-    VmReport,
-)
+from hornbeamreach.link.messages import EntryReport, RoomsReport
 from hornbeamreach.tables.deltas import Delta, apply_delta, difference
+from hornbeamreach.tables.reports import PoolLoad, TeamUse, VmReport
 
 
 @define(frozen=True, kw_only=True)
@@ -65,25 +60,19 @@
 
 
 @define(kw_only=True)
-class LoadsReceiver:
-    """Hold how full the pools of every data centre are."""
+class RoomsReceiver:
+    """Hold what room the pools of every data centre have."""
 
     number: int = 0
-    flat: dict[str, PoolLoad] = field(factory=dict)
-    by_data_center: dict[str, dict[str, PoolLoad]] = field(factory=dict)
+    rooms: dict[str, int] = field(factory=dict)
 
-    def take(self, report: LoadsReport) -> None:
+    def take(self, report: RoomsReport) -> None:
         """Take changes that count from what is known, or everything."""
         if report.since and report.since != self.number:
             self.number = 0
             return
         if report.since and report.number == report.since:
             return
-        base = self.flat if report.since else {}
-        self.flat = apply_delta(base, Delta(changed=report.loads, removed=report.removed))
+        base = self.rooms if report.since else {}
+        self.rooms = apply_delta(base, Delta(changed=report.rooms, removed=report.removed))
         self.number = report.number
-        grouped: dict[str, dict[str, PoolLoad]] = {}
-        for path, load in self.flat.items():
-            data_center, _, pool = path.partition("/")
-            grouped.setdefault(data_center, {})[pool] = load
-        self.by_data_center = grouped
--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
 from collections import deque
 
 import trio
-from attrs import define, evolve
+from attrs import evolve
 
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.entry.authority import Authority
@@ -20,11 +19,12 @@
     StepRefusedError,
     job_key,
 )
+from hornbeamreach.entry.job_steps import BASE_BACKOFF_MS, JobSteps
 from hornbeamreach.entry.scheduler_lease import SchedulerLease
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
-from hornbeamreach.link.messages import Done, PoolLoad, VmReport, WakeScheduler
+from hornbeamreach.link.messages import Done, WakeScheduler
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.interface import (
@@ -35,11 +35,6 @@
 )
 from hornbeamreach.records.messages import Record
 from hornbeamreach.records.store import RecordStore
-from hornbeamreach.systems.blame import (
-    healthy_workers_failed,
-    record_task_failure,
-    record_task_success,
-)
 from hornbeamreach.systems.loads import collect_loads
 from hornbeamreach.systems.maintenance import boot_operation
 from hornbeamreach.systems.placement import Placement
@@ -54,11 +49,12 @@
     schedule,
 )
 from hornbeamreach.systems.shares import Share
-from hornbeamreach.systems.sizing import SizeTable, learn
+from hornbeamreach.systems.sizing import SizeTable
 from hornbeamreach.tables.control_state import VmPhase
-from hornbeamreach.tables.declared import URGENT, QueueRow
+from hornbeamreach.tables.declared import URGENT
 from hornbeamreach.tables.jobs import JobRow, JobState, JobTables, Resources, WorkerRow
 from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.tables.reports import PoolLoad, VmReport
 from hornbeamreach.verdict import Reason, Verdict
 
 log = part_logger("jobs")
@@ -69,21 +65,7 @@
 RENEW_WHILE_HEARD_MS = 4_000
 TASK_LEASE_MS = 10_000
 RESCAN_MS = 5_000
-BASE_BACKOFF_MS = 200
-MAX_BACKOFF_MS = 30_000
 START_ATTEMPTS = 3
-BLAMED_WORKERS = 2
-
-
-@define(frozen=True, kw_only=True)
-class JobEnd:
-    """Say how a job ends."""
-
-    state: JobState
-    verdict: Verdict
-    reason: Reason | None = None
-    detail: str = ""
-    result: str = ""
 
 
 class Scheduler:
@@ -125,13 +107,27 @@
         self.rng = rng
         self.metrics = metrics
         self.history = history
-        self.tables = JobTables()
         self.sizes = SizeTable()
+        self.tables = JobTables()
+        self.steps = self._new_steps()
         self.announced: deque[WakeScheduler] = deque()
         self.scan_done = trio.Event()
         self.stopping = False
         handlers.on(WakeScheduler, self._on_wake)
 
+    def _new_steps(self) -> JobSteps:
+        return JobSteps(
+            tables=self.tables,
+            sizes=self.sizes,
+            permits=self.permits,
+            records=self.records,
+            view=self.view,
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
+            history=self.history,
+        )
+
     async def _on_wake(self, message: WakeScheduler) -> Done:
         if self.lease.held():
             self.announced.append(message)
@@ -150,6 +146,7 @@
     async def _run_term(self) -> None:
         log.info("{} schedules the jobs of {}", self.process, self.data_center)
         self.tables = JobTables()
+        self.steps = self._new_steps()
         self.scan_done = trio.Event()
         try:
             async with trio.open_nursery() as nursery:
@@ -373,7 +370,7 @@
             return False
         job.busy = True
         try:
-            await self._settle(job, task, now_ms)
+            await self.steps.settle(job, task, now_ms)
         except RefusedError as exc:
             # No majority recorded the end; the next report tries again.
             self.metrics.retried("record", exc.reason)
@@ -382,117 +379,6 @@
             job.busy = False
         return True
 
-    async def _settle(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
-        if task.state == "done":
-            learn(self.sizes, job, task.peak, task.run_ms)
-            record_task_success(self.tables, job, now_ms)
-            end = JobEnd(state=JobState.DONE, verdict=Verdict.RAN, result=task.result)
-            await self._end_started(job, end)
-        elif task.state == "checkpointed" and not job.cancelled:
-            await self._requeue(job, Reason.WORKER_DRAINED, task.detail, task.checkpoint)
-        elif task.state == "failed":
-            await self._on_task_failed(job, task, now_ms)
-        elif job.cancelled:
-            end = JobEnd(
-                state=JobState.CANCELLED,
-                verdict=Verdict.MAY_HAVE_RUN,
-                reason=Reason.CANCELLED,
-                detail="stopped while it ran",
-            )
-            await self._end_started(job, end)
-        else:
-            await self._on_task_lost(job, task.detail or f"the task was {task.state}")
-
-    async def _on_task_failed(self, job: JobRow, task: TaskReport, now_ms: int) -> None:
-        if record_task_failure(self.tables, job, now_ms):
-            self.metrics.event("worker_suspected")
-            log.warning("worker {} fails what it starts and is taken out", job.worker)
-        blamed = healthy_workers_failed(job, self.tables, now_ms) >= BLAMED_WORKERS
-        exhausted = job.attempt >= self._queue_row(job).max_attempts
-        if job.spec.idempotent and not blamed and not exhausted and not job.cancelled:
-            self.metrics.retried("job", Reason.TASK_FAILED)
-            await self._requeue(job, Reason.TASK_FAILED, task.detail, "")
-            return
-        quarantined = job.spec.idempotent and (blamed or exhausted)
-        end = JobEnd(
-            state=JobState.QUARANTINED if quarantined else JobState.FAILED,
-            verdict=Verdict.RAN,
-            reason=Reason.QUARANTINED if quarantined else Reason.TASK_FAILED,
-            detail=f"failed on {', '.join(job.failed_on)}: {task.detail}",
-        )
-        await self._end_started(job, end)
-
-    async def _on_task_lost(self, job: JobRow, detail: str) -> None:
-        if job.spec.idempotent and job.attempt < self._queue_row(job).max_attempts:
-            self.metrics.retried("job", Reason.TASK_LEASE_LAPSED)
-            await self._requeue(job, Reason.TASK_LEASE_LAPSED, detail, "")
-            return
-        end = JobEnd(
-            state=JobState.FAILED,
-            verdict=Verdict.MAY_HAVE_RUN,
-            reason=Reason.TASK_LEASE_LAPSED,
-            detail=detail,
-        )
-        await self._end_started(job, end)
-
-    def _queue_row(self, job: JobRow) -> QueueRow:
-        queue = self.view.state.table.queues.get(job.queue)
-        return queue if queue is not None else QueueRow(pool="none")
-
-    # Recorded steps
-
-    async def _end_started(self, job: JobRow, end: JobEnd) -> None:
-        """Record the end of a started job, and free what it held."""
-        try:
-            await self.records.end(
-                job.id,
-                attempt=job.attempt,
-                state=end.state,
-                verdict=end.verdict,
-                reason=end.reason,
-                detail=end.detail,
-                result=end.result,
-            )
-        except StepRefusedError as exc:
-            log.warning("job {} was {} already", job.id, exc)
-        self._free(job)
-        self.tables.forget(job)
-        self.metrics.finished("job", end.verdict.value)
-        self._note(job, f"{end.state.value} on {job.worker}: {end.detail}".rstrip(": "))
-
-    async def _requeue(self, job: JobRow, reason: Reason, detail: str, checkpoint: str) -> None:
-        try:
-            record = await self.records.requeue(
-                job.id,
-                attempt=job.attempt,
-                reason=reason,
-                detail=detail,
-                checkpoint=checkpoint,
-            )
-        except StepRefusedError as exc:
-            log.warning("job {} was {} already", job.id, exc)
-            self._free(job)
-            self.tables.forget(job)
-            return
-        self._free(job)
-        job.checkpoint = record.checkpoint
-        job.stopping = False
-        job.not_before_ms = self.clock.now_ms() + self._backoff_ms(job, reason)
-        self.tables.enqueue(job, first=True)
-        self._note(job, f"waits again after {reason.value}: {detail}")
-
-    def _backoff_ms(self, job: JobRow, reason: Reason) -> int:
-        if reason is Reason.WORKER_DRAINED:
-            return 0
-        longest_ms = min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2**job.attempt)
-        return self.rng.randint(longest_ms // 2, longest_ms)
-
-    def _free(self, job: JobRow) -> None:
-        self.tables.release(job)
-        if job.has_permit:
-            job.has_permit = False
-            self.permits.release(job.team)
-
     # Actions
 
     async def _carry_out(self, action: JobAction) -> None:
@@ -502,7 +388,7 @@
             elif isinstance(action, StopTask):
                 await self._stop(action)
             elif isinstance(action, EndJob):
-                await self._end_waiting(action)
+                await self.steps.end_waiting(action)
             elif isinstance(action, LoseTask):
                 await self._lose(action.job)
             elif isinstance(action, ThrottleTask):
@@ -520,25 +406,25 @@
                 job.id, attempt=job.attempt, worker=job.worker, holder=self.process
             )
         except StepRefusedError as exc:
-            self._free(job)
+            self.steps.free(job)
             self.tables.forget(job)
-            self._note(job, f"not started: it was {exc} already")
+            self.steps.note(job, f"not started: it was {exc} already")
             return
         except RefusedError:
             # Whether the start is recorded is not known, but nothing was sent. The next
             # attempt takes the record as it finds it.
             self._back_to_queue(job)
             raise
-        self._note(job, f"attempt {job.attempt} starts on {job.worker}")
+        self.steps.note(job, f"attempt {job.attempt} starts on {job.worker}")
         try:
             started = await self._start_on_platform(job)
             if not started:
-                await self._requeue(job, Reason.CONNECT_FAILED, "the platform refused", "")
+                await self.steps.requeue(job, Reason.CONNECT_FAILED, "the platform refused", "")
         finally:
             job.busy = False
 
     def _back_to_queue(self, job: JobRow) -> None:
-        self._free(job)
+        self.steps.free(job)
         job.attempt -= 1
         job.busy = False
         job.not_before_ms = self.clock.now_ms() + BASE_BACKOFF_MS
@@ -573,28 +459,12 @@
         except PlatformError:
             action.job.stopping = False
             raise
-        self._note(action.job, f"stopped on {action.job.worker}: {action.reason.value}")
-
-    async def _end_waiting(self, action: EndJob) -> None:
-        job = action.job
-        verdict = Verdict.MAY_HAVE_RUN if job.attempt else Verdict.NOT_RUN
-        with contextlib.suppress(StepRefusedError):
-            await self.records.end(
-                job.id,
-                attempt=job.attempt,
-                state=action.state,
-                verdict=verdict,
-                reason=action.reason,
-                detail=action.detail,
-            )
-        self.tables.forget(job)
-        self.metrics.finished("job", verdict.value)
-        self._note(job, f"{action.state.value} without running: {action.detail}")
+        self.steps.note(action.job, f"stopped on {action.job.worker}: {action.reason.value}")
 
     async def _lose(self, job: JobRow) -> None:
         job.busy = True
         try:
-            await self._on_task_lost(job, f"worker {job.worker} fell silent")
+            await self.steps.lose(job, f"worker {job.worker} fell silent")
         finally:
             job.busy = False
 
@@ -663,9 +533,6 @@
             return {}
         return collect_loads(self.tables, self.view.state)
 
-    def _note(self, job: JobRow, line: str) -> None:
-        self.history.note(job.id, self.clock.wall_ms(), line)
-
     async def stop(self) -> None:
         """Start nothing more and hand the lease to another process."""
         self.stopping = True
--- a/src/hornbeamreach/entry/view.py
+++ b/src/hornbeamreach/entry/view.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from hornbeamreach.control.state_machine import apply_command, decode_state, encode_state
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.link.codec import decode
 from hornbeamreach.link.messages import LogItem, LogPage
 from hornbeamreach.tables.control_state import ControlState
--- a/src/hornbeamreach/link/messages.py
+++ b/src/hornbeamreach/link/messages.py
@@ -5,6 +5,8 @@
 from attrs import define, field
 
 from hornbeamreach.link.codec import wire_type
+from hornbeamreach.tables.announcement import Announcement
+from hornbeamreach.tables.reports import JobSpec, PoolLoad, TeamUse, VmReport
 
 
 @define(frozen=True, kw_only=True)
@@ -15,37 +17,6 @@
     data: bytes
 
 
-@define(frozen=True, kw_only=True)
-class TeamUse:
-    """Report one team's permits at one entry process."""
-
-    in_use: int = 0
-    wanted: int = 0
-    # The most that the process will use until it sees its slice change.
-    ceiling: int | None = None
-    ceiling_index: int = 0
-
-
-@define(frozen=True, kw_only=True)
-class VmReport:
-    """Report what the platform says of a VM."""
-
-    up: bool
-    # The reboot that the VM last came up from.
-    boot_operation: str = ""
-
-
-@define(frozen=True, kw_only=True)
-class PoolLoad:
-    """Report how full a pool's workers of one data centre are, and what waits for them."""
-
-    capacity_cpu_millis: int = 0
-    used_cpu_millis: int = 0
-    waiting_cpu_millis: int = 0
-    # Size of one of its VMs.
-    vm_cpu_millis: int = 0
-
-
 @define(frozen=True, kw_only=True)
 class EntryReport:
     """Report what an entry process knows, as changes since the report that control has."""
@@ -63,13 +34,13 @@
 
 
 @define(frozen=True, kw_only=True)
-class LoadsReport:
-    """Tell how full the pools are, as changes since what the entry process has."""
+class RoomsReport:
+    """Tell what room the pools have, as changes since what the entry process has."""
 
     number: int = 1
     since: int = 0
-    # "data centre/pool" -> load
-    loads: dict[str, PoolLoad] = field(factory=dict)
+    # "data centre/pool" -> idle processors less waiting work, in 1/1000 core
+    rooms: dict[str, int] = field(factory=dict)
     removed: list[str] = field(factory=list)
 
 
@@ -89,8 +60,8 @@
     applied_index: int
     hold_ms: int
     report: EntryReport = EntryReport()
-    # Number of the loads report that the process has.
-    loads_number: int = 0
+    # Number of the rooms report that the process has.
+    rooms_number: int = 0
     # Calls in flight and tasks on VMs that are being drained.
     busy_vms: dict[str, int] = field(factory=dict)
     # Draining VMs on which, as the scheduling process knows, no task is left.
@@ -110,7 +81,7 @@
     # Number of the report that control has now; a process whose report was not taken
     # sends all of it again.
     report_number: int = 0
-    loads: LoadsReport = LoadsReport()
+    rooms: RoomsReport = RoomsReport()
 
 
 @wire_type("use_report")
@@ -157,17 +128,9 @@
 
 @define(frozen=True, kw_only=True)
 class EndpointNews:
-    """Carry one endpoint's latest announcement between entry processes."""
+    """Carry an endpoint's announcement from the process that heard it."""
 
-    endpoint: str
-    service: str
-    address: str
-    vm: str
-    slots: int
-    connections: int
-    instance: str
-    sequence: int
-    leaving: bool
+    said: Announcement
     age_ms: int
 
 
@@ -198,8 +161,9 @@
 @wire_type("forward_call")
 @define(frozen=True, kw_only=True)
 class ForwardCall:
-    """Hand a call to the team's home data centre."""
+    """Hand a call to the team's home data centre, under the id that its caller knows."""
 
+    request_id: str
     team: str
     key_hash: str
     service: str
@@ -221,19 +185,6 @@
     replayed: bool = False
 
 
-@define(frozen=True, kw_only=True)
-class JobSpec:
-    """Describe a job as its caller declared it."""
-
-    kind: str
-    cpu_millis: int
-    memory_mb: int
-    accelerators: int = 0
-    expected_ms: int = 1_000
-    idempotent: bool = False
-    payload: str = ""
-
-
 @wire_type("forward_submit")
 @define(frozen=True, kw_only=True)
 class ForwardSubmit:
--- a/src/hornbeamreach/platform/interface.py
+++ b/src/hornbeamreach/platform/interface.py
@@ -6,8 +6,8 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import VmReport
 from hornbeamreach.tables.jobs import Resources
+from hornbeamreach.tables.reports import VmReport
 
 
 @define(frozen=True, kw_only=True)
--- a/src/hornbeamreach/records/messages.py
+++ b/src/hornbeamreach/records/messages.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from hornbeamreach.link.codec import wire_type
-from hornbeamreach.link.messages import JobSpec
+from hornbeamreach.tables.reports import JobSpec
 
 
 @define(frozen=True, order=True)
--- a/src/hornbeamreach/standins/platform.py
+++ b/src/hornbeamreach/standins/platform.py
@@ -14,9 +14,9 @@
 
 from hornbeamreach.clock import Clock
 from hornbeamreach.link.codec import wire_converter
-from hornbeamreach.link.messages import VmReport
 from hornbeamreach.platform.interface import PlatformReport, TaskReport, TaskRequest
 from hornbeamreach.tables.jobs import Resources
+from hornbeamreach.tables.reports import VmReport
 from hornbeamreach.web.problems import json_response, read_json
 from hornbeamreach.web.server import serve_http
 
--- a/src/hornbeamreach/systems/loads.py
+++ b/src/hornbeamreach/systems/loads.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from hornbeamreach.link.messages import PoolLoad
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.jobs import WAITS_FOR_ROOM, JobTables
+from hornbeamreach.tables.reports import PoolLoad
 
 STEPS_PER_VM = 8
 
--- a/src/hornbeamreach/systems/moves.py
+++ b/src/hornbeamreach/systems/moves.py
@@ -6,10 +6,10 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import PoolLoad
 from hornbeamreach.registry import Registry
 from hornbeamreach.systems.budget import unavailable_vms
 from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.reports import PoolLoad
 
 # A lack of one VM for this long is worth a move of cost 1, and an idle loan of one VM for
 # this long and buffer cost 1 is worth the move back.
--- a/src/hornbeamreach/systems/spill.py
+++ b/src/hornbeamreach/systems/spill.py
@@ -4,25 +4,24 @@
 
 import random
 
-from hornbeamreach.link.messages import JobSpec, PoolLoad
+from hornbeamreach.tables.reports import JobSpec, PoolLoad
 
-# Only this part of a data centre counts as room for others; the figures are a moment old.
-FULL_PART = 0.9
+# Rooms are told in these parts of a VM, so that small changes are no news.
+STEPS_PER_VM = 4
 
 
-def pressure(load: PoolLoad, added_millis: int) -> float:
-    """Return used and waiting work beside capacity; above 1 work has to wait."""
-    if not load.capacity_cpu_millis:
-        return float("inf")
-    work = load.used_cpu_millis + load.waiting_cpu_millis + added_millis
-    return work / load.capacity_cpu_millis
+def room(load: PoolLoad) -> int:
+    """Return idle processors less waiting work, rounded down to a part of a VM."""
+    free = load.capacity_cpu_millis - load.used_cpu_millis - load.waiting_cpu_millis
+    step = max(1, load.vm_cpu_millis // STEPS_PER_VM)
+    return free // step * step
 
 
 def choose_data_center(
     here: str,
     pool: str,
     spec: JobSpec,
-    loads: dict[str, dict[str, PoolLoad]],
+    rooms: dict[str, int],
     sent_millis: dict[str, int],
     rng: random.Random,
 ) -> str:
@@ -33,20 +32,15 @@
     decides for itself on the same figures. `sent_millis` is what this process has sent to
     each data centre since the figures were made.
     """
-    own = loads.get(here, {}).get(pool)
-    if own is None:
+    own = rooms.get(f"{here}/{pool}")
+    if own is None or own - sent_millis.get(here, 0) >= spec.cpu_millis:
         return here
-    if pressure(own, sent_millis.get(here, 0) + spec.cpu_millis) <= 1.0:
+    found: dict[str, int] = {}
+    for path, idle in sorted(rooms.items()):
+        data_center, _, name = path.partition("/")
+        left = idle - sent_millis.get(data_center, 0)
+        if name == pool and data_center != here and left >= spec.cpu_millis:
+            found[data_center] = left
+    if not found:
         return here
-    rooms = {}
-    for data_center in sorted(loads):
-        load = loads[data_center].get(pool)
-        if data_center == here or load is None or spec.cpu_millis > load.vm_cpu_millis:
-            continue
-        added = sent_millis.get(data_center, 0) + spec.cpu_millis
-        room = FULL_PART - pressure(load, added)
-        if room > 0:
-            rooms[data_center] = room * load.capacity_cpu_millis
-    if not rooms:
-        return here
-    return rng.choices(list(rooms), list(rooms.values()))[0]
+    return rng.choices(list(found), list(found.values()))[0]
--- a/src/hornbeamreach/tables/calls.py
+++ b/src/hornbeamreach/tables/calls.py
@@ -7,6 +7,8 @@
 
 from attrs import define, field
 
+from hornbeamreach.tables.announcement import Announcement
+
 
 class EndpointHealth(enum.Enum):
     """Name how far an endpoint is trusted."""
@@ -53,6 +55,9 @@
     sequence: int
     heard_ms: int
     leaving: bool = False
+    # The latest announcement that came to this process itself, for its peers.
+    announced_here: Announcement | None = None
+    announced_here_ms: int = 0
     # This process's part of the endpoint's slots.
     credits: int = 0
     running: int = 0
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -7,8 +7,8 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import JobSpec
 from hornbeamreach.tables.control_state import VmPhase
+from hornbeamreach.tables.reports import JobSpec
 
 
 class JobState(enum.Enum):
--- a/src/hornbeamreach/tables/permits.py
+++ b/src/hornbeamreach/tables/permits.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import TeamUse
+from hornbeamreach.tables.reports import TeamUse
 
 
 @define(frozen=True, kw_only=True)
--- a/src/hornbeamreach/web/problems.py
+++ b/src/hornbeamreach/web/problems.py
@@ -17,6 +17,7 @@
 
 VERDICT_HEADER = "Hornbeamreach-Verdict"
 REASON_HEADER = "Hornbeamreach-Reason"
+REQUEST_ID_HEADER = "Hornbeamreach-Request-Id"
 PROBLEM_TYPE = "application/problem+json"
 HTTP_OK = 200
 JSON_OPTIONS = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
@@ -41,9 +42,10 @@
         "verdict": error.verdict.value,
         "reason": error.reason.value,
     }
+    headers = {VERDICT_HEADER: error.verdict.value, REASON_HEADER: error.reason.value}
     if request_id:
         body["request_id"] = request_id
-    headers = {VERDICT_HEADER: error.verdict.value, REASON_HEADER: error.reason.value}
+        headers[REQUEST_ID_HEADER] = request_id
     if error.retry_after_ms is not None:
         wait_seconds = -(-error.retry_after_ms // MILLISECONDS_PER_SECOND)
         headers["Retry-After"] = str(max(1, wait_seconds))
@@ -51,8 +53,16 @@
     return Response(content, status_code=status, media_type=PROBLEM_TYPE, headers=headers)
 
 
-def refusing(kind: str, metrics: Metrics) -> Callable[[Endpoint], Endpoint]:
-    """Return a decorator that counts refusals and turns them into problem details."""
+NoteRefusal = Callable[[str, RefusedError], None]
+
+
+def refusing(
+    kind: str, metrics: Metrics, note: NoteRefusal | None = None
+) -> Callable[[Endpoint], Endpoint]:
+    """Return a decorator that counts refusals and turns them into problem details.
+
+    A request that was given an id in its state is noted under it.
+    """
 
     def decorate(endpoint: Endpoint) -> Endpoint:
         async def wrapped(request: Request) -> Response:
@@ -66,7 +76,10 @@
                 refusal = RefusedError(Reason.MALFORMED, str(exc))
             metrics.refused(kind, refusal.reason)
             metrics.finished(kind, refusal.verdict.value)
-            return problem_response(refusal)
+            request_id = getattr(request.state, "request_id", "")
+            if note is not None and request_id:
+                note(request_id, refusal)
+            return problem_response(refusal, request_id=request_id)
 
         return wrapped
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,7 +8,6 @@
 from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.converters import to_plain
 from hornbeamreach.demo.deployment import sha256
-from hornbeamreach.link.messages import JobSpec
 from hornbeamreach.settings import (
     ControlSettings,
     EntrySettings,
@@ -27,6 +26,7 @@
     VmRow,
 )
 from hornbeamreach.tables.jobs import JobRow, Resources, WorkerRow
+from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.tables.table_file import edits_between
 
 LINK_SECRET = "link-secret-for-tests"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -18,7 +18,7 @@
 from hornbeamreach.demo.deployment import sha256
 from hornbeamreach.entry.calls import CallRequest
 from hornbeamreach.entry.endpoint_client import AttemptError
-from hornbeamreach.entry.endpoints import Announcement, take_announcement
+from hornbeamreach.entry.endpoints import take_announcement
 from hornbeamreach.entry.node import EntryNode
 from hornbeamreach.exceptions import (
     HornbeamreachError,
@@ -32,6 +32,7 @@
 from hornbeamreach.settings import PolicySettings
 from hornbeamreach.standins.platform import StandInPlatform
 from hornbeamreach.systems.retries import FailedAttempt
+from hornbeamreach.tables.announcement import Announcement
 from hornbeamreach.tables.control_state import Change, KeyEdit
 from hornbeamreach.tables.declared import DeclaredTable, RowEdit
 from hornbeamreach.tables.table_file import edits_between
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -7,7 +7,7 @@
 import trio
 from attrs import define, field
 
-from hornbeamreach.control.state_machine import state_digest
+from hornbeamreach.control.snapshots import state_digest
 from hornbeamreach.exceptions import RefusedError
 from hornbeamreach.tables.control_state import VmPhase
 from hornbeamreach.verdict import Verdict
--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import evolve
 
-from hornbeamreach.control import state_machine
+from hornbeamreach.control import snapshots, state_machine
 from hornbeamreach.entry import authority as authority_module
 from hornbeamreach.entry.attempts import Race
 from hornbeamreach.entry.view import ControlView
@@ -100,12 +100,12 @@
 
     def test_versions_fail_when_an_older_state_is_taken(self, monkeypatch):
         def take_any(self, encoded):
-            self.state = state_machine.decode_state(encoded)
+            self.state = snapshots.decode_state(encoded)
 
         monkeypatch.setattr(ControlView, "_take_state", take_any)
 
         async def scenario(fleet, watch, load):
-            old = state_machine.encode_state(fleet.entry("dc1-e1").view.state)
+            old = snapshots.encode_state(fleet.entry("dc1-e1").view.state)
             await fleet.change([fleet.edit("teams", "red", weight=4.0)])
             await trio.sleep(0.1)
             fleet.entry("dc1-e1").view.take([], old)
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -6,9 +6,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from hornbeamreach.control import commands
-from hornbeamreach.link.messages import TeamUse
 from hornbeamreach.systems.escrow import SliceHolder, ideal_sizes, plan_slices
 from hornbeamreach.tables.permits import PermitTable
+from hornbeamreach.tables.reports import TeamUse
 from hornbeamreach.tables.sessions import HolderKey
 
 from . import builders
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -33,6 +33,13 @@
             assert not parts & {"control", "entry", "records", "daemons", "web", "demo"}, path
 
 
+class TestTables:
+    def test_entities_know_neither_systems_nor_links(self):
+        for path in (SOURCE / "tables").glob("*.py"):
+            parts = {n.split(".")[1] for n in imports(path) if n.startswith("hornbeamreach.")}
+            assert not parts & {"systems", "link"}, path
+
+
 class TestHouse:
     def test_no_file_carries_a_notice(self):
         for path in SOURCE.rglob("*.py"):
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -6,12 +6,13 @@
 import trio
 
 from hornbeamreach.control import commands
-from hornbeamreach.link.messages import ForwardSubmit, PoolLoad
+from hornbeamreach.link.messages import ForwardSubmit
 from hornbeamreach.systems.moves import MoverTable, Place, movers
 from hornbeamreach.systems.preemption import MIN_RUN_MS, PREEMPT_AFTER_MS, victims
 from hornbeamreach.tables.control_state import VmPhase
 from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.jobs import JobTables, Resources
+from hornbeamreach.tables.reports import PoolLoad
 
 from . import builders
 from .test_fleet_jobs import finish, in_jobs, starts, submit
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamreach.control.reports import build_loads, take_report
-from hornbeamreach.entry.reports import LoadsReceiver, ReportContent, ReportSender
-from hornbeamreach.link.messages import PoolLoad, TeamUse, VmReport
+from hornbeamreach.control.reports import build_rooms, take_report
+from hornbeamreach.entry.reports import ReportContent, ReportSender, RoomsReceiver
+from hornbeamreach.tables.reports import TeamUse, VmReport
 from hornbeamreach.tables.sessions import Session
 
 TABLES = st.lists(
@@ -54,19 +54,19 @@
         assert session.uses == content.uses
 
 
-class TestLoads:
+class TestRooms:
     @given(TABLES, FATES)
-    def test_an_entry_knows_the_last_loads_after_two_exchanges_that_work(self, tables, fates):
-        receiver, session = LoadsReceiver(), Session(renewed_ms=0)
+    def test_an_entry_knows_the_last_rooms_after_two_exchanges_that_work(self, tables, fates):
+        receiver, session = RoomsReceiver(), Session(renewed_ms=0)
         flat = {}
         steps = list(zip(tables, fates, strict=False)) + [(tables[-1], "works")] * 2
         for table, fate in steps:
-            flat = {f"dc1/{key}": PoolLoad(used_cpu_millis=value) for key, value in table.items()}
+            flat = {f"dc1/{key}": value for key, value in table.items()}
             if fate == "request":
                 continue
             if fate.startswith("leader"):
-                session = Session(renewed_ms=0, loads_number=session.loads_number + 2**32)
-            report = build_loads(session, receiver.number, flat)
+                session = Session(renewed_ms=0, rooms_number=session.rooms_number + 2**32)
+            report = build_rooms(session, receiver.number, flat)
             if not fate.endswith("reply"):
                 receiver.take(report)
-        assert receiver.flat == flat
+        assert receiver.rooms == flat
