Keep a team's limit when scheduling changes hands

Cause: a process that lost or gave up the scheduling lease gave the permits of its running tasks back at once, and on leaving had its slices freed; the tasks ran on under their leases, and other work took the permits. Found by filling a limit with long tasks and flooding.

Change: the permits are kept until the leases of that term have ended (10 s and a margin); a leaving process waits for that before it gives its slices back; tasks that were taken over ask for permits as waiting work does.

--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -64,6 +64,7 @@
 LEASE_RENEW_MS = 2_000
 RENEW_WHILE_HEARD_MS = 4_000
 TASK_LEASE_MS = 10_000
+LEASE_MARGIN_MS = 1_000
 RESCAN_MS = 5_000
 START_ATTEMPTS = 3
 
@@ -113,6 +114,8 @@
         self.announced: deque[WakeScheduler] = deque()
         self.scan_done = trio.Event()
         self.stopping = False
+        # When to give back the permits of earlier terms' tasks, the earliest first.
+        self.held_permits: deque[tuple[int, str]] = deque()
         handlers.on(WakeScheduler, self._on_wake)
 
     def _new_steps(self) -> JobSteps:
@@ -139,6 +142,7 @@
         """Schedule whenever this process holds the lease, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.lease.run)
+            nursery.start_soon(self._release_held_permits)
             while True:
                 await self.lease.wait_held()
                 await self._run_term()
@@ -157,17 +161,27 @@
                 await self.lease.wait_lost()
                 nursery.cancel_scope.cancel()
         finally:
-            self._give_permits_back()
+            self._hold_permits_until_leases_end()
             self.feed.vm_reports = {}
             log.info("{} schedules no longer", self.process)
 
-    def _give_permits_back(self) -> None:
-        # The tasks run on under their leases; whoever schedules next takes permits for
-        # them or lets them end. This process's slice is not used for them any more.
+    def _hold_permits_until_leases_end(self) -> None:
+        """Keep the permits of tasks that run on under the leases of this term.
+
+        Whoever schedules next takes permits of its own for them, or lets them end.
+        """
+        release_ms = self.clock.now_ms() + TASK_LEASE_MS + LEASE_MARGIN_MS
         for job in self.tables.jobs.values():
             if job.has_permit:
                 job.has_permit = False
-                self.permits.release(job.team)
+                self.held_permits.append((release_ms, job.team))
+
+    async def _release_held_permits(self) -> None:
+        while True:
+            now_ms = self.clock.now_ms()
+            while self.held_permits and self.held_permits[0][0] <= now_ms:
+                self.permits.release(self.held_permits.popleft()[1])
+            await trio.sleep(seconds(SCHEDULE_TICK_MS))
 
     async def _tick_forever(self, nursery: trio.Nursery) -> None:
         while True:
@@ -197,9 +211,12 @@
 
     def _take_missing_permits(self) -> None:
         """Take permits for tasks that another process started before this one's term."""
+        wanted: dict[str, int] = {}
         for job in self.tables.started.values():
             if not job.has_permit:
                 job.has_permit = self.permits.acquire(job.team)
+                wanted[job.team] = wanted.get(job.team, 0) + (not job.has_permit)
+        self.permits.want("tasks", wanted)
 
     # Workers
 
@@ -539,3 +556,7 @@
         while any(job.busy for job in self.tables.jobs.values()):
             await trio.sleep(seconds(SCHEDULE_TICK_MS))
         await self.lease.give_up()
+        # A moment for the term to end, then its tasks' leases.
+        await trio.sleep(seconds(SCHEDULE_TICK_MS))
+        while self.held_permits:
+            await trio.sleep(seconds(SCHEDULE_TICK_MS))
--- a/tests/test_fleet_jobs.py
+++ b/tests/test_fleet_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 import trio
 
@@ -270,3 +272,66 @@
                 assert (await finish(fleet, job_id)).worker != worker
 
         in_jobs(scenario)
+
+
+class TestHandover:
+    def scheduling_entry(self, fleet, data_center="dc1"):
+        return next(
+            name
+            for name, process in sorted(fleet.entries.items())
+            if name.startswith(data_center) and process.node.scheduler.lease.held()
+        )
+
+    async def fill_limit(self, fleet):
+        jobs = [
+            await submit(fleet, work_ms=25_000, expected_ms=25_000, cpu_millis=500, memory_mb=256)
+            for _ in range(12)
+        ]
+        await fleet.wait_until(lambda: fleet.running("red") == 12, "the limit is reached")
+        return jobs
+
+    async def flood(self, fleet, without):
+        async def one(entry, number):
+            with contextlib.suppress(RefusedError):
+                await fleet.call(entry, "red", body=f"flood {number}".encode())
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                entry = sorted(set(fleet.entries) - {without})[number % 8]
+                nursery.start_soon(one, entry, number)
+                await trio.sleep(0.25)
+
+    def test_the_limit_holds_while_a_process_that_schedules_leaves(self):
+        async def scenario(fleet):
+            await self.fill_limit(fleet)
+            name = self.scheduling_entry(fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.entry(name).leave)
+                nursery.start_soon(self.flood, fleet, name)
+
+        in_jobs(scenario)
+
+    def test_the_limit_holds_when_a_process_loses_the_lease(self):
+        async def scenario(fleet):
+            await self.fill_limit(fleet)
+            name = self.scheduling_entry(fleet)
+            others = {
+                settings.process.link_address
+                for other, settings in fleet.entry_settings.items()
+                if other.startswith("dc1") and other != name
+            }
+            fleet.network.cut({fleet.entry(name).settings.process.link_address}, others)
+            await self.flood(fleet, "none")
+
+        in_jobs(scenario)
+
+    def test_the_limit_holds_when_a_process_that_schedules_is_killed_and_restarted(self):
+        async def scenario(fleet):
+            await self.fill_limit(fleet)
+            name = self.scheduling_entry(fleet)
+            fleet.kill(name)
+            await self.flood(fleet, name)
+            await fleet.start_entry(name)
+            await self.flood(fleet, name)
+
+        in_jobs(scenario)
