Carry tasks' actions out in a module of their own

Change: task_actions records and sends what was decided; the scheduler keeps its term, its tables and the platform's reports. No behaviour changes.

--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -16,11 +16,11 @@
     FINAL_STATE_NAMES,
     JOB_PREFIX,
     JobRecords,
-    StepRefusedError,
     job_key,
 )
-from hornbeamreach.entry.job_steps import BASE_BACKOFF_MS, JobSteps
+from hornbeamreach.entry.job_steps import JobSteps
 from hornbeamreach.entry.scheduler_lease import SchedulerLease
+from hornbeamreach.entry.task_actions import TASK_LEASE_MS, TaskActions
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
@@ -31,7 +31,6 @@
     Platform,
     PlatformReport,
     TaskReport,
-    TaskRequest,
 )
 from hornbeamreach.records.messages import Record
 from hornbeamreach.records.store import RecordStore
@@ -39,13 +38,8 @@
 from hornbeamreach.systems.maintenance import boot_operation
 from hornbeamreach.systems.placement import Placement
 from hornbeamreach.systems.schedule import (
-    EndJob,
     JobAction,
-    LoseTask,
     ScheduleContext,
-    StartTask,
-    StopTask,
-    ThrottleTask,
     schedule,
 )
 from hornbeamreach.systems.shares import Share
@@ -55,7 +49,6 @@
 from hornbeamreach.tables.jobs import JobRow, JobState, JobTables, Resources, WorkerRow
 from hornbeamreach.tables.permits import PermitTable
 from hornbeamreach.tables.reports import PoolLoad, VmReport
-from hornbeamreach.verdict import Reason, Verdict
 
 log = part_logger("jobs")
 
@@ -63,10 +56,8 @@
 REPORT_INTERVAL_MS = 300
 LEASE_RENEW_MS = 2_000
 RENEW_WHILE_HEARD_MS = 4_000
-TASK_LEASE_MS = 10_000
 LEASE_MARGIN_MS = 1_000
 RESCAN_MS = 5_000
-START_ATTEMPTS = 3
 
 
 class Scheduler:
@@ -111,6 +102,7 @@
         self.sizes = SizeTable()
         self.tables = JobTables()
         self.steps = self._new_steps()
+        self.actions = self._new_actions()
         self.announced: deque[WakeScheduler] = deque()
         self.scan_done = trio.Event()
         self.stopping = False
@@ -131,6 +123,17 @@
             history=self.history,
         )
 
+    def _new_actions(self) -> TaskActions:
+        return TaskActions(
+            process=self.process,
+            tables=self.tables,
+            steps=self.steps,
+            records=self.records,
+            platform=self.platform,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+
     async def _on_wake(self, message: WakeScheduler) -> Done:
         if self.lease.held():
             self.announced.append(message)
@@ -151,6 +154,7 @@
         log.info("{} schedules the jobs of {}", self.process, self.data_center)
         self.tables = JobTables()
         self.steps = self._new_steps()
+        self.actions = self._new_actions()
         self.scan_done = trio.Event()
         try:
             async with trio.open_nursery() as nursery:
@@ -187,7 +191,7 @@
         while True:
             await self.take_announced()
             for action in self.tick():
-                nursery.start_soon(self._carry_out, action)
+                nursery.start_soon(self.actions.carry_out, action)
             await trio.sleep(seconds(SCHEDULE_TICK_MS))
 
     def tick(self) -> list[JobAction]:
@@ -396,95 +400,6 @@
             job.busy = False
         return True
 
-    # Actions
-
-    async def _carry_out(self, action: JobAction) -> None:
-        try:
-            if isinstance(action, StartTask):
-                await self._start(action.job)
-            elif isinstance(action, StopTask):
-                await self._stop(action)
-            elif isinstance(action, EndJob):
-                await self.steps.end_waiting(action)
-            elif isinstance(action, LoseTask):
-                await self._lose(action.job)
-            elif isinstance(action, ThrottleTask):
-                job = action.job
-                await self.platform.throttle_task(job.task_id(), action.cpu_millis)
-        except PlatformError as exc:
-            self.metrics.event("platform_call_failed")
-            log.warning("{}", exc)
-        except RefusedError as exc:
-            self.metrics.refused("job", exc.reason)
-
-    async def _start(self, job: JobRow) -> None:
-        try:
-            await self.records.start(
-                job.id, attempt=job.attempt, worker=job.worker, holder=self.process
-            )
-        except StepRefusedError as exc:
-            self.steps.free(job)
-            self.tables.forget(job)
-            self.steps.note(job, f"not started: it was {exc} already")
-            return
-        except RefusedError:
-            # Whether the start is recorded is not known, but nothing was sent. The next
-            # attempt takes the record as it finds it.
-            self._back_to_queue(job)
-            raise
-        self.steps.note(job, f"attempt {job.attempt} starts on {job.worker}")
-        try:
-            started = await self._start_on_platform(job)
-            if not started:
-                await self.steps.requeue(job, Reason.CONNECT_FAILED, "the platform refused", "")
-        finally:
-            job.busy = False
-
-    def _back_to_queue(self, job: JobRow) -> None:
-        self.steps.free(job)
-        job.attempt -= 1
-        job.busy = False
-        job.not_before_ms = self.clock.now_ms() + BASE_BACKOFF_MS
-        self.tables.forget(job)
-
-    async def _start_on_platform(self, job: JobRow) -> bool:
-        """Ask for the task; return False only if it certainly was not started."""
-        request = TaskRequest(
-            task_id=job.task_id(),
-            worker=job.worker,
-            kind=job.spec.kind,
-            payload=job.spec.payload,
-            reserved=job.reserved,
-            lease_ms=TASK_LEASE_MS,
-            checkpoint=job.checkpoint,
-        )
-        may_have_started = False
-        for _ in range(START_ATTEMPTS):
-            try:
-                await self.platform.start_task(request)
-                return True
-            except PlatformError as exc:
-                may_have_started = may_have_started or exc.verdict is not Verdict.NOT_RUN
-                self.metrics.retried("task_start", Reason.CONNECT_FAILED)
-                await trio.sleep(seconds(BASE_BACKOFF_MS))
-        return may_have_started
-
-    async def _stop(self, action: StopTask) -> None:
-        try:
-            task_id = action.job.task_id()
-            await self.platform.stop_task(task_id, checkpoint=action.checkpoint)
-        except PlatformError:
-            action.job.stopping = False
-            raise
-        self.steps.note(action.job, f"stopped on {action.job.worker}: {action.reason.value}")
-
-    async def _lose(self, job: JobRow) -> None:
-        job.busy = True
-        try:
-            await self.steps.lose(job, f"worker {job.worker} fell silent")
-        finally:
-            job.busy = False
-
     # Leases and reboots
 
     async def _renew_forever(self) -> None:
