--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -23,7 +23,7 @@
 from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.frames import encode_frame
 from hornbeamreach.control.raft import RaftCore
-from hornbeamreach.control.reports import build_rooms
+from hornbeamreach.control.reports import build_free_capacity
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.storage import LOG_NAME, RaftStorage
@@ -213,28 +213,32 @@
     }
 
 
-def measure_rooms(workers: int) -> dict[str, float]:
-    """Measure what the leader tells one process of 5 % changed rooms in 8 data centres."""
+def measure_free_capacity(workers: int) -> dict[str, float]:
+    """Measure what the leader tells one process of 5 % changed free_capacity in 8 data centres."""
     pools = TARGET["pools"] * workers // TARGET["workers"]
-    rooms = {f"dc{d}/pool-{n:03d}": 4_000 * d for d in range(1, 9) for n in range(pools)}
+    free_capacity = {f"dc{d}/pool-{n:03d}": 4_000 * d for d in range(1, 9) for n in range(pools)}
     session = Session(renewed_ms=0)
-    first = build_rooms(session, 0, rooms)
+    first = build_free_capacity(session, 0, free_capacity)
     changed = {
         path: value + 4_000 if n % 20 == 0 else value
-        for n, (path, value) in enumerate(rooms.items())
+        for n, (path, value) in enumerate(free_capacity.items())
     }
-    later = build_rooms(session, first.number, changed)
+    later = build_free_capacity(session, first.number, changed)
     return {
-        "first_rooms_bytes": len(encode(RenewReply(committed_index=1, rooms=first))),
-        "later_rooms_bytes": len(encode(RenewReply(committed_index=1, rooms=later))),
+        "first_free_capacity_bytes": len(
+            encode(RenewReply(committed_index=1, free_capacity=first))
+        ),
+        "later_free_capacity_bytes": len(
+            encode(RenewReply(committed_index=1, free_capacity=later))
+        ),
     }
 
 
 def measure_heartbeat(endpoints: int) -> dict[str, float]:
     """Measure a heartbeat that tells of announcements, and the busiest second's bytes."""
-    said = [
+    announcement = [
         EndpointNews(
-            said=Announcement(
+            announcement=Announcement(
                 endpoint=f"quotes-{n}",
                 service="quotes",
                 address="10.0.0.1:9000",
@@ -249,7 +253,7 @@
         for n in range(endpoints)
     ]
     beat = PeerHeartbeat(
-        entry_id="dc1-e1", incarnation="0123456789abcdef", applied_index=1, endpoints=said
+        entry_id="dc1-e1", incarnation="0123456789abcdef", applied_index=1, endpoints=announcement
     )
     return {"heartbeat_bytes": len(encode(beat))}
 
@@ -453,7 +457,7 @@
             **measure_leader_tick(workers),
             **measure_change(workers),
             **measure_messages(workers),
-            **measure_rooms(workers),
+            **measure_free_capacity(workers),
             **measure_heartbeat(workers // 48),
         }
         print(json.dumps({"workers": workers, **{k: round(v, 3) for k, v in figures.items()}}))
--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -8,7 +8,7 @@
 from hornbeamreach.control import commands
 from hornbeamreach.control.facts import pool_loads, vm_facts
 from hornbeamreach.control.replica import Replica
-from hornbeamreach.control.reports import build_rooms, take_report
+from hornbeamreach.control.reports import build_free_capacity, take_report
 from hornbeamreach.control.slice_planner import SlicePlanner
 from hornbeamreach.control.snapshots import encode_state
 from hornbeamreach.control.state_machine import Outcome, limit_in_use
@@ -33,7 +33,7 @@
 )
 from hornbeamreach.systems.maintenance import due_vms, permits, progress
 from hornbeamreach.systems.moves import Mover, MoverTable
-from hornbeamreach.systems.spill import room
+from hornbeamreach.systems.spill import free_capacity
 from hornbeamreach.tables.control_state import OrderAction, PreparedChange
 from hornbeamreach.tables.sessions import HolderKey, Session, SessionTable
 from hornbeamreach.verdict import Reason
@@ -43,7 +43,7 @@
 LEADER_TICK_MS = 200
 MAINTAIN_INTERVAL_MS = 500
 PLAN_INTERVAL_MS = 10_000
-ROOMS_INTERVAL_MS = 1_000
+FREE_CAPACITY_INTERVAL_MS = 1_000
 PREPARE_TIMEOUT_MS = 6_000
 IN_FORCE_TIMEOUT_MS = 11_000
 MAX_RENEW_HOLD_MS = 1_500
@@ -72,10 +72,10 @@
         self.led_term = -1
         self.maintained_ms = 0
         self.planned_ms = 0
-        self.rooms_ms = -ROOMS_INTERVAL_MS
-        self.rooms: dict[str, int] = {}
+        self.free_capacity_ms = -FREE_CAPACITY_INTERVAL_MS
+        self.free_capacity: dict[str, int] = {}
         self.table = SessionTable(leader_since_ms=clock.now_ms())
-        self.news = trio.Event()
+        self.reported = trio.Event()
         self.slices = SlicePlanner(
             state=lambda: replica.state, notify=replica.notify_watchers, clock=clock
         )
@@ -134,12 +134,12 @@
         session.busy_vms = dict(message.busy_vms)
         session.idle_vms = list(message.idle_vms)
         session.reported_ms = now_ms
-        self.notify_news()
+        self.notify_reported()
 
-    def notify_news(self) -> None:
+    def notify_reported(self) -> None:
         """Let everybody who waits for acknowledgements or targets look again."""
-        self.news.set()
-        self.news = trio.Event()
+        self.reported.set()
+        self.reported = trio.Event()
 
     async def _wait_news(self, holder: HolderKey, applied_index: int) -> None:
         while not self._has_news(holder, applied_index):
@@ -166,19 +166,22 @@
             state=state,
             targets=self.slices.take_targets(holder),
             report_number=session.report_number,
-            rooms=build_rooms(session, message.rooms_number, self._rooms()),
+            free_capacity=build_free_capacity(
+                session, message.free_capacity_number, self._free_capacity()
+            ),
         )
 
-    def _rooms(self) -> dict[str, int]:
-        """Return the pools' rooms, made anew only now and then for all processes alike."""
+    def _free_capacity(self) -> dict[str, int]:
+        """Return the pools' free capacity, computed at intervals for all processes alike."""
         now_ms = self.clock.now_ms()
-        if now_ms - self.rooms_ms >= ROOMS_INTERVAL_MS:
-            self.rooms_ms = now_ms
+        if now_ms - self.free_capacity_ms >= FREE_CAPACITY_INTERVAL_MS:
+            self.free_capacity_ms = now_ms
             loads = pool_loads(self.replica.state, self.table, now_ms)
-            self.rooms = {
-                f"{place.data_center}/{place.pool}": room(load) for place, load in loads.items()
+            self.free_capacity = {
+                f"{place.data_center}/{place.pool}": free_capacity(load)
+                for place, load in loads.items()
             }
-        return self.rooms
+        return self.free_capacity
 
     async def on_use_report(self, message: UseReport) -> Done:
         """Take an urgent report of use and plan the team's slices at once."""
@@ -303,7 +306,7 @@
 
     async def _wait_tick(self) -> None:
         with trio.move_on_after(seconds(LEADER_TICK_MS)):
-            await self.news.wait()
+            await self.reported.wait()
 
     # Periodic work
 
--- a/src/hornbeamreach/control/reports.py
+++ b/src/hornbeamreach/control/reports.py
@@ -1,8 +1,8 @@
-"""Taking entry processes' reports, and telling them what room the pools have."""
+"""Taking entry processes' reports, and telling them the pools' free capacity."""
 
 from __future__ import annotations
 
-from hornbeamreach.link.messages import EntryReport, RoomsReport
+from hornbeamreach.link.messages import EntryReport, FreeCapacityReport
 from hornbeamreach.tables.deltas import Delta, apply_delta, difference
 from hornbeamreach.tables.sessions import Session
 
@@ -33,14 +33,19 @@
     }
 
 
-def build_rooms(session: Session, known_number: int, rooms: dict[str, int]) -> RoomsReport:
-    """Return what a process lacks of the rooms, or all if it has not got the last report."""
-    since = known_number if known_number == session.rooms_number else 0
-    delta = difference(session.rooms_sent if since else {}, rooms)
+def build_free_capacity(
+    session: Session, known_number: int, free_capacity: dict[str, int]
+) -> FreeCapacityReport:
+    """Return the changes since what a process has, or all if that is not known."""
+    since = known_number if known_number == session.free_capacity_number else 0
+    delta = difference(session.free_capacity_sent if since else {}, free_capacity)
     if since and not delta.changed and not delta.removed:
-        return RoomsReport(number=since, since=since)
-    session.rooms_number += 1
-    session.rooms_sent = dict(rooms)
-    return RoomsReport(
-        number=session.rooms_number, since=since, rooms=delta.changed, removed=delta.removed
+        return FreeCapacityReport(number=since, since=since)
+    session.free_capacity_number += 1
+    session.free_capacity_sent = dict(free_capacity)
+    return FreeCapacityReport(
+        number=session.free_capacity_number,
+        since=since,
+        free_capacity=delta.changed,
+        removed=delta.removed,
     )
--- a/src/hornbeamreach/entry/calls.py
+++ b/src/hornbeamreach/entry/calls.py
@@ -27,7 +27,7 @@
     second_endpoint,
 )
 from hornbeamreach.systems.endpoint_health import record_failure, record_success
-from hornbeamreach.systems.patience import learn_latency, patience_ms
+from hornbeamreach.systems.hedging import hedge_delay_ms, learn_latency
 from hornbeamreach.systems.retries import (
     FailedAttempt,
     backoff_ms,
@@ -269,7 +269,7 @@
     ) -> None:
         """Let others avoid an endpoint that stays silent, and hedge an idempotent call."""
         left_ms = max(1, call.deadline_ms - self.clock.now_ms())
-        await trio.sleep(seconds(patience_ms(self.tables, call.service, left_ms)))
+        await trio.sleep(seconds(hedge_delay_ms(self.tables, call.service, left_ms)))
         race.attempts[0].mark_overdue()
         if call.idempotent:
             await self._hedge(nursery, race, call, request)
--- a/src/hornbeamreach/entry/endpoints.py
+++ b/src/hornbeamreach/entry/endpoints.py
@@ -18,76 +18,78 @@
 
 def parse_announcement(plain: dict[str, Any], state: ControlState, dc: str) -> Announcement:
     """Check an announcement against the declared table."""
-    said = structure(plain, Announcement, error=InvalidInputError)
-    validators.name(None, None, said.endpoint)
-    validators.address(None, None, said.address)
-    validators.in_range(1, MAX_SLOTS)(None, None, said.slots)
-    validators.in_range(1, MAX_SLOTS)(None, None, said.connections)
-    service = state.table.services.get(said.service)
+    announcement = structure(plain, Announcement, error=InvalidInputError)
+    validators.name(None, None, announcement.endpoint)
+    validators.address(None, None, announcement.address)
+    validators.in_range(1, MAX_SLOTS)(None, None, announcement.slots)
+    validators.in_range(1, MAX_SLOTS)(None, None, announcement.connections)
+    service = state.table.services.get(announcement.service)
     if service is None:
-        raise RefusedError(Reason.UNKNOWN_SERVICE, f"no service {said.service!r} is declared")
-    vm = state.table.vms.get(said.vm)
+        raise RefusedError(
+            Reason.UNKNOWN_SERVICE, f"no service {announcement.service!r} is declared"
+        )
+    vm = state.table.vms.get(announcement.vm)
     if vm is None or vm.data_center != dc:
-        raise RefusedError(Reason.UNKNOWN_ROW, f"no VM {said.vm!r} is declared in {dc}")
-    return said
+        raise RefusedError(Reason.UNKNOWN_ROW, f"no VM {announcement.vm!r} is declared in {dc}")
+    return announcement
 
 
-def take_announcement(tables: CallTables, said: Announcement, heard_ms: int) -> bool:
+def take_announcement(tables: CallTables, announcement: Announcement, heard_ms: int) -> bool:
     """Take an announcement heard here or by a peer; return whether it is new."""
-    row = tables.endpoints.get(said.endpoint)
+    row = tables.endpoints.get(announcement.endpoint)
     if row is None:
-        tables.endpoints[said.endpoint] = _new_row(said, heard_ms)
+        tables.endpoints[announcement.endpoint] = _new_row(announcement, heard_ms)
         return True
-    if row.instance == said.instance:
-        if said.sequence <= row.sequence:
+    if row.instance == announcement.instance:
+        if announcement.sequence <= row.sequence:
             return False
     elif heard_ms < row.heard_ms:
         return False
     else:
-        _restart(row, said)
-    row.sequence = said.sequence
+        _restart(row, announcement)
+    row.sequence = announcement.sequence
     row.heard_ms = max(row.heard_ms, heard_ms)
-    row.slots, row.connections = said.slots, said.connections
-    row.leaving = said.leaving
+    row.slots, row.connections = announcement.slots, announcement.connections
+    row.leaving = announcement.leaving
     return True
 
 
-def _new_row(said: Announcement, heard_ms: int) -> EndpointRow:
+def _new_row(announcement: Announcement, heard_ms: int) -> EndpointRow:
     return EndpointRow(
-        id=said.endpoint,
-        service=said.service,
-        address=said.address,
-        vm=said.vm,
-        slots=said.slots,
-        connections=said.connections,
-        instance=said.instance,
-        sequence=said.sequence,
+        id=announcement.endpoint,
+        service=announcement.service,
+        address=announcement.address,
+        vm=announcement.vm,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        instance=announcement.instance,
+        sequence=announcement.sequence,
         heard_ms=heard_ms,
-        leaving=said.leaving,
+        leaving=announcement.leaving,
     )
 
 
-def _restart(row: EndpointRow, said: Announcement) -> None:
+def _restart(row: EndpointRow, announcement: Announcement) -> None:
     """Forget what was learnt of an endpoint's earlier instance."""
-    row.instance = said.instance
-    row.service, row.address, row.vm = said.service, said.address, said.vm
+    row.instance = announcement.instance
+    row.service, row.address, row.vm = announcement.service, announcement.address, announcement.vm
     row.latency_ms, row.failures_in_row = 0.0, 0
     row.health, row.ejections = EndpointHealth.HEALTHY, 0
 
 
-def hear_announcement(tables: CallTables, said: Announcement, now_ms: int) -> bool:
+def hear_announcement(tables: CallTables, announcement: Announcement, now_ms: int) -> bool:
     """Take an announcement that came here, so that the peers are told of it."""
-    taken = take_announcement(tables, said, now_ms)
+    taken = take_announcement(tables, announcement, now_ms)
     if taken:
-        row = tables.endpoints[said.endpoint]
-        row.announced_here, row.announced_here_ms = said, now_ms
+        row = tables.endpoints[announcement.endpoint]
+        row.announced_here, row.announced_here_ms = announcement, now_ms
     return taken
 
 
 def endpoint_news(tables: CallTables, since_ms: int, now_ms: int) -> list[EndpointNews]:
     """Return the announcements that came here since a peer was told."""
     return [
-        EndpointNews(said=row.announced_here, age_ms=now_ms - row.announced_here_ms)
+        EndpointNews(announcement=row.announced_here, age_ms=now_ms - row.announced_here_ms)
         for row in tables.endpoints.values()
         if row.announced_here is not None and row.announced_here_ms >= since_ms
     ]
@@ -96,4 +98,4 @@
 def take_news(tables: CallTables, news: list[EndpointNews], now_ms: int) -> None:
     """Take the announcements that a peer has heard."""
     for item in news:
-        take_announcement(tables, item.said, now_ms - item.age_ms)
+        take_announcement(tables, item.announcement, now_ms - item.age_ms)
--- a/src/hornbeamreach/entry/feed.py
+++ b/src/hornbeamreach/entry/feed.py
@@ -8,7 +8,7 @@
 
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.entry.authority import Authority
-from hornbeamreach.entry.reports import ReportContent, ReportSender, RoomsReceiver
+from hornbeamreach.entry.reports import FreeCapacityReceiver, ReportContent, ReportSender
 from hornbeamreach.entry.view import ControlView
 from hornbeamreach.exceptions import LinkError, NotLeaderError, RefusedError
 from hornbeamreach.link.interface import Link
@@ -67,7 +67,7 @@
         self.pool_loads: Callable[[], dict[str, PoolLoad]] = dict
         self.reported_wanted: dict[str, int] = {}
         self.reports = ReportSender()
-        self.rooms = RoomsReceiver()
+        self.free_capacity = FreeCapacityReceiver()
 
     async def run(self) -> None:
         """Renew again and again until cancelled."""
@@ -110,7 +110,7 @@
                     pool_loads=self.pool_loads(),
                 )
             ),
-            rooms_number=self.rooms.number,
+            free_capacity_number=self.free_capacity.number,
             busy_vms=self.busy_vms(),
             idle_vms=self.idle_vms(),
         )
@@ -118,7 +118,7 @@
     def _take(self, reply: RenewReply, sent_ms: int) -> None:
         self.view.take(reply.items, reply.state)
         self.reports.acknowledge(reply.report_number)
-        self.rooms.take(reply.rooms)
+        self.free_capacity.take(reply.free_capacity)
         self.update_permits()
         if self.view.index() >= reply.committed_index:
             # The session lets this process act, so it must not begin on an older state.
--- a/src/hornbeamreach/entry/forwarding.py
+++ b/src/hornbeamreach/entry/forwarding.py
@@ -61,7 +61,7 @@
         self.remote = remote
         self.view = view
         self.feed = feed
-        self.seen_rooms: object = None
+        self.seen_free_capacity: object = None
         # By pool and data centre, what was sent there since the figures were made.
         self.sent_millis: dict[str, dict[str, int]] = {}
         self.calls = calls
@@ -133,12 +133,12 @@
         queue = self.view.state.table.queues.get(message.queue)
         if queue is None:
             return self.data_center
-        rooms = self.feed.rooms.rooms
-        if rooms is not self.seen_rooms:
-            self.seen_rooms, self.sent_millis = rooms, {}
+        free_capacity = self.feed.free_capacity.by_place
+        if free_capacity is not self.seen_free_capacity:
+            self.seen_free_capacity, self.sent_millis = free_capacity, {}
         sent = self.sent_millis.setdefault(queue.pool, {})
         chosen = choose_data_center(
-            self.data_center, queue.pool, message.spec, rooms, sent, self.rng
+            self.data_center, queue.pool, message.spec, free_capacity, sent, self.rng
         )
         sent[chosen] = sent.get(chosen, 0) + message.spec.cpu_millis
         return chosen
--- a/src/hornbeamreach/entry/http_api.py
+++ b/src/hornbeamreach/entry/http_api.py
@@ -257,10 +257,10 @@
         plain = await read_json(request, MAX_ANNOUNCEMENT_BYTES)
         state, data_center = self.node.view.state, self.settings.process.data_center
         try:
-            said = parse_announcement(plain, state, data_center)
+            announcement = parse_announcement(plain, state, data_center)
         except ValueError as exc:
             raise RefusedError(Reason.MALFORMED, str(exc)) from None
-        if hear_announcement(self.node.call_tables, said, self.clock.now_ms()):
+        if hear_announcement(self.node.call_tables, announcement, self.clock.now_ms()):
             self.node.peers.refresh_credits()
             self.node.calls.wake()
         return json_response({"taken": True})
--- a/src/hornbeamreach/entry/job_steps.py
+++ b/src/hornbeamreach/entry/job_steps.py
@@ -14,7 +14,7 @@
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.interface import TaskReport
-from hornbeamreach.systems.blame import (
+from hornbeamreach.systems.failure_attribution import (
     healthy_workers_failed,
     record_task_failure,
     record_task_success,
--- a/src/hornbeamreach/entry/reports.py
+++ b/src/hornbeamreach/entry/reports.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.link.messages import EntryReport, RoomsReport
+from hornbeamreach.link.messages import EntryReport, FreeCapacityReport
 from hornbeamreach.tables.deltas import Delta, apply_delta, difference
 from hornbeamreach.tables.reports import PoolLoad, TeamUse, VmReport
 
@@ -60,19 +60,22 @@
 
 
 @define(kw_only=True)
-class RoomsReceiver:
-    """Hold what room the pools of every data centre have."""
+class FreeCapacityReceiver:
+    """Hold the free capacity of the pools of every data centre."""
 
     number: int = 0
-    rooms: dict[str, int] = field(factory=dict)
+    # "data centre/pool" -> free capacity
+    by_place: dict[str, int] = field(factory=dict)
 
-    def take(self, report: RoomsReport) -> None:
+    def take(self, report: FreeCapacityReport) -> None:
         """Take changes that count from what is known, or everything."""
         if report.since and report.since != self.number:
             self.number = 0
             return
         if report.since and report.number == report.since:
             return
-        base = self.rooms if report.since else {}
-        self.rooms = apply_delta(base, Delta(changed=report.rooms, removed=report.removed))
+        base = self.by_place if report.since else {}
+        self.by_place = apply_delta(
+            base, Delta(changed=report.free_capacity, removed=report.removed)
+        )
         self.number = report.number
--- a/src/hornbeamreach/link/messages.py
+++ b/src/hornbeamreach/link/messages.py
@@ -34,13 +34,13 @@
 
 
 @define(frozen=True, kw_only=True)
-class RoomsReport:
-    """Tell what room the pools have, as changes since what the entry process has."""
+class FreeCapacityReport:
+    """Tell the pools' free capacity, as changes since what the entry process has."""
 
     number: int = 1
     since: int = 0
     # "data centre/pool" -> idle processors less waiting work, in 1/1000 core
-    rooms: dict[str, int] = field(factory=dict)
+    free_capacity: dict[str, int] = field(factory=dict)
     removed: list[str] = field(factory=list)
 
 
@@ -60,8 +60,8 @@
     applied_index: int
     hold_ms: int
     report: EntryReport = EntryReport()
-    # Number of the rooms report that the process has.
-    rooms_number: int = 0
+    # Number of the free-capacity report that the process has.
+    free_capacity_number: int = 0
     # Calls in flight and tasks on VMs that are being drained.
     busy_vms: dict[str, int] = field(factory=dict)
     # Draining VMs on which, as the scheduling process knows, no task is left.
@@ -81,7 +81,7 @@
     # Number of the report that control has now; a process whose report was not taken
     # sends all of it again.
     report_number: int = 0
-    rooms: RoomsReport = RoomsReport()
+    free_capacity: FreeCapacityReport = FreeCapacityReport()
 
 
 @wire_type("use_report")
@@ -130,7 +130,7 @@
 class EndpointNews:
     """Carry an endpoint's announcement from the process that heard it."""
 
-    said: Announcement
+    announcement: Announcement
     age_ms: int
 
 
--- a/src/hornbeamreach/systems/patience.py
+++ b/src/hornbeamreach/systems/hedging.py
@@ -4,7 +4,7 @@
 
 from hornbeamreach.tables.calls import CallTables
 
-MIN_PATIENCE_MS = 1_000
+MIN_HEDGE_DELAY_MS = 1_000
 # The slowest recent answer may be beaten by this factor before silence is suspected.
 SLOWEST_FACTOR = 3
 # Without any answer to learn from, this part of the time left is waited.
@@ -18,11 +18,11 @@
     tables.slowest_ms[service] = max(latency_ms, decayed)
 
 
-def patience_ms(tables: CallTables, service: str, left_ms: int) -> int:
+def hedge_delay_ms(tables: CallTables, service: str, left_ms: int) -> int:
     """Return how long an endpoint may be silent before another one is tried."""
     slowest_ms = tables.slowest_ms.get(service)
     if slowest_ms is None:
         wait_ms = left_ms // UNKNOWN_DIVISOR
     else:
         wait_ms = round(slowest_ms * SLOWEST_FACTOR)
-    return min(left_ms, max(MIN_PATIENCE_MS, wait_ms))
+    return min(left_ms, max(MIN_HEDGE_DELAY_MS, wait_ms))
--- a/src/hornbeamreach/systems/moves.py
+++ b/src/hornbeamreach/systems/moves.py
@@ -17,7 +17,7 @@
 IDLE_PAYBACK_MS = 20_000
 # A pool with less than this part of its capacity in use has a VM to give back.
 IDLE_PART = 0.5
-# What was felt of a lack or of idleness fades when it turns into its opposite.
+# An imbalance fades when it turns into its opposite.
 FADE_DIVISOR = 2
 
 
@@ -39,7 +39,7 @@
 
 
 @define(kw_only=True)
-class Feeling:
+class Imbalance:
     """Hold how long and how much a place has lacked or idled, in VM milliseconds."""
 
     lack_ms: float = 0.0
@@ -50,7 +50,7 @@
 class MoverTable:
     """Hold what the mover remembers between its ticks."""
 
-    feelings: dict[Place, Feeling] = field(factory=dict)
+    imbalances: dict[Place, Imbalance] = field(factory=dict)
     ticked_ms: int | None = None
 
 
@@ -101,29 +101,29 @@
         pool = state.table.pools.get(place.pool)
         if pool is None:
             continue
-        feeling = table.feelings.setdefault(place, Feeling())
-        _feel(feeling, load, elapsed_ms)
-        if feeling.lack_ms >= pool.move_cost * LACK_PAYBACK_MS:
+        imbalance = table.imbalances.setdefault(place, Imbalance())
+        _accumulate(imbalance, load, elapsed_ms)
+        if imbalance.lack_ms >= pool.move_cost * LACK_PAYBACK_MS:
             lacking[place] = _lacking_vms(load)
-        if feeling.idle_ms * pool.buffer_cost >= pool.move_cost * IDLE_PAYBACK_MS:
+        if imbalance.idle_ms * pool.buffer_cost >= pool.move_cost * IDLE_PAYBACK_MS:
             idle.add(place)
     moves = _lend(state, lacking, down) + _give_back(state, idle)
     for move in moves:
         place = Place(move.pool, state.table.vms[move.vm].data_center)
-        table.feelings.pop(place, None)
+        table.imbalances.pop(place, None)
         source = Place(state.pool_of(move.vm), place.data_center)
-        table.feelings.pop(source, None)
+        table.imbalances.pop(source, None)
     return moves
 
 
-def _feel(feeling: Feeling, load: PoolLoad, elapsed_ms: int) -> None:
+def _accumulate(imbalance: Imbalance, load: PoolLoad, elapsed_ms: int) -> None:
     lack, idle = _lacking_vms(load), _idle_vms(load)
     if lack:
-        feeling.lack_ms += lack * elapsed_ms
-        feeling.idle_ms /= FADE_DIVISOR
+        imbalance.lack_ms += lack * elapsed_ms
+        imbalance.idle_ms /= FADE_DIVISOR
     elif idle:
-        feeling.idle_ms += idle * elapsed_ms
-        feeling.lack_ms /= FADE_DIVISOR
+        imbalance.idle_ms += idle * elapsed_ms
+        imbalance.lack_ms /= FADE_DIVISOR
 
 
 def _lacking_vms(load: PoolLoad) -> int:
--- a/src/hornbeamreach/systems/schedule.py
+++ b/src/hornbeamreach/systems/schedule.py
@@ -19,12 +19,12 @@
     TeamUsage,
     candidates_of,
     pool_usage,
-    settle_debts,
+    settle_deficits,
 )
 from hornbeamreach.systems.sizing import SizeTable, estimate, expected_run_ms
 from hornbeamreach.tables.control_state import ControlState, VmPhase
 from hornbeamreach.tables.jobs import (
-    WAITS_FOR_ROOM,
+    WAITS_FOR_CAPACITY,
     JobRow,
     JobState,
     JobTables,
@@ -102,7 +102,7 @@
     actions += lose_silent_tasks(tables, context.now_ms)
     actions += stop_overload(tables)
     actions += drain_workers(tables, context)
-    settle_debts(tables, context.state, context.now_ms)
+    settle_deficits(tables, context.state, context.now_ms)
     actions += start_jobs(tables, permits, context)
     actions += preempt(tables, context)
     return actions
@@ -209,7 +209,7 @@
     actions: list[JobAction] = []
     for pool in sorted({row.pool for row in context.state.table.queues.values()}):
         candidates = candidates_of(tables, context.state, pool, context.now_ms, set())
-        waiting = [c.job for c in candidates if c.job.waits_for.startswith(WAITS_FOR_ROOM)]
+        waiting = [c.job for c in candidates if c.job.waits_for.startswith(WAITS_FOR_CAPACITY)]
         for job in victims(tables, context.state, pool, waiting, context.now_ms):
             actions.append(_stop(job, checkpoint=True, reason=Reason.PREEMPTED))
     return actions
@@ -281,7 +281,7 @@
     workers = fitting_workers(tables, pool, amount, job, context.now_ms, held)
     if not workers:
         hold_worker(tables, pool, amount, context.now_ms, held)
-        job.waits_for = f"{WAITS_FOR_ROOM} on a worker of pool {pool}"
+        job.waits_for = f"{WAITS_FOR_CAPACITY} on a worker of pool {pool}"
         return None
     if not permits.acquire(job.team):
         job.waits_for = f"a permit of team {job.team}"
--- a/src/hornbeamreach/systems/shares.py
+++ b/src/hornbeamreach/systems/shares.py
@@ -13,10 +13,10 @@
 
 # A deferrable job that has waited this long goes among the urgent ones.
 DEFERRABLE_AGE_MS = 60_000
-# A debt counts as if it were paid back over this time, and never exceeds twice that of the
+# A deficit counts as if it were paid back over this time, and never exceeds twice that of the
 # team's whole share, so that a team that was short for long does not push out the others.
-DEBT_MS = 2_000
-MAX_DEBT_FACTOR = 2.0
+DEFICIT_WINDOW_MS = 2_000
+MAX_DEFICIT_FACTOR = 2.0
 
 
 @define(kw_only=True)
@@ -25,20 +25,20 @@
 
     total: Resources
     by_team: dict[str, Resources] = field(factory=dict)
-    # Share milliseconds that each team is owed from the past.
-    owed: dict[str, float] = field(factory=dict)
+    # Share milliseconds that each team had less than its entitlement.
+    deficits: dict[str, float] = field(factory=dict)
 
     def dominant_share(self, team: str) -> float:
         """Return the largest part of the pool that a team has reserved."""
         return self.by_team.get(team, NOTHING).dominant_part(self.total)
 
     def balanced_share(self, team: str) -> float:
-        """Return a team's present share, less what it is owed from the past.
+        """Return a team's present share, less its deficit.
 
         Tasks are few and large beside a share, so that no present share is exact; over
-        time the debts make it so.
+        time the deficits make it so.
         """
-        return self.dominant_share(team) - self.owed.get(team, 0.0) / DEBT_MS
+        return self.dominant_share(team) - self.deficits.get(team, 0.0) / DEFICIT_WINDOW_MS
 
     def add(self, team: str, amount: Resources) -> None:
         """Count resources that a team takes."""
@@ -51,8 +51,8 @@
     for worker in tables.workers.values():
         if worker.pool == pool:
             total = total.plus(worker.capacity)
-    owed = {team: debt for (name, team), debt in tables.owed.items() if name == pool}
-    usage = TeamUsage(total=total, owed=owed)
+    deficits = {team: deficit for (name, team), deficit in tables.deficits.items() if name == pool}
+    usage = TeamUsage(total=total, deficits=deficits)
     for job in tables.started.values():
         worker = tables.workers.get(job.worker)
         if worker is not None and worker.pool == pool:
@@ -131,10 +131,10 @@
     return {team: rows[team].weight / total for team in known}
 
 
-def settle_debts(tables: JobTables, state: ControlState, now_ms: int) -> None:
+def settle_deficits(tables: JobTables, state: ControlState, now_ms: int) -> None:
     """Count what each team had beside what it was entitled to since the last tick."""
-    since_ms = tables.owed_until_ms if tables.owed_until_ms is not None else now_ms
-    tables.owed_until_ms = now_ms
+    since_ms = tables.deficits_settled_ms if tables.deficits_settled_ms is not None else now_ms
+    tables.deficits_settled_ms = now_ms
     elapsed_ms = now_ms - since_ms
     for pool in sorted({row.pool for row in state.table.queues.values()}):
         _settle_pool(tables, state, pool, elapsed_ms)
@@ -150,17 +150,17 @@
     }
     usage = pool_usage(tables, pool)
     parts = entitled_parts(state, waiting | set(usage.by_team))
-    for key in [key for key in tables.owed if key[0] == pool and key[1] not in parts]:
-        del tables.owed[key]
+    for key in [key for key in tables.deficits if key[0] == pool and key[1] not in parts]:
+        del tables.deficits[key]
     if not waiting:
-        # Nobody was short of anything, so nobody is owed anything.
+        # Nobody was short of anything, so nobody has a deficit.
         for team in parts:
-            tables.owed.pop((pool, team), None)
+            tables.deficits.pop((pool, team), None)
         return
     for team, part in parts.items():
-        debt = tables.owed.get((pool, team), 0.0)
-        debt += (part - usage.dominant_share(team)) * elapsed_ms
-        most = part * DEBT_MS * MAX_DEBT_FACTOR
+        deficit = tables.deficits.get((pool, team), 0.0)
+        deficit += (part - usage.dominant_share(team)) * elapsed_ms
+        most = part * DEFICIT_WINDOW_MS * MAX_DEFICIT_FACTOR
         # A team without waiting jobs took all that it wanted.
         highest = most if team in waiting else 0.0
-        tables.owed[(pool, team)] = max(-most, min(highest, debt))
+        tables.deficits[(pool, team)] = max(-most, min(highest, deficit))
--- a/src/hornbeamreach/systems/spill.py
+++ b/src/hornbeamreach/systems/spill.py
@@ -10,7 +10,7 @@
 STEPS_PER_VM = 4
 
 
-def room(load: PoolLoad) -> int:
+def free_capacity(load: PoolLoad) -> int:
     """Return idle processors less waiting work, rounded down to a part of a VM."""
     free = load.capacity_cpu_millis - load.used_cpu_millis - load.waiting_cpu_millis
     step = max(1, load.vm_cpu_millis // STEPS_PER_VM)
@@ -21,7 +21,7 @@
     here: str,
     pool: str,
     spec: JobSpec,
-    rooms: dict[str, int],
+    free_capacity: dict[str, int],
     sent_millis: dict[str, int],
     rng: random.Random,
 ) -> str:
@@ -32,11 +32,11 @@
     decides for itself on the same figures. `sent_millis` is what this process has sent to
     each data centre since the figures were made.
     """
-    own = rooms.get(f"{here}/{pool}")
+    own = free_capacity.get(f"{here}/{pool}")
     if own is None or own - sent_millis.get(here, 0) >= spec.cpu_millis:
         return here
     found: dict[str, int] = {}
-    for path, idle in sorted(rooms.items()):
+    for path, idle in sorted(free_capacity.items()):
         data_center, _, name = path.partition("/")
         left = idle - sent_millis.get(data_center, 0)
         if name == pool and data_center != here and left >= spec.cpu_millis:
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -23,7 +23,7 @@
 
 
 # How a job says that it waits for capacity, and not for a permit.
-WAITS_FOR_ROOM = "room"
+WAITS_FOR_CAPACITY = "capacity"
 FINAL_JOB_STATES = frozenset(
     {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.QUARANTINED}
 )
@@ -148,9 +148,9 @@
     workers: dict[str, WorkerRow] = field(factory=dict)
     # queue -> team -> ids of the jobs that wait, oldest first
     waiting: dict[str, dict[str, deque[str]]] = field(factory=dict)
-    # (pool, team) -> share milliseconds that the team is owed beside what it had
-    owed: dict[tuple[str, str], float] = field(factory=dict)
-    owed_until_ms: int | None = None
+    # (pool, team) -> share milliseconds that the team had less than its entitlement
+    deficits: dict[tuple[str, str], float] = field(factory=dict)
+    deficits_settled_ms: int | None = None
 
     def enqueue(self, job: JobRow, *, first: bool = False) -> None:
         """Let a job wait in its queue."""
--- a/src/hornbeamreach/tables/sessions.py
+++ b/src/hornbeamreach/tables/sessions.py
@@ -38,9 +38,9 @@
     pool_loads: dict[str, PoolLoad] = field(factory=dict)
     reported_ms: int = -1
     report_number: int = 0
-    # The rooms that the process has, as far as its latest renewal told.
-    rooms_number: int = 0
-    rooms_sent: dict[str, int] = field(factory=dict)
+    # The free_capacity that the process has, as far as its latest renewal told.
+    free_capacity_number: int = 0
+    free_capacity_sent: dict[str, int] = field(factory=dict)
 
     def acknowledge(self, index: int, now_ms: int) -> None:
         """Record that the process has applied an index."""
@@ -72,9 +72,9 @@
     def get(self, holder: HolderKey) -> Session:
         """Return a holder's session; an unheard one counts from the leader's start."""
         if holder not in self.sessions:
-            # Numbers of rooms reports begin anew with each term, and never coincide.
+            # Numbers of free_capacity reports begin anew with each term, and never coincide.
             first_number = self.term * NUMBERS_PER_TERM
             self.sessions[holder] = Session(
-                renewed_ms=self.leader_since_ms, rooms_number=first_number
+                renewed_ms=self.leader_since_ms, free_capacity_number=first_number
             )
         return self.sessions[holder]
--- a/src/hornbeamreach/web/client.py
+++ b/src/hornbeamreach/web/client.py
@@ -96,7 +96,7 @@
         self.pool = httpcore.ConnectionPool()
 
     def send(self, method: str, path: str, body: dict[str, Any] | None = None) -> Any:
-        """Send a request, or raise RefusedError with what control said."""
+        """Send a request, or raise RefusedError with what control announcement."""
         refusal = RefusedError(Reason.NO_LEADER, "no control replica can be reached")
         for address in self.addresses:
             try:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -540,7 +540,7 @@
         for address, endpoint in self.endpoints_by_address.items():
             endpoint.sequence += 1
             row = self.declared.vms[endpoint.vm]
-            said = Announcement(
+            announcement = Announcement(
                 endpoint=endpoint.id,
                 service=endpoint.service,
                 address=address,
@@ -553,7 +553,7 @@
             )
             for node in self.entries_of(row.data_center):
                 if node.settings.process.link_address in self.network.handlers:
-                    take_announcement(node.call_tables, said, self.clock.now_ms())
+                    take_announcement(node.call_tables, announcement, self.clock.now_ms())
 
     # Callers
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamreach.control.reports import build_rooms, take_report
-from hornbeamreach.entry.reports import ReportContent, ReportSender, RoomsReceiver
+from hornbeamreach.control.reports import build_free_capacity, take_report
+from hornbeamreach.entry.reports import FreeCapacityReceiver, ReportContent, ReportSender
 from hornbeamreach.tables.reports import TeamUse, VmReport
 from hornbeamreach.tables.sessions import Session
 
@@ -57,7 +57,7 @@
 class TestRooms:
     @given(TABLES, FATES)
     def test_an_entry_knows_the_last_rooms_after_two_exchanges_that_work(self, tables, fates):
-        receiver, session = RoomsReceiver(), Session(renewed_ms=0)
+        receiver, session = FreeCapacityReceiver(), Session(renewed_ms=0)
         flat = {}
         steps = list(zip(tables, fates, strict=False)) + [(tables[-1], "works")] * 2
         for table, fate in steps:
@@ -65,8 +65,10 @@
             if fate == "request":
                 continue
             if fate.startswith("leader"):
-                session = Session(renewed_ms=0, rooms_number=session.rooms_number + 2**32)
-            report = build_rooms(session, receiver.number, flat)
+                session = Session(
+                    renewed_ms=0, free_capacity_number=session.free_capacity_number + 2**32
+                )
+            report = build_free_capacity(session, receiver.number, flat)
             if not fate.endswith("reply"):
                 receiver.take(report)
-        assert receiver.rooms == flat
+        assert receiver.by_place == flat
