--- a/src/hornbeamreach/cli/main.py
+++ b/src/hornbeamreach/cli/main.py
@@ -360,7 +360,7 @@
 def main() -> None:
     """Run the program."""
     try:
-        fire.Fire(Commands, name="hornbeamreach")
+        fire.Fire(Commands(), name="hornbeamreach")
     except HornbeamreachError as exc:
         fail(exc)
     except httpcore.ConnectError as exc:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -111,3 +111,11 @@
 
     def test_every_kind_of_settings_is_checked(self):
         assert set(SETTINGS_CLASSES) == {"control", "entry"}
+
+
+class TestHelp:
+    def test_help_lists_every_group_and_command(self):
+        shown = run_program("hornbeamreach", "--help")
+        text = shown.stdout + shown.stderr
+        for name in ("table", "key", "vm", "settings", "status", "explain", "member", "demo"):
+            assert f"\n     {name}\n" in text, text
