--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -214,7 +214,7 @@
 
 
 def measure_free_capacity(workers: int) -> dict[str, float]:
-    """Measure what the leader tells one process of 5 % changed free_capacity in 8 data centres."""
+    """Measure a reply with 5 % of the free capacities of 8 data centres changed."""
     pools = TARGET["pools"] * workers // TARGET["workers"]
     free_capacity = {f"dc{d}/pool-{n:03d}": 4_000 * d for d in range(1, 9) for n in range(pools)}
     session = Session(renewed_ms=0)
@@ -235,8 +235,8 @@
 
 
 def measure_heartbeat(endpoints: int) -> dict[str, float]:
-    """Measure a heartbeat that tells of announcements, and the busiest second's bytes."""
-    announcement = [
+    """Measure a heartbeat that tells of announcements."""
+    news = [
         EndpointNews(
             announcement=Announcement(
                 endpoint=f"quotes-{n}",
@@ -253,7 +253,7 @@
         for n in range(endpoints)
     ]
     beat = PeerHeartbeat(
-        entry_id="dc1-e1", incarnation="0123456789abcdef", applied_index=1, endpoints=announcement
+        entry_id="dc1-e1", incarnation="0123456789abcdef", applied_index=1, endpoints=news
     )
     return {"heartbeat_bytes": len(encode(beat))}
 
--- a/src/hornbeamreach/demo/scenario.py
+++ b/src/hornbeamreach/demo/scenario.py
@@ -381,7 +381,7 @@
                 nursery.start_soon(self._checked_call, service, number)
         got = len(minion.executions) - before
         self.ledger.check(LEAVING, got == 0, f"{minion.endpoint} got {got} calls")
-        self.say(f"{minion.endpoint} announcement that it leaves and got {got} of 60 calls")
+        self.say(f"{minion.endpoint} announced that it leaves and got {got} of 60 calls")
 
     async def shut_entry_down(self) -> None:
         """Shut an entry VM down with calls in flight; every one must be answered."""
--- a/src/hornbeamreach/tables/sessions.py
+++ b/src/hornbeamreach/tables/sessions.py
@@ -38,7 +38,7 @@
     pool_loads: dict[str, PoolLoad] = field(factory=dict)
     reported_ms: int = -1
     report_number: int = 0
-    # The free_capacity that the process has, as far as its latest renewal told.
+    # The free capacity that the process knows, as far as its latest renewal told.
     free_capacity_number: int = 0
     free_capacity_sent: dict[str, int] = field(factory=dict)
 
@@ -72,7 +72,7 @@
     def get(self, holder: HolderKey) -> Session:
         """Return a holder's session; an unheard one counts from the leader's start."""
         if holder not in self.sessions:
-            # Numbers of free_capacity reports begin anew with each term, and never coincide.
+            # Numbers of free-capacity reports begin anew with each term, and never coincide.
             first_number = self.term * NUMBERS_PER_TERM
             self.sessions[holder] = Session(
                 renewed_ms=self.leader_since_ms, free_capacity_number=first_number
