Count VMs as down once their platform has been silent for 5 s

Cause: when a platform stopped answering, its last report stood for good: its VMs went on to count as up, and budgets were given to other VMs of their pools; a warning was logged each 300 ms besides.

Change: after 5 s without a report its VMs count as down, and get no tasks; the log says once that the platform is silent and once that it answers again.

Conclusion: what nobody reports spends the budget in every path now.

--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -55,6 +55,7 @@
 SCHEDULE_TICK_MS = 100
 IDLE_TICK_MS = 1_000
 REPORT_INTERVAL_MS = 300
+REPORT_STALE_MS = 5_000
 LEASE_RENEW_MS = 2_000
 RENEW_WHILE_HEARD_MS = 4_000
 LEASE_MARGIN_MS = 1_000
@@ -107,6 +108,8 @@
         self.announced: deque[WakeScheduler] = deque()
         self.scan_done = trio.Event()
         self.stopping = False
+        self.platform_fault = ""
+        self.reported_ms = clock.now_ms()
         self.work = trio.Event()
         # When to give back the permits of earlier terms' tasks, the earliest first.
         self.held_permits: deque[tuple[int, str]] = deque()
@@ -346,10 +349,31 @@
                 await self._take_report(await self.platform.report(), asked_ms)
             except PlatformError as exc:
                 self.metrics.event("platform_report_failed")
-                log.warning("{}", exc)
+                self._log_platform(str(exc))
+                self._forget_old_report()
+            else:
+                self.reported_ms = asked_ms
+                self._log_platform("")
             await self._ask_reboots()
             await trio.sleep(seconds(REPORT_INTERVAL_MS))
 
+    def _forget_old_report(self) -> None:
+        """Count VMs as down once nobody has reported on them for a while."""
+        if self.clock.now_ms() - self.reported_ms >= REPORT_STALE_MS:
+            self.feed.vm_reports = {}
+            for worker in self.tables.workers.values():
+                worker.up = False
+
+    def _log_platform(self, fault: str) -> None:
+        """Log when the platform stops answering, and when it answers again."""
+        if bool(fault) == bool(self.platform_fault):
+            return
+        self.platform_fault = fault
+        if fault:
+            log.warning("{}", fault)
+        else:
+            log.info("the platform of {} answers again", self.data_center)
+
     async def _take_report(self, report: PlatformReport, now_ms: int) -> None:
         for vm, vm_report in report.vms.items():
             worker = self.tables.workers.get(vm)
--- a/tests/test_fleet_jobs.py
+++ b/tests/test_fleet_jobs.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from hornbeamreach.exceptions import RefusedError
+from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.link.messages import ForwardBulkCancel, ForwardJob, ForwardSubmit
 from hornbeamreach.tables.control_state import VmPhase
 from hornbeamreach.verdict import Reason, Verdict
@@ -278,6 +278,28 @@
         in_jobs(scenario)
 
 
+class TestSilentPlatform:
+    def test_vms_of_a_silent_platform_spend_the_budget(self):
+        async def scenario(fleet):
+            async def fail():
+                raise PlatformError("silent", verdict=Verdict.NOT_RUN)
+
+            fleet.platforms["dc2"].report = fail
+            await trio.sleep(8)
+            leader = await fleet.wait_leader()
+            await leader.replica.propose(fleet.reboot_order("dc1-w1", 1))
+            await trio.sleep(5)
+            assert fleet.state().vm_state("dc1-w1").phase is VmPhase.IN_SERVICE
+            del fleet.platforms["dc2"].report
+            await fleet.wait_until(
+                lambda: fleet.state().vm_state("dc1-w1").phase is not VmPhase.IN_SERVICE,
+                "it drains",
+            )
+            await trio.sleep(10)
+
+        in_jobs(scenario)
+
+
 class TestHandover:
     def scheduling_entry(self, fleet, data_center="dc1"):
         return next(
