--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -101,6 +101,8 @@
         self.heartbeat_due_ms = now_ms
         self.votes: set[str] = set()
         self.peers: dict[str, PeerProgress] = {}
+        # Replicas that get the log but have no vote yet: address by id.
+        self.learners: dict[str, str] = {}
         self.leader_since_ms = 0
         self.ready = Ready()
         self._reset_election_timer()
@@ -135,6 +137,23 @@
     def _other_members(self) -> list[str]:
         return [member for member in self.members() if member != self.node_id]
 
+    def _followers(self) -> list[str]:
+        members = self._other_members()
+        return members + [learner for learner in self.learners if learner not in members]
+
+    def address_of(self, replica: str) -> str | None:
+        """Return the address of a member or learner."""
+        return self.members().get(replica) or self.learners.get(replica)
+
+    def caught_up(self, replica: str) -> bool:
+        """Tell whether a follower of this leader has all that is committed."""
+        peer = self.peers.get(replica)
+        return peer is not None and peer.match_index >= self.commit_index
+
+    def silent_ms(self, replica: str) -> int:
+        """Return how long ago the latest answered request to a follower was sent."""
+        return self.now_ms - self._peer(replica).answered_sent_ms
+
     # Inputs
 
     def tick(self, now_ms: int) -> None:
@@ -161,7 +180,8 @@
 
     def _check_member_change(self, members: dict[str, str]) -> None:
         present = self.members()
-        if len(present.keys() ^ members.keys()) > 1:
+        changed = present.keys() ^ members.keys()
+        if len(changed) > 1 and not self._renews_identity(present, members):
             detail = "replicas are added and removed one at a time"
             raise RefusedError(Reason.CHANGE_PENDING, detail)
         in_progress = self.log.members_index() > self.commit_index
@@ -171,6 +191,18 @@
         if not members:
             raise RefusedError(Reason.INCONSISTENT_TABLE, "the last replica can't be removed")
 
+    def _renews_identity(self, present: dict[str, str], members: dict[str, str]) -> bool:
+        """Tell whether one member gives way to another at its own address.
+
+        The old identity is on no disk any more, so it votes in no quorum, and every quorum
+        of the others overlaps every quorum with the new one.
+        """
+        gone = present.keys() - members.keys()
+        new = members.keys() - present.keys()
+        if len(gone) != 1 or len(new) != 1:
+            return False
+        return present[next(iter(gone))] == members[next(iter(new))]
+
     def receive(self, message: RaftMessage, now_ms: int) -> None:
         """Take a message from another replica."""
         self.now_ms = max(self.now_ms, now_ms)
@@ -252,6 +284,7 @@
         self.election_due_ms = self.now_ms + timeout
 
     def _become_follower(self, term: int, leader: str | None) -> None:
+        self.learners = {}
         if term > self.term:
             self.term = term
             self.voted_for = None
@@ -355,7 +388,7 @@
         if self.quorum_sent_ms() + ELECTION_TIMEOUT_MAX_MS <= self.now_ms:
             self._become_follower(self.term, None)
         elif self.now_ms >= self.heartbeat_due_ms:
-            for member in self._other_members():
+            for member in self._followers():
                 peer = self._peer(member)
                 # What was in flight may be lost: begin again at what is known to match.
                 peer.in_flight_to = 0
@@ -365,7 +398,7 @@
     def _broadcast(self, *, heartbeat: bool = False) -> None:
         if heartbeat:
             self.heartbeat_due_ms = self.now_ms + HEARTBEAT_MS
-        for member in self._other_members():
+        for member in self._followers():
             self._replicate_to(member, heartbeat=heartbeat)
 
     def broadcast_heartbeat(self) -> None:
@@ -487,7 +520,7 @@
     def _on_append_reply(self, message: AppendReply) -> None:
         if self.role is not Role.LEADER or message.term != self.term:
             return
-        if message.source not in self.members():
+        if message.source not in self.members() and message.source not in self.learners:
             return
         peer = self._peer(message.source)
         peer.answered_sent_ms = max(peer.answered_sent_ms, message.sent_ms)
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -25,6 +25,7 @@
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.control.storage import RaftStorage
+from hornbeamreach.control.workload_log import WORKLOAD_COMMANDS
 from hornbeamreach.exceptions import NotLeaderError
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.link.interface import HandlerTable, Link
@@ -34,6 +35,8 @@
 log = part_logger("replica")
 
 RAFT_TICK_MS = 100
+# Decoding a command needs its class to be registered, which importing the module does.
+KNOWN_COMMANDS = WORKLOAD_COMMANDS
 RAFT_MESSAGES = (
     VoteRequest,
     VoteReply,
@@ -96,6 +99,8 @@
         self.state = decode_state(snapshot.data) if snapshot else ControlState()
         self.applied_term = snapshot.term if snapshot else 0
         self.pending: dict[int, PendingProposal] = {}
+        # Addresses that other processes told, for a replica that has no log yet.
+        self.told_addresses: dict[str, str] = {}
         self.work = trio.Event()
         self.changed = trio.Event()
         for message_class in RAFT_MESSAGES:
@@ -109,7 +114,7 @@
 
     def leader_address(self) -> str | None:
         """Return the link address of the leader, if known."""
-        return self.core.members().get(self.core.leader or "")
+        return self.address_of(self.core.leader or "")
 
     def members(self) -> dict[str, str]:
         """Return the members' addresses by id."""
@@ -132,21 +137,28 @@
         Raises NotLeaderError if it was not taken, or if its fate is unknown because
         another replica became leader; operations are resent under the same id.
         """
-        index = self.core.propose(encode(command))
-        return await self._wait_applied(index)
+        return await self.outcome_of(self.submit(command))
+
+    def submit(self, command: Command) -> PendingProposal:
+        """Append a command in the order of the calls; raise NotLeaderError if not leading."""
+        return self._track(self.core.propose(encode(command)))
+
+    async def outcome_of(self, proposal: PendingProposal) -> Outcome:
+        """Wait until a submitted command is applied; raise NotLeaderError if it may be lost."""
+        await proposal.done.wait()
+        if proposal.outcome is None:
+            raise NotLeaderError(self.leader_address())
+        return proposal.outcome
 
     async def change_members(self, members: dict[str, str]) -> None:
         """Add or remove one replica."""
-        await self._wait_applied(self.core.propose_members(members))
+        await self.outcome_of(self._track(self.core.propose_members(members)))
 
-    async def _wait_applied(self, index: int) -> Outcome:
+    def _track(self, index: int) -> PendingProposal:
         proposal = PendingProposal(term=self.core.term, done=trio.Event())
         self.pending[index] = proposal
         self._wake()
-        await proposal.done.wait()
-        if proposal.outcome is None:
-            raise NotLeaderError(self.leader_address())
-        return proposal.outcome
+        return proposal
 
     async def confirm_leadership(self) -> None:
         """Return once a majority has followed after this call, for linearizable reads."""
@@ -197,20 +209,34 @@
         await self._compact_if_due()
 
     async def _process(self, ready: Ready) -> None:
+        if ready.hard_state is None:
+            # A leader counts its own copy only once it is durable, so its peers may get the
+            # entries while it syncs.
+            ready.messages = [m for m in ready.messages if not self._send_early(m)]
         if ready.needs_sync():
             term, vote = self.core.term, self.core.voted_for
             await self.run_blocking(self.storage.save, ready, term, vote)
             self.core.made_durable(ready.entries)
         if ready.installed_snapshot is not None:
             self._install(ready.installed_snapshot)
-        addresses = self.core.members()
         for message in ready.messages:
-            address = addresses.get(message.target)
+            address = self.address_of(message.target)
             if address is not None:
                 self.link.notify(address, message)
         for entry in ready.committed:
             self._apply(entry)
 
+    def address_of(self, replica: str) -> str | None:
+        """Return a replica's link address, by the log or else by what others told."""
+        return self.core.address_of(replica) or self.told_addresses.get(replica)
+
+    def _send_early(self, message: Any) -> bool:
+        address = self.address_of(message.target)
+        if address is None or not isinstance(message, AppendRequest):
+            return False
+        self.link.notify(address, message)
+        return True
+
     def _install(self, snapshot: Snapshot) -> None:
         self.state = decode_state(snapshot.data)
         self.applied_term = snapshot.term
--- /dev/null
+++ b/src/hornbeamreach/control/workload_log.py
@@ -0,0 +1,285 @@
+"""Commands of the replicated log that accept, run and end step jobs, and their application."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define, field
+
+from hornbeamreach.control.state_machine import Outcome, appliers
+from hornbeamreach.link.codec import wire_type
+from hornbeamreach.tables.control_state import ControlState, KeyRow
+from hornbeamreach.tables.declared import DeclaredTable
+from hornbeamreach.tables.workload import (
+    RunEnd,
+    StepJob,
+    StepJobSpec,
+    StepJobState,
+    TaskEntry,
+    UpkeepWave,
+    parse_task_key,
+    step_key,
+)
+
+# Runs of a task that end so are not the task's fault and cost no attempt.
+NO_ATTEMPT = frozenset(RunEnd) - {RunEnd.DONE, RunEnd.FAILED}
+
+
+@wire_type("apply_declaration")
+@define(frozen=True, kw_only=True)
+class ApplyDeclaration:
+    """Put a whole declaration in force if its version is the highest so far."""
+
+    version: int
+    text: bytes
+    table: DeclaredTable
+    # Team by the hash of each of its keys.
+    keys: dict[str, str] = field(factory=dict)
+
+
+@wire_type("accept_job")
+@define(frozen=True, kw_only=True)
+class AcceptJob:
+    """Store a job; a job of the same id stays as it is."""
+
+    job_id: str
+    queue: str
+    pool: str
+    team: str
+    spec: StepJobSpec
+    at_ms: int
+
+
+@wire_type("cancel_job")
+@define(frozen=True, kw_only=True)
+class CancelJob:
+    """Cancel a job, or see to it that one of this id is never accepted."""
+
+    job_id: str
+    at_ms: int
+
+
+@wire_type("record_runs")
+@define(frozen=True, kw_only=True)
+class RecordRuns:
+    """Record ends of runs, then book starts.
+
+    `ends` holds (job, task key, run, end, checkpoint); `starts` holds (job, task key, run,
+    minion, born_ms). Whatever no longer fits the state is skipped.
+    """
+
+    ends: list[tuple[str, str, int, str, str]] = field(factory=list)
+    starts: list[tuple[str, str, int, str, int]] = field(factory=list)
+    at_ms: int = 0
+
+
+@wire_type("forget_jobs")
+@define(frozen=True, kw_only=True)
+class ForgetJobs:
+    """Drop ended jobs and tombstones that nobody asks for any more."""
+
+    job_ids: list[str]
+
+
+@wire_type("order_wave")
+@define(frozen=True, kw_only=True)
+class OrderWave:
+    """Accept an upkeep wave; one of the same number stays as it is."""
+
+    number: int
+    machines: list[str]
+    max_down: int
+    at_ms: int
+    due_ms: int
+
+
+@wire_type("record_upkeep")
+@define(frozen=True, kw_only=True)
+class RecordUpkeep:
+    """Record machines of a wave whose upkeep is ordered, confirmed or finished."""
+
+    number: int
+    ordered: list[str] = field(factory=list)
+    confirmed: list[str] = field(factory=list)
+    finished: list[str] = field(factory=list)
+
+
+def _accepted(state: ControlState) -> Outcome:
+    return Outcome(accepted=True, version=state.version, index=state.applied_index)
+
+
+@appliers.register("ApplyDeclaration")
+def _apply_declaration(state: ControlState, command: ApplyDeclaration) -> Outcome:
+    workload = state.workload
+    if command.version > workload.declared_version:
+        workload.declared_version = command.version
+        workload.declared_text = command.text
+        state.table = command.table
+        state.keys = {
+            key_hash: KeyRow(team=team, key_id=key_hash[:8])
+            for key_hash, team in command.keys.items()
+        }
+        state.version += 1
+    return _accepted(state)
+
+
+@appliers.register("AcceptJob")
+def _apply_accept(state: ControlState, command: AcceptJob) -> Outcome:
+    workload = state.workload
+    known = command.job_id in workload.jobs or command.job_id in workload.tombstones
+    if not known:
+        workload.jobs[command.job_id] = StepJob(
+            job_id=command.job_id,
+            queue=command.queue,
+            pool=command.pool,
+            team=command.team,
+            spec=command.spec,
+            accepted_ms=command.at_ms,
+        )
+    return _accepted(state)
+
+
+@appliers.register("CancelJob")
+def _apply_cancel(state: ControlState, command: CancelJob) -> Outcome:
+    workload = state.workload
+    job = workload.jobs.get(command.job_id)
+    if job is None:
+        workload.tombstones.setdefault(command.job_id, command.at_ms)
+    elif not job.ended:
+        _end_job(job, StepJobState.CANCELLED, command.at_ms)
+    return _accepted(state)
+
+
+def _end_job(job: StepJob, job_state: StepJobState, at_ms: int) -> None:
+    job.state = job_state
+    job.ended_ms = at_ms
+
+
+@appliers.register("RecordRuns")
+def _apply_runs(state: ControlState, command: RecordRuns) -> Outcome:
+    jobs = state.workload.jobs
+    for job_id, key, run, end, checkpoint in command.ends:
+        job = jobs.get(job_id)
+        if job is not None:
+            _end_run(state, job, key, run, RunEnd(end), checkpoint, command.at_ms)
+    for job_id, key, run, minion, born_ms in command.starts:
+        job = jobs.get(job_id)
+        if job is not None and not job.ended:
+            _book_run(job, key, run, minion, born_ms)
+    return _accepted(state)
+
+
+def _book_run(job: StepJob, key: str, run: int, minion: str, born_ms: int) -> None:
+    task = job.tasks.setdefault(key, TaskEntry())
+    task.run = max(task.run, run)
+    task.minion = minion
+    task.born_ms = born_ms
+    job.state = StepJobState.RUNNING
+
+
+def _end_run(
+    state: ControlState,
+    job: StepJob,
+    key: str,
+    run: int,
+    end: RunEnd,
+    checkpoint: str,
+    at_ms: int,
+) -> None:
+    task = job.tasks.get(key)
+    if task is None or task.run != run or not task.minion:
+        return
+    task.minion = ""
+    if checkpoint:
+        task.checkpoint = checkpoint
+    if end is RunEnd.DONE:
+        _record_done(job, key, task)
+    elif end is RunEnd.FAILED:
+        _record_failure(job, key, task)
+    if job.ended:
+        return
+    if end is RunEnd.DONE and job.all_done():
+        _end_job(job, StepJobState.COMPLETED, at_ms)
+    elif end is RunEnd.FAILED and _out_of_attempts(state, job, key, task):
+        _end_job(job, StepJobState.FAILED, at_ms)
+
+
+def _record_done(job: StepJob, key: str, task: TaskEntry) -> None:
+    occurrence, number, _ = parse_task_key(key)
+    step = job.spec.steps[number]
+    if step.lasting or task.done:
+        return
+    task.done = True
+    group = step_key(occurrence, number)
+    # A gang works and ends together, so one end stands for all members.
+    done = step.count if step.gang else job.done_counts.get(group, 0) + 1
+    job.done_counts[group] = done
+
+
+def _record_failure(job: StepJob, key: str, task: TaskEntry) -> None:
+    occurrence, number, _ = parse_task_key(key)
+    group = step_key(occurrence, number)
+    if not job.spec.steps[number].gang:
+        task.failures += 1
+    elif job.gang_failed_runs.get(group, 0) < task.run:
+        job.gang_failed_runs[group] = task.run
+        for member, entry in job.tasks.items():
+            if member.startswith(f"{group}."):
+                entry.failures += 1
+
+
+def _out_of_attempts(state: ControlState, job: StepJob, key: str, task: TaskEntry) -> bool:
+    if job.spec.steps[parse_task_key(key)[1]].lasting:
+        return False
+    queue = state.table.queues.get(job.queue)
+    return queue is not None and task.failures >= queue.max_attempts
+
+
+@appliers.register("ForgetJobs")
+def _apply_forget(state: ControlState, command: ForgetJobs) -> Outcome:
+    for job_id in command.job_ids:
+        state.workload.tombstones.pop(job_id, None)
+        job = state.workload.jobs.get(job_id)
+        if job is not None and job.ended:
+            del state.workload.jobs[job_id]
+    return _accepted(state)
+
+
+@appliers.register("OrderWave")
+def _apply_order_wave(state: ControlState, command: OrderWave) -> Outcome:
+    state.workload.waves.setdefault(
+        command.number,
+        UpkeepWave(
+            number=command.number,
+            machines=tuple(command.machines),
+            max_down=command.max_down,
+            ordered_ms=command.at_ms,
+            due_ms=command.due_ms,
+        ),
+    )
+    return _accepted(state)
+
+
+@appliers.register("RecordUpkeep")
+def _apply_upkeep(state: ControlState, command: RecordUpkeep) -> Outcome:
+    wave = state.workload.waves.get(command.number)
+    if wave is not None:
+        for machine in command.ordered:
+            wave.ordered.setdefault(machine, False)
+        for machine in command.confirmed:
+            wave.ordered[machine] = True
+        wave.finished.update(command.finished)
+    return _accepted(state)
+
+
+WORKLOAD_COMMANDS: tuple[type, ...] = (
+    ApplyDeclaration,
+    AcceptJob,
+    CancelJob,
+    RecordRuns,
+    ForgetJobs,
+    OrderWave,
+    RecordUpkeep,
+)
+
+WorkloadCommand = Any
--- a/src/hornbeamreach/daemons/entry.py
+++ b/src/hornbeamreach/daemons/entry.py
@@ -11,11 +11,11 @@
 from hornbeamreach.control.disk import FileDisk
 from hornbeamreach.daemons.process import daemon_main
 from hornbeamreach.entry.node import EntryNode
+from hornbeamreach.entry.worker_platform import Platform
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.websocket import LinkServer, WebSocketLink
-from hornbeamreach.platform.http_platform import HttpPlatform
-from hornbeamreach.platform.interface import Platform
 from hornbeamreach.settings import EntrySettings
+from hornbeamreach.web.http_platform import HttpPlatform
 from hornbeamreach.web.server import GRACEFUL_TIMEOUT_MS, serve_http
 
 
--- a/src/hornbeamreach/entry/job_steps.py
+++ b/src/hornbeamreach/entry/job_steps.py
@@ -11,9 +11,9 @@
 from hornbeamreach.entry.history import History
 from hornbeamreach.entry.job_records import JobRecords, StepRefusedError
 from hornbeamreach.entry.view import ControlView
+from hornbeamreach.entry.worker_platform import TaskReport
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.platform.interface import TaskReport
 from hornbeamreach.systems.failure_attribution import (
     healthy_workers_failed,
     record_task_failure,
--- a/src/hornbeamreach/entry/node.py
+++ b/src/hornbeamreach/entry/node.py
@@ -25,9 +25,9 @@
 from hornbeamreach.entry.scheduler import Scheduler
 from hornbeamreach.entry.scheduler_lease import SchedulerLease
 from hornbeamreach.entry.view import ControlView
+from hornbeamreach.entry.worker_platform import Platform
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.platform.interface import Platform
 from hornbeamreach.records.acceptor import Acceptor
 from hornbeamreach.records.groups import RecordGroups
 from hornbeamreach.records.store import RecordStore
--- a/src/hornbeamreach/entry/scheduler.py
+++ b/src/hornbeamreach/entry/scheduler.py
@@ -22,16 +22,16 @@
 from hornbeamreach.entry.scheduler_lease import SchedulerLease
 from hornbeamreach.entry.task_actions import TASK_LEASE_MS, TaskActions
 from hornbeamreach.entry.view import ControlView
+from hornbeamreach.entry.worker_platform import (
+    Platform,
+    PlatformReport,
+    TaskReport,
+)
 from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.messages import Done, WakeScheduler
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.platform.interface import (
-    Platform,
-    PlatformReport,
-    TaskReport,
-)
 from hornbeamreach.records.messages import Record
 from hornbeamreach.records.store import RecordStore
 from hornbeamreach.systems.loads import collect_loads
--- a/src/hornbeamreach/entry/task_actions.py
+++ b/src/hornbeamreach/entry/task_actions.py
@@ -7,10 +7,10 @@
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.entry.job_records import JobRecords, StepRefusedError
 from hornbeamreach.entry.job_steps import BASE_BACKOFF_MS, JobSteps
+from hornbeamreach.entry.worker_platform import Platform, TaskRequest
 from hornbeamreach.exceptions import PlatformError, RefusedError
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.platform.interface import Platform, TaskRequest
 from hornbeamreach.systems.schedule import (
     EndJob,
     JobAction,
--- /dev/null
+++ b/src/hornbeamreach/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of step jobs on minions by the leader of control."""
--- /dev/null
+++ b/src/hornbeamreach/fleet/planner.py
@@ -0,0 +1,184 @@
+"""Choice of the runs to start next, from the books alone."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from hornbeamreach.fleet.books import Books, make_run
+from hornbeamreach.systems.job_progress import (
+    ReadyStep,
+    objective_ms,
+    remaining_chain_ms,
+    work_core_ms,
+)
+from hornbeamreach.systems.task_order import Order, WaitingStep, task_orders
+from hornbeamreach.systems.task_placement import Place, Wish, task_placements, usable
+from hornbeamreach.tables.minions import BookedRun, Minion, RunPhase
+from hornbeamreach.tables.workload import StepJob, task_key
+
+# One append of the log carries at most this many starts: about 100 KB of entries.
+MAX_STARTS_PER_PLAN = 400
+
+
+@define(kw_only=True)
+class PoolPlan:
+    """Hold one pool's minions while starts are chosen for it."""
+
+    minions: list[Minion]
+    largest_free: int = field(default=0)
+
+    def measure(self) -> None:
+        """Find the largest free processor capacity, to pass over what can't fit."""
+        self.largest_free = max((m.free().cpu_millis for m in self.minions), default=-1)
+
+
+@define(kw_only=True)
+class Planner:
+    """Choose starts by the policies that the settings name."""
+
+    books: Books
+    order: Order = field(factory=lambda: task_orders.get("in_time_first"))
+    place: Place = field(factory=lambda: task_placements.get("best_fit"))
+    # Tickets of the admission service by (job, occurrence, step) and minion.
+    tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
+    wanted_tickets: set[tuple[str, int, int]] = field(factory=set)
+
+    def plan(self, now_ms: int, wall_ms: int) -> list[BookedRun]:
+        """Book what can start now and return it."""
+        books = self.books
+        books.refresh_ready(wall_ms)
+        by_pool: dict[str, list[tuple[tuple, ReadyStep, StepJob]]] = {}
+        for job_id, steps in books.ready.items():
+            job = books.job(job_id)
+            if job is None:
+                continue
+            pool = books.pool_of(job)
+            for step in steps:
+                rank = self.order(self.waiting_step(job, step, wall_ms))
+                by_pool.setdefault(pool, []).append((rank, step, job))
+        found: list[BookedRun] = []
+        for pool, waiting in by_pool.items():
+            members = [m for m in books.minions.values() if m.report.pool == pool]
+            plan = PoolPlan(minions=usable(members, now_ms))
+            if not plan.minions:
+                continue
+            plan.measure()
+            waiting.sort(key=lambda item: item[0])
+            for _, step, job in waiting:
+                if len(found) >= MAX_STARTS_PER_PLAN:
+                    break
+                found += self._start_step(plan, job, step, now_ms)
+        return found
+
+    def waiting_step(self, job: StepJob, step: ReadyStep, wall_ms: int) -> WaitingStep:
+        """Describe a ready step for the order of work."""
+        spec = job.spec.steps[step.step]
+        queue = self.books.ahead.state.table.queues.get(job.queue)
+        begun_ms = job.spec.due_ms(step.occurrence) if job.spec.timed else job.accepted_ms
+        due_ms = begun_ms + objective_ms(job.spec, queue)
+        return WaitingStep(
+            rank=queue.rank if queue else 0,
+            lasting=spec.lasting,
+            filler=spec.filler,
+            begun=bool(job.tasks),
+            slack_ms=due_ms - wall_ms - remaining_chain_ms(job, step.occurrence),
+            waited_ms=wall_ms - begun_ms,
+            work_core_ms=work_core_ms(job.spec),
+        )
+
+    def _start_step(
+        self, plan: PoolPlan, job: StepJob, step: ReadyStep, now_ms: int
+    ) -> list[BookedRun]:
+        spec = job.spec.steps[step.step]
+        if spec.needs.cpu_millis > plan.largest_free:
+            return []
+        admitted = self._admitted(job, step)
+        if admitted is not None and not admitted:
+            return []
+        found: list[BookedRun] = []
+        siblings = self.books.siblings(job, step.occurrence, step.step)
+        for index in step.indexes:
+            run = self._start_task(plan, job, step, index, siblings, admitted, now_ms)
+            if run is not None:
+                found.append(run)
+                siblings[run.minion] = siblings.get(run.minion, 0) + 1
+            elif spec.gang:
+                self._unbook(found)
+                return []
+        if found:
+            plan.measure()
+            self.books.stale_jobs.add(job.job_id)
+        if spec.gang:
+            self._align_gang(job, step, found)
+        return found
+
+    def _admitted(self, job: StepJob, step: ReadyStep) -> frozenset[str] | None:
+        queue = self.books.ahead.state.table.queues.get(job.queue)
+        if queue is None or not queue.advice_valid_ms:
+            return None
+        name = (job.job_id, step.occurrence, step.step)
+        if name not in self.tickets:
+            self.wanted_tickets.add(name)
+        return frozenset(self.tickets.get(name, {}))
+
+    def _start_task(
+        self,
+        plan: PoolPlan,
+        job: StepJob,
+        step: ReadyStep,
+        index: int,
+        siblings: dict[str, int],
+        admitted: frozenset[str] | None,
+        now_ms: int,
+    ) -> BookedRun | None:
+        books = self.books
+        spec = job.spec.steps[step.step]
+        key = task_key(step.occurrence, step.step, index)
+        if books.find(job.job_id, key) is not None:
+            return None
+        row = books.ahead.state.table.teams.get(job.team)
+        wish = Wish(
+            step=spec,
+            siblings=siblings,
+            racks=self._racks(siblings),
+            admitted=admitted,
+            avoided=frozenset(books.failed_on.get(f"{job.job_id}.{key}", ())),
+        )
+        minion = self.place(wish, plan.minions)
+        if minion is None:
+            return None
+        task = job.tasks.get(key)
+        run = make_run(
+            job,
+            key,
+            task.run + 1 if task else 1,
+            minion=minion.minion_id,
+            born_ms=minion.report.born_ms,
+            phase=RunPhase.BOOKED,
+            now_ms=now_ms,
+        )
+        if not books.use.allows(job.team, row, run.charged):
+            return None
+        run.checkpoint = task.checkpoint if task else ""
+        books.book(run)
+        return run
+
+    def _racks(self, siblings: dict[str, int]) -> frozenset[str]:
+        minions = self.books.minions
+        return frozenset(minions[m].report.rack for m in siblings if m in minions)
+
+    def _unbook(self, runs: list[BookedRun]) -> None:
+        books = self.books
+        for run in runs:
+            books.minions[run.minion].release(run.name)
+            books.use.remove(run.team, run.charged)
+            del books.runs_of[run.job_id][run.key]
+
+    def _align_gang(self, job: StepJob, step: ReadyStep, runs: list[BookedRun]) -> None:
+        if not runs:
+            return
+        number = max(run.run for run in runs)
+        saved = max((run.checkpoint for run in runs), default="")
+        for run in runs:
+            run.run = number
+            run.checkpoint = saved
--- /dev/null
+++ b/src/hornbeamreach/fleet/state.py
@@ -0,0 +1,68 @@
+"""The scheduler's view of the replicated state, ahead of what is committed."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import define, field
+
+from hornbeamreach.control.state_machine import apply_command
+from hornbeamreach.control.workload_log import WorkloadCommand
+from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.workload import StepJob, UpkeepWave, Workload
+
+
+def copy_workload(workload: Workload) -> Workload:
+    """Return a copy that shares only what never changes."""
+    return attrs.evolve(
+        workload,
+        jobs={job_id: _copy_job(job) for job_id, job in workload.jobs.items()},
+        tombstones=dict(workload.tombstones),
+        waves={number: _copy_wave(wave) for number, wave in workload.waves.items()},
+    )
+
+
+def _copy_job(job: StepJob) -> StepJob:
+    return attrs.evolve(
+        job,
+        tasks={key: attrs.evolve(task) for key, task in job.tasks.items()},
+        done_counts=dict(job.done_counts),
+        gang_failed_runs=dict(job.gang_failed_runs),
+    )
+
+
+def _copy_wave(wave: UpkeepWave) -> UpkeepWave:
+    return attrs.evolve(wave, ordered=dict(wave.ordered), finished=set(wave.finished))
+
+
+@define(kw_only=True)
+class AheadState:
+    """Apply commands as they are proposed, so that decisions need not wait for their commit.
+
+    Effects outside wait for the commit; the view of a scheduler that lost its leadership is
+    thrown away.
+    """
+
+    state: ControlState
+    index: int = field(default=0)
+
+    @classmethod
+    def of(cls, committed: ControlState) -> AheadState:
+        """Copy the committed state."""
+        state = ControlState(
+            applied_index=committed.applied_index,
+            version=committed.version,
+            table=committed.table,
+            keys=dict(committed.keys),
+            workload=copy_workload(committed.workload),
+        )
+        return cls(state=state, index=committed.applied_index)
+
+    @property
+    def workload(self) -> Workload:
+        """Return the workload as proposed so far."""
+        return self.state.workload
+
+    def apply(self, command: WorkloadCommand) -> None:
+        """Apply a command that is being proposed."""
+        self.index += 1
+        apply_command(self.state, self.index, command)
--- /dev/null
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -0,0 +1,244 @@
+"""Upkeep waves: machines are emptied, sent to their upkeep and taken back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from attrs import define, field
+
+from hornbeamreach.clock import seconds
+from hornbeamreach.control.workload_log import RecordUpkeep
+from hornbeamreach.exceptions import NotLeaderError, RefusedError
+from hornbeamreach.fleet.ports import MachineAnswer, MachinePort, NoAnswerError
+from hornbeamreach.logs import part_logger
+from hornbeamreach.systems.upkeep import WaveMachine, may_stop, next_machines, tasks_away
+from hornbeamreach.tables.minions import BookedRun, Minion
+from hornbeamreach.tables.workload import UpkeepWave, parse_task_key, step_key
+
+if TYPE_CHECKING:
+    from hornbeamreach.fleet.scheduler import Scheduler
+
+log = part_logger("upkeep")
+
+STEP_MS = 100
+# The platform takes orders for a machine from one scheduler at a time: a new one waits until
+# the earlier one's right to give orders has run out.
+HANDOVER_MS = 3_000
+# In the last part of a wave's time machines go although short tasks are at work there.
+HURRY_SHARE = 0.35
+# A machine that was chosen goes after this, whatever short tasks are left on it.
+MAX_EMPTYING_MS = 2_500
+# A machine of the wave that no minion speaks for is looked up in the machines' list this often.
+LIST_INTERVAL_MS = 3_000
+
+
+@define(kw_only=True, eq=False)
+class Upkeep:
+    """Carry out the waves of one scheduler's term."""
+
+    scheduler: Scheduler
+    port: MachinePort
+    # Machines that are being emptied, by the time at which they were chosen.
+    chosen: dict[str, int] = field(factory=dict)
+    ordering: set[str] = field(factory=set)
+    # When each machine's upkeep was confirmed in this term.
+    confirmed_ms: dict[str, int] = field(factory=dict)
+    listed_ms: int = -LIST_INTERVAL_MS
+
+    async def run(self) -> None:
+        """Work on the waves until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(seconds(STEP_MS))
+                scheduler = self.scheduler
+                now_ms = scheduler.clock.now_ms()
+                if scheduler.nursery is None or now_ms - scheduler.began_ms < HANDOVER_MS:
+                    continue
+                try:
+                    await self._step(nursery, now_ms)
+                except (NotLeaderError, RefusedError) as exc:
+                    log.info("upkeep ends with the term: {}", exc)
+                    return
+
+    async def _step(self, nursery: trio.Nursery, now_ms: int) -> None:
+        for wave in list(self.scheduler.ahead.workload.waves.values()):
+            if wave.completed:
+                continue
+            by_machine = self._minions_by_machine()
+            self._note_finished(wave, by_machine)
+            await self._look_up_missing(wave, by_machine, now_ms)
+            for candidate in next_machines(
+                wave, self._candidates(wave, by_machine), set(self.chosen)
+            ):
+                self._choose(wave, candidate, now_ms)
+            self._resend(nursery, wave)
+            for machine in list(self.chosen):
+                minion = by_machine.get(machine)
+                if minion is None or machine in self.ordering or machine not in wave.machines:
+                    continue
+                self._empty(wave, minion)
+                if self._may_go(wave, minion, now_ms):
+                    self._send_off(nursery, wave, machine)
+
+    def _minions_by_machine(self) -> dict[str, Minion]:
+        found: dict[str, Minion] = {}
+        for minion in self.scheduler.books.minions.values():
+            machine = minion.report.machine or minion.minion_id
+            known = found.get(machine)
+            if known is None or known.report.born_ms < minion.report.born_ms:
+                found[machine] = minion
+        return found
+
+    def _candidates(self, wave: UpkeepWave, by_machine: dict[str, Minion]) -> list[WaveMachine]:
+        free = self._free_shares()
+        return [
+            WaveMachine(
+                machine=machine,
+                minion=by_machine[machine],
+                pool_free=free.get(by_machine[machine].report.pool, 0.0),
+            )
+            for machine in wave.machines
+            if machine in by_machine
+            and not by_machine[machine].report.leaving
+            and not by_machine[machine].report.draining
+        ]
+
+    def _free_shares(self) -> dict[str, float]:
+        totals: dict[str, list[int]] = {}
+        for minion in self.scheduler.books.minions.values():
+            if not minion.report.leaving:
+                sums = totals.setdefault(minion.report.pool, [0, 0])
+                sums[0] += minion.free().cpu_millis
+                sums[1] += minion.report.capacity.cpu_millis
+        return {pool: free / whole if whole else 0.0 for pool, (free, whole) in totals.items()}
+
+    # Choosing and emptying
+
+    def _choose(self, wave: UpkeepWave, candidate: WaveMachine, now_ms: int) -> None:
+        self.chosen[candidate.machine] = now_ms
+        candidate.minion.cordoned = True
+        log.bind(wave=wave.number, machine=candidate.machine, runs=len(candidate.minion.runs)).info(
+            "machine chosen for upkeep"
+        )
+
+    def _empty(self, wave: UpkeepWave, minion: Minion) -> None:
+        for run in list(minion.runs.values()):
+            if run.lasting and self._may_stop(run):
+                self.scheduler.orders.stop(run, "upkeep")
+
+    def _may_stop(self, run: BookedRun) -> bool:
+        books = self.scheduler.books
+        job = books.job(run.job_id)
+        if job is None or job.ended:
+            return True
+        occurrence, number, _ = parse_task_key(run.key)
+        step = job.spec.steps[number]
+        prefix = f"{step_key(occurrence, number)}."
+        away = tasks_away(books.runs_of.get(run.job_id, {}), prefix, step.count)
+        return may_stop(run, away, step.may_miss)
+
+    def _may_go(self, wave: UpkeepWave, minion: Minion, now_ms: int) -> bool:
+        if not minion.runs:
+            return True
+        if any(run.lasting for run in minion.runs.values()):
+            return False
+        machine = minion.report.machine or minion.minion_id
+        left_ms = wave.due_ms - self.scheduler.clock.wall_ms()
+        hurry = left_ms < HURRY_SHARE * (wave.due_ms - wave.ordered_ms)
+        return hurry and now_ms - self.chosen.get(machine, now_ms) > MAX_EMPTYING_MS
+
+    # Orders
+
+    def _send_off(self, nursery: trio.Nursery, wave: UpkeepWave, machine: str) -> None:
+        self.ordering.add(machine)
+        nursery.start_soon(self._order, wave, machine)
+
+    def _resend(self, nursery: trio.Nursery, wave: UpkeepWave) -> None:
+        """Repeat orders whose answer an earlier scheduler may not have had."""
+        for machine, confirmed in wave.ordered.items():
+            if not confirmed and machine not in self.ordering and machine not in wave.finished:
+                self._send_off(nursery, wave, machine)
+
+    async def _order(self, wave: UpkeepWave, machine: str) -> None:
+        scheduler = self.scheduler
+        try:
+            await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[machine]))
+            answer = await self.port.upkeep(
+                machine, wave=wave.number, holder=scheduler.replica.node_id, token=scheduler.term
+            )
+        except NoAnswerError as exc:
+            log.bind(wave=wave.number, machine=machine).warning("upkeep unanswered: {}", exc)
+            scheduler.metrics.event("upkeep_unanswered")
+            await trio.sleep(seconds(scheduler.timing.retry_ms))
+            self.ordering.discard(machine)
+            return
+        except (NotLeaderError, RefusedError) as exc:
+            log.bind(wave=wave.number, machine=machine).info("upkeep not ordered: {}", exc)
+            return
+        log.bind(wave=wave.number, machine=machine).info("upkeep: {}", answer.value)
+        await self._answered(wave, machine, answer)
+
+    async def _answered(self, wave: UpkeepWave, machine: str, answer: MachineAnswer) -> None:
+        scheduler = self.scheduler
+        if answer is MachineAnswer.ORDERED:
+            scheduler.submit(RecordUpkeep(number=wave.number, confirmed=[machine]))
+            self.chosen.pop(machine, None)
+            self.confirmed_ms[machine] = scheduler.clock.wall_ms()
+            minion = self._minions_by_machine().get(machine)
+            if minion is not None:
+                scheduler.end_of_life(minion, "upkeep")
+        elif answer in (MachineAnswer.NOT_IN_WAVE, MachineAnswer.MALFORMED):
+            scheduler.submit(RecordUpkeep(number=wave.number, finished=[machine]))
+            self.chosen.pop(machine, None)
+        elif answer is MachineAnswer.FENCED:
+            log.bind(machine=machine, term=scheduler.term).warning("a newer scheduler orders it")
+            return
+        else:
+            # Not up, leaving, or too many calls: it stays ordered and is asked again.
+            await trio.sleep(seconds(1_000))
+        self.ordering.discard(machine)
+
+    # Return
+
+    def _note_finished(self, wave: UpkeepWave, by_machine: dict[str, Minion]) -> None:
+        back = []
+        for machine, confirmed in wave.ordered.items():
+            if not confirmed or machine in wave.finished:
+                continue
+            minion = by_machine.get(machine)
+            ordered_ms = self.confirmed_ms.get(machine, self._began_wall_ms())
+            if minion is not None and not minion.report.leaving:
+                back.append(machine)
+                log.bind(wave=wave.number, machine=machine, ordered_ms=ordered_ms).info(
+                    "machine is back from upkeep"
+                )
+        if back:
+            self.scheduler.submit(RecordUpkeep(number=wave.number, finished=back))
+
+    def _began_wall_ms(self) -> int:
+        clock = self.scheduler.clock
+        return clock.wall_ms() - (clock.now_ms() - self.scheduler.began_ms)
+
+    async def _look_up_missing(
+        self, wave: UpkeepWave, by_machine: dict[str, Minion], now_ms: int
+    ) -> None:
+        """Give up machines that are gone for good, by the machines' list."""
+        missing = [
+            machine
+            for machine in wave.machines
+            if machine not in wave.finished
+            and (machine not in by_machine or by_machine[machine].report.leaving)
+        ]
+        if not missing or now_ms - self.listed_ms < LIST_INTERVAL_MS:
+            return
+        self.listed_ms = now_ms
+        try:
+            machines = {found.machine for found in await self.port.list_machines()}
+        except NoAnswerError as exc:
+            log.bind(wave=wave.number).warning("machines not listed: {}", exc)
+            return
+        gone = [machine for machine in missing if machine not in machines]
+        if gone:
+            log.bind(wave=wave.number, machines=gone).info("machines of the wave are gone")
+            self.scheduler.submit(RecordUpkeep(number=wave.number, finished=gone))
--- a/src/hornbeamreach/platform/__init__.py
+++ b/src/hornbeamreach/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform that runs tasks on workers and reboots VMs."""
+"""Translation between the users' platform and the product, and nothing else."""
--- a/src/hornbeamreach/standins/platform.py
+++ b/src/hornbeamreach/standins/platform.py
@@ -13,8 +13,8 @@
 from starlette.routing import Route
 
 from hornbeamreach.clock import Clock
+from hornbeamreach.entry.worker_platform import PlatformReport, TaskReport, TaskRequest
 from hornbeamreach.link.codec import wire_converter
-from hornbeamreach.platform.interface import PlatformReport, TaskReport, TaskRequest
 from hornbeamreach.tables.jobs import Resources
 from hornbeamreach.tables.reports import VmReport
 from hornbeamreach.web.problems import json_response, read_json
--- /dev/null
+++ b/src/hornbeamreach/systems/team_caps.py
@@ -0,0 +1,35 @@
+"""Teams' limits on what they have running over all minions."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from hornbeamreach.tables.declared import TeamRow
+from hornbeamreach.tables.resources import Resources
+
+
+@define(kw_only=True)
+class TeamUse:
+    """Hold what each team's booked runs take, fillers' processors included."""
+
+    by_team: dict[str, Resources] = field(factory=dict)
+
+    def add(self, team: str, amount: Resources) -> None:
+        """Count a booked run."""
+        self.by_team[team] = self.by_team.get(team, Resources()).plus(amount)
+
+    def remove(self, team: str, amount: Resources) -> None:
+        """Stop counting a run that has ended."""
+        self.by_team[team] = self.by_team.get(team, Resources()).minus(amount)
+
+    def allows(self, team: str, row: TeamRow | None, amount: Resources) -> bool:
+        """Tell whether a team stays within its limits with this much more."""
+        if row is None:
+            return True
+        after = self.by_team.get(team, Resources()).plus(amount)
+        pairs = (
+            (after.cpu_millis, row.max_cpu_millis),
+            (after.memory_mb, row.max_memory_mb),
+            (after.accelerators, row.max_accelerators),
+        )
+        return all(limit == 0 or used <= limit for used, limit in pairs)
--- /dev/null
+++ b/src/hornbeamreach/systems/upkeep.py
@@ -0,0 +1,57 @@
+"""Choice of the next machines of an upkeep wave, and of the lasting tasks to move away first.
+
+Load pattern: a wave takes a third to half of all machines within a few of the demand's
+turns, so each pool's machines go while the pool is idle.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import define
+
+from hornbeamreach.tables.minions import BookedRun, Minion, RunPhase
+from hornbeamreach.tables.workload import UpkeepWave
+
+FULL_SPEED = 100
+
+
+@define(frozen=True, kw_only=True)
+class WaveMachine:
+    """Hold a machine that a wave may take next."""
+
+    machine: str
+    minion: Minion
+    # Share of its pool's processors that is free, 0 to 1.
+    pool_free: float
+
+
+def next_machines(
+    wave: UpkeepWave, candidates: Iterable[WaveMachine], chosen: set[str]
+) -> list[WaveMachine]:
+    """Choose machines to empty now, so that at most `max_down` are chosen or under way."""
+    under_way = len(wave.ordered.keys() - wave.finished)
+    places = wave.max_down - under_way - len(chosen - wave.ordered.keys())
+    free = [
+        candidate
+        for candidate in candidates
+        if candidate.machine not in chosen and candidate.machine not in wave.ordered
+    ]
+    free.sort(key=lambda c: (len(c.minion.runs) > 0, -c.pool_free, len(c.minion.runs)))
+    return free[: max(0, places)]
+
+
+def tasks_away(runs: dict[str, BookedRun], prefix: str, count: int) -> int:
+    """Count the tasks of a step that are not fully at work."""
+    at_work = sum(
+        1
+        for key, run in runs.items()
+        if key.startswith(prefix) and run.phase is RunPhase.RUNNING and run.percent >= FULL_SPEED
+    )
+    return count - at_work
+
+
+def may_stop(run: BookedRun, away: int, may_miss: int) -> bool:
+    """Tell whether a lasting task may be stopped without breaking its step's budget."""
+    others_away = away - int(not (run.phase is RunPhase.RUNNING and run.percent >= FULL_SPEED))
+    return may_miss == 0 or others_away < may_miss
--- a/src/hornbeamreach/tables/control_state.py
+++ b/src/hornbeamreach/tables/control_state.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from hornbeamreach.tables.declared import DeclaredTable, RowEdit
+from hornbeamreach.tables.workload import Workload
 from hornbeamreach.verdict import Reason
 
 
@@ -139,6 +140,7 @@
     orders: dict[str, MaintenanceOrder] = field(factory=dict)
     # VMs that serve another pool than their declared one, and which.
     loans: dict[str, str] = field(factory=dict)
+    workload: Workload = field(factory=Workload)
 
     def pool_of(self, vm: str) -> str:
         """Return the one pool that a VM serves now."""
--- a/src/hornbeamreach/tables/declared.py
+++ b/src/hornbeamreach/tables/declared.py
@@ -16,8 +16,10 @@
 MINUTE_MS = 60_000
 DAY_MS = 24 * 60 * MINUTE_MS
 WEEK_MS = 7 * DAY_MS
+MAX_AMOUNT = 1_000_000_000_000
 
 count = validators.in_range(0, MAX_COUNT)
+amount = validators.in_range(0, MAX_AMOUNT)
 positive_count = validators.in_range(1, MAX_COUNT)
 duration = validators.in_range(0, MAX_DURATION_MS)
 positive_duration = validators.in_range(1, MAX_DURATION_MS)
@@ -65,6 +67,27 @@
         validator=validators.in_range(0.0, 100.0),
         default=10.0,
     )
+    max_cpu_millis: int = column(
+        unit="1/1000 core",
+        doc="Upper limit on the processors of the team's running step tasks; 0 for none.",
+        effect=Effect.NEUTRAL,
+        validator=amount,
+        default=0,
+    )
+    max_memory_mb: int = column(
+        unit="MB",
+        doc="Upper limit on the memory of the team's running step tasks; 0 for none.",
+        effect=Effect.NEUTRAL,
+        validator=amount,
+        default=0,
+    )
+    max_accelerators: int = column(
+        unit="devices",
+        doc="Upper limit on the accelerators of the team's running step tasks; 0 for none.",
+        effect=Effect.NEUTRAL,
+        validator=amount,
+        default=0,
+    )
 
 
 @define(frozen=True, kw_only=True)
@@ -136,6 +159,24 @@
         validator=cost,
         default=1.0,
     )
+    standby: bool = column(
+        unit="yes/no",
+        doc="Whether the pool's VMs are off, so that VMs parked there cost nothing.",
+        effect=Effect.NEUTRAL,
+        default=False,
+    )
+    rejects_overload: bool = column(
+        unit="yes/no",
+        doc="Whether the pool's minions refuse a task that does not fit.",
+        effect=Effect.NEUTRAL,
+        default=True,
+    )
+    health_path: str = column(
+        unit="path",
+        doc="Path at which the pool's minions tell their health; empty for none.",
+        effect=Effect.NEUTRAL,
+        default="",
+    )
 
 
 @define(frozen=True, kw_only=True)
@@ -220,6 +261,60 @@
         validator=positive_count,
         default=10_000,
     )
+    host: str = column(
+        unit="host name",
+        doc="Host whose calls reach the queue; empty if the queue is called by its name.",
+        effect=Effect.NEUTRAL,
+        default="",
+    )
+    path_prefix: str = column(
+        unit="path",
+        doc="Beginning of the paths that reach the queue; the longest one wins.",
+        effect=Effect.NEUTRAL,
+        default="",
+    )
+    rank: int = column(
+        unit="rank",
+        doc="Step jobs of a lower rank go first.",
+        effect=Effect.NEUTRAL,
+        validator=count,
+        default=0,
+    )
+    slack_factor: float = column(
+        unit="ratio",
+        doc="A step job should take at most this many times its longest chain of work.",
+        effect=Effect.NEUTRAL,
+        validator=validators.in_range(0.0, 1_000.0),
+        default=1.5,
+    )
+    target_latency_ms: int = column(
+        unit="ms",
+        doc="Time on top of the longest chain of work that a step job may take.",
+        effect=Effect.NEUTRAL,
+        validator=duration,
+        default=1_000,
+    )
+    advice_decide_ms: int = column(
+        unit="ms",
+        doc="Time that the admission service takes for a call; 0 if the queue needs none.",
+        effect=Effect.NEUTRAL,
+        validator=duration,
+        default=0,
+    )
+    advice_each_ms: int = column(
+        unit="ms",
+        doc="Time that the admission service takes for each minion named in a call.",
+        effect=Effect.NEUTRAL,
+        validator=duration,
+        default=0,
+    )
+    advice_valid_ms: int = column(
+        unit="ms",
+        doc="How long an admission ticket is valid; 0 if the queue needs none.",
+        effect=Effect.NEUTRAL,
+        validator=duration,
+        default=0,
+    )
 
 
 @define(frozen=True, kw_only=True)
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.tables.control_state import VmPhase
 from hornbeamreach.tables.reports import JobSpec
+from hornbeamreach.tables.resources import NOTHING, Resources
 
 
 class JobState(enum.Enum):
@@ -29,51 +30,6 @@
 )
 
 
-@define(frozen=True, kw_only=True)
-class Resources:
-    """Hold amounts of processor, memory and accelerators."""
-
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-
-    def plus(self, other: Resources) -> Resources:
-        """Return the sum."""
-        return Resources(
-            cpu_millis=self.cpu_millis + other.cpu_millis,
-            memory_mb=self.memory_mb + other.memory_mb,
-            accelerators=self.accelerators + other.accelerators,
-        )
-
-    def minus(self, other: Resources) -> Resources:
-        """Return the difference."""
-        return Resources(
-            cpu_millis=self.cpu_millis - other.cpu_millis,
-            memory_mb=self.memory_mb - other.memory_mb,
-            accelerators=self.accelerators - other.accelerators,
-        )
-
-    def fits_in(self, free: Resources) -> bool:
-        """Tell whether these amounts are free."""
-        return (
-            self.cpu_millis <= free.cpu_millis
-            and self.memory_mb <= free.memory_mb
-            and self.accelerators <= free.accelerators
-        )
-
-    def dominant_part(self, total: Resources) -> float:
-        """Return the largest part of a total that these amounts take."""
-        pairs = (
-            (self.cpu_millis, total.cpu_millis),
-            (self.memory_mb, total.memory_mb),
-            (self.accelerators, total.accelerators),
-        )
-        return max((amount / whole for amount, whole in pairs if whole), default=0.0)
-
-
-NOTHING = Resources()
-
-
 def declared_resources(spec: JobSpec) -> Resources:
     """Return what a job's caller declared."""
     return Resources(
--- a/src/hornbeamreach/platform/http_platform.py
+++ b/src/hornbeamreach/web/http_platform.py
@@ -9,9 +9,9 @@
 
 from hornbeamreach.clock import seconds
 from hornbeamreach.converters import to_plain
+from hornbeamreach.entry.worker_platform import PlatformReport, TaskRequest
 from hornbeamreach.exceptions import PlatformError
 from hornbeamreach.link.codec import wire_converter
-from hornbeamreach.platform.interface import PlatformReport, TaskRequest
 from hornbeamreach.verdict import Verdict
 
 REQUEST_TIMEOUT_MS = 3_000
