--- a/src/hornbeamreach/fleet/scheduler.py
+++ b/src/hornbeamreach/fleet/scheduler.py
@@ -280,8 +280,10 @@
     def _tick(self) -> None:
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
         for minion in list(self.books.minions.values()):
-            if minion.runs and self._lapsed(minion, now_ms):
-                self._end_lapsed(list(minion.runs.values()), minion.minion_id)
+            # A run whose order was not sent yet will bring a new lease along.
+            ordered = [run for run in minion.runs.values() if run.phase is not RunPhase.BOOKED]
+            if ordered and self._lapsed(minion, now_ms):
+                self._end_lapsed(ordered, minion.minion_id)
         if now_ms - self.began_ms > self.timing.inherited_lease_ms:
             for name, runs in list(self.books.orphans.items()):
                 self._end_lapsed(list(runs.values()), name)
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -213,4 +213,5 @@
     def _settled(self, run: BookedRun, sent_ms: int) -> bool:
         if run.phase in (RunPhase.BOOKED, RunPhase.SENT):
             return False
-        return run.settled_ms <= sent_ms
+        # Within the same millisecond the look may have gone first.
+        return run.settled_ms < sent_ms
--- a/src/hornbeamreach/logs.py
+++ b/src/hornbeamreach/logs.py
@@ -43,7 +43,7 @@
         self.waiting = bytearray()
         self.dropped = 0
 
-    def __call__(self, message: Any) -> None:
+    def take(self, message: Any) -> None:
         """Write one record of loguru."""
         record = message.record
         fields = {
@@ -78,4 +78,6 @@
     os.set_blocking(STDOUT, False)
     logger.remove()
     logger.configure(extra={"part": DEFAULT_PART})
-    logger.add(LineWriter(STDOUT), level=level, format="{message}", backtrace=False, diagnose=False)
+    logger.add(
+        LineWriter(STDOUT).take, level=level, format="{message}", backtrace=False, diagnose=False
+    )
