Move machines with the demand's turns, and give parked ones their upkeep

Cause: one queue at a time asks about four times its mean for 8 s, more than its pool holds, while six machines stand by and the other pools idle. Idle machines now go to the pool that lacks most; what nobody needs is parked. A wave's machines that are off are ordered at once.

--- /dev/null
+++ b/src/hornbeamreach/fleet/machine_room.py
@@ -0,0 +1,70 @@
+"""What one scheduler knows of machines: the platform's list beside the minions heard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from hornbeamreach.fleet.ports import Machine, MachinePort, MachineState, NoAnswerError
+from hornbeamreach.logs import part_logger
+from hornbeamreach.tables.minions import Minion
+
+if TYPE_CHECKING:
+    from hornbeamreach.fleet.scheduler import Scheduler
+
+log = part_logger("machines")
+
+# The list is read at most this often; each call to the platform has a price.
+LIST_INTERVAL_MS = 1_500
+
+
+@define(kw_only=True, eq=False)
+class MachineRoom:
+    """Keep the latest list of machines."""
+
+    scheduler: Scheduler
+    port: MachinePort
+    machines: dict[str, Machine] = field(factory=dict)
+    # When the latest list was asked for; -1 before the first.
+    listed_ms: int = -1
+    tried_ms: int = -LIST_INTERVAL_MS
+    # Machines that an order of ours is under way for, by when it was given.
+    busy: dict[str, int] = field(factory=dict)
+
+    async def refresh(self) -> bool:
+        """Read the list if it is old; tell whether there is one."""
+        now_ms = self.scheduler.clock.now_ms()
+        if now_ms - self.tried_ms >= LIST_INTERVAL_MS:
+            self.tried_ms = now_ms
+            try:
+                found = await self.port.list_machines()
+            except NoAnswerError as exc:
+                log.warning("machines not listed: {}", exc)
+                self.scheduler.metrics.event("machines_not_listed")
+            else:
+                self.machines = {machine.machine: machine for machine in found}
+                self.listed_ms = now_ms
+        return self.listed_ms >= 0
+
+    def minions(self) -> dict[str, Minion]:
+        """Return the present minion of each machine that one was heard of."""
+        found: dict[str, Minion] = {}
+        for minion in self.scheduler.books.minions.values():
+            machine = minion.report.machine or minion.minion_id
+            known = found.get(machine)
+            if known is None or known.report.born_ms < minion.report.born_ms:
+                found[machine] = minion
+        return found
+
+    def parked(self) -> list[Machine]:
+        """List the machines that are off in a standby pool and can be ordered about."""
+        pools = self.scheduler.ahead.state.table.pools
+        return [
+            machine
+            for machine in self.machines.values()
+            if machine.state is MachineState.UP
+            and machine.machine not in self.busy
+            and machine.pool in pools
+            and pools[machine.pool].standby
+        ]
--- /dev/null
+++ b/src/hornbeamreach/fleet/moves.py
@@ -0,0 +1,184 @@
+"""Moving machines between pools as the mover of the settings says."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from attrs import define, field
+
+from hornbeamreach.clock import seconds
+from hornbeamreach.fleet.machine_room import MachineRoom
+from hornbeamreach.fleet.ports import MachineAnswer, NoAnswerError
+from hornbeamreach.fleet.upkeep import HANDOVER_MS
+from hornbeamreach.logs import part_logger
+from hornbeamreach.systems.pool_moves import MachineMove, Mover, PoolLoad, PoolLoads, pool_movers
+from hornbeamreach.tables.minions import Minion
+from hornbeamreach.tables.workload import StepJob
+
+if TYPE_CHECKING:
+    from hornbeamreach.fleet.scheduler import Scheduler
+
+log = part_logger("moves")
+
+STEP_MS = 200
+# A moved machine counts as arriving for this long; its move takes 1.5 s and a heartbeat.
+ARRIVAL_MS = 4_000
+# An order without an answer may be carried out this much later; until then nothing new runs
+# on the machine.
+LATE_ORDER_MS = 13_000
+# A pool without lasting tasks keeps this many machines for its first jobs.
+LEAST_MACHINES = 2
+
+
+@define(kw_only=True, eq=False)
+class PoolMoves:
+    """Carry out the moves of one scheduler's term."""
+
+    scheduler: Scheduler
+    room: MachineRoom
+    mover: Mover = field(factory=lambda: pool_movers.get("follow_turns"))
+    # Target pool of machines under way, by machine.
+    arriving: dict[str, str] = field(factory=dict)
+    idle_since_ms: dict[str, int] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Move machines until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(seconds(STEP_MS))
+                now_ms = self.scheduler.clock.now_ms()
+                young = now_ms - self.scheduler.began_ms < HANDOVER_MS
+                if self.scheduler.nursery is None or young or not await self.room.refresh():
+                    continue
+                if self.scheduler.is_current():
+                    self._step(nursery, now_ms)
+
+    def _step(self, nursery: trio.Nursery, now_ms: int) -> None:
+        minions = self.room.minions()
+        self._note_arrivals(minions, now_ms)
+        for move in self.mover(self.loads(minions, now_ms)):
+            minion = minions.get(move.machine)
+            if minion is not None and minion.report.pool == move.source:
+                minion.cordoned = True
+            self.room.busy[move.machine] = now_ms
+            self.arriving[move.machine] = move.pool
+            nursery.start_soon(self._move, move, minion)
+
+    def _note_arrivals(self, minions: dict[str, Minion], now_ms: int) -> None:
+        for machine, pool in list(self.arriving.items()):
+            minion = minions.get(machine)
+            here = minion is not None and minion.report.pool == pool and minion.looked_ms >= 0
+            listed = self.room.machines.get(machine)
+            parked = (
+                listed is not None
+                and listed.pool == pool
+                and self.room.listed_ms > (self.room.busy.get(machine, now_ms) + ARRIVAL_MS // 2)
+            )
+            if here or parked or now_ms - self.room.busy.get(machine, now_ms) > LATE_ORDER_MS:
+                del self.arriving[machine]
+                self.room.busy.pop(machine, None)
+
+    # Loads
+
+    def loads(self, minions: dict[str, Minion], now_ms: int) -> PoolLoads:
+        """Return what each pool has and is asked for."""
+        table = self.scheduler.ahead.state.table
+        demand, least = self._demand(), self._least()
+        by_pool: dict[str, list[tuple[str, Minion]]] = {}
+        for machine, minion in minions.items():
+            if not minion.report.leaving and not minion.report.draining:
+                by_pool.setdefault(minion.report.pool, []).append((machine, minion))
+        loads = {}
+        for pool, row in table.pools.items():
+            members = by_pool.get(pool, [])
+            if row.standby:
+                parked = tuple((machine.machine, 0) for machine in self.room.parked())
+                loads[pool] = PoolLoad(pool=pool, standby=True, machines=len(parked), idle=parked)
+                continue
+            loads[pool] = PoolLoad(
+                pool=pool,
+                machines=len([m for m, _ in members if m not in self.arriving]),
+                arriving=sum(1 for target in self.arriving.values() if target == pool),
+                machine_millis=max(
+                    (minion.report.capacity.cpu_millis for _, minion in members), default=0
+                ),
+                demand_millis=demand.get(pool, 0),
+                least=max(LEAST_MACHINES, least.get(pool, 0) + 1),
+                idle=self._idle(members, now_ms),
+            )
+        return PoolLoads(loads=loads)
+
+    def _idle(self, members: list[tuple[str, Minion]], now_ms: int) -> tuple[tuple[str, int], ...]:
+        found = []
+        for machine, minion in members:
+            if minion.runs or minion.cordoned or machine in self.room.busy:
+                self.idle_since_ms.pop(machine, None)
+            else:
+                since_ms = self.idle_since_ms.setdefault(machine, now_ms)
+                found.append((machine, now_ms - since_ms))
+        return tuple(sorted(found, key=lambda item: -item[1]))
+
+    def _demand(self) -> dict[str, int]:
+        """Add up what running and waiting tasks take, by pool."""
+        books = self.scheduler.books
+        demand: dict[str, int] = {}
+        for minion in books.minions.values():
+            pool = minion.report.pool
+            demand[pool] = demand.get(pool, 0) + minion.used.cpu_millis
+        for job_id, steps in books.ready.items():
+            job = books.job(job_id)
+            if job is None:
+                continue
+            pool = books.pool_of(job)
+            for step in steps:
+                needs = job.spec.steps[step.step].needs.cpu_millis
+                demand[pool] = demand.get(pool, 0) + needs * len(step.indexes)
+        return demand
+
+    def _least(self) -> dict[str, int]:
+        """Count the distinct minions that lasting tasks need, by pool."""
+        books = self.scheduler.books
+        least: dict[str, int] = {}
+        for job in books.ahead.workload.jobs.values():
+            if not job.ended and job.spec.lasting:
+                pool = books.pool_of(job)
+                least[pool] = max(least.get(pool, 0), _distinct_minions(job))
+        return least
+
+    # Orders
+
+    async def _move(self, move: MachineMove, minion: Minion | None) -> None:
+        scheduler = self.scheduler
+        bound = log.bind(machine=move.machine, source=move.source, pool=move.pool)
+        try:
+            answer = await self.room.port.move(
+                move.machine,
+                pool=move.pool,
+                holder=scheduler.replica.node_id,
+                token=scheduler.term,
+            )
+        except NoAnswerError as exc:
+            bound.warning("move unanswered, it may be carried out late: {}", exc)
+            scheduler.metrics.event("move_unanswered")
+            return
+        bound.info("move: {}", answer.value)
+        scheduler.metrics.event(f"move_{answer.value}")
+        if answer is MachineAnswer.ORDERED:
+            if minion is not None:
+                scheduler.end_of_life(minion, "moved")
+            return
+        self.arriving.pop(move.machine, None)
+        if minion is not None:
+            minion.cordoned = False
+        await trio.sleep(seconds(ARRIVAL_MS))
+        self.room.busy.pop(move.machine, None)
+
+
+def _distinct_minions(job: StepJob) -> int:
+    counts = [
+        -(-step.count // step.max_per_minion)
+        for step in job.spec.steps
+        if step.lasting and step.max_per_minion
+    ]
+    return max(counts, default=1)
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -11,6 +11,7 @@
 from hornbeamreach.control.workload_log import ApplyDeclaration, OrderWave
 from hornbeamreach.exceptions import NotLeaderError
 from hornbeamreach.fleet.desk import Desk
+from hornbeamreach.fleet.machine_room import MachineRoom
 from hornbeamreach.fleet.messages import (
     Declare,
     Declared,
@@ -24,6 +25,7 @@
     StartWave,
     WaveState,
 )
+from hornbeamreach.fleet.moves import PoolMoves
 from hornbeamreach.fleet.ports import AdvicePort, MachinePort, MinionPort
 from hornbeamreach.fleet.scheduler import Scheduler
 from hornbeamreach.fleet.timing import FleetTiming
@@ -75,8 +77,9 @@
             try:
                 async with trio.open_nursery() as nursery:
                     if self.machine_port is not None:
-                        upkeep = Upkeep(scheduler=scheduler, port=self.machine_port)
-                        nursery.start_soon(upkeep.run)
+                        room = MachineRoom(scheduler=scheduler, port=self.machine_port)
+                        nursery.start_soon(Upkeep(scheduler=scheduler, room=room).run)
+                        nursery.start_soon(PoolMoves(scheduler=scheduler, room=room).run)
                     nursery.start_soon(self._serve, scheduler)
                     await scheduler.run()
                     nursery.cancel_scope.cancel()
--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -10,7 +10,8 @@
 from hornbeamreach.clock import seconds
 from hornbeamreach.control.workload_log import RecordUpkeep
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
-from hornbeamreach.fleet.ports import MachineAnswer, MachinePort, NoAnswerError
+from hornbeamreach.fleet.machine_room import MachineRoom
+from hornbeamreach.fleet.ports import MachineAnswer, MachineState, NoAnswerError
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.upkeep import WaveMachine, may_stop, next_machines, tasks_away
 from hornbeamreach.tables.minions import BookedRun, Minion
@@ -29,8 +30,6 @@
 HURRY_SHARE = 0.35
 # A machine that was chosen goes after this, whatever short tasks are left on it.
 MAX_EMPTYING_MS = 2_500
-# A machine of the wave that no minion speaks for is looked up in the machines' list this often.
-LIST_INTERVAL_MS = 3_000
 
 
 @define(kw_only=True, eq=False)
@@ -38,13 +37,12 @@
     """Carry out the waves of one scheduler's term."""
 
     scheduler: Scheduler
-    port: MachinePort
+    room: MachineRoom
     # Machines that are being emptied, by the time at which they were chosen.
     chosen: dict[str, int] = field(factory=dict)
     ordering: set[str] = field(factory=set)
     # When each machine's upkeep was confirmed in this term.
     confirmed_ms: dict[str, int] = field(factory=dict)
-    listed_ms: int = -LIST_INTERVAL_MS
 
     async def run(self) -> None:
         """Work on the waves until cancelled."""
@@ -65,12 +63,14 @@
         for wave in list(self.scheduler.ahead.workload.waves.values()):
             if wave.completed:
                 continue
-            by_machine = self._minions_by_machine()
+            by_machine = self.room.minions()
+            unheard = [m for m in wave.machines if m not in wave.finished and m not in by_machine]
+            if unheard and not await self.room.refresh():
+                continue
             self._note_finished(wave, by_machine)
-            await self._look_up_missing(wave, by_machine, now_ms)
-            for candidate in next_machines(
-                wave, self._candidates(wave, by_machine), set(self.chosen)
-            ):
+            self._choose_parked(nursery, wave, unheard)
+            candidates = self._candidates(wave, by_machine)
+            for candidate in next_machines(wave, candidates, set(self.chosen)):
                 self._choose(wave, candidate, now_ms)
             self._resend(nursery, wave)
             for machine in list(self.chosen):
@@ -81,14 +81,21 @@
                 if self._may_go(wave, minion, now_ms):
                     self._send_off(nursery, wave, machine)
 
-    def _minions_by_machine(self) -> dict[str, Minion]:
-        found: dict[str, Minion] = {}
-        for minion in self.scheduler.books.minions.values():
-            machine = minion.report.machine or minion.minion_id
-            known = found.get(machine)
-            if known is None or known.report.born_ms < minion.report.born_ms:
-                found[machine] = minion
-        return found
+    def _choose_parked(self, nursery: trio.Nursery, wave: UpkeepWave, unheard: list[str]) -> None:
+        """Order the upkeep of machines that are off, and give up those that are gone."""
+        under_way = len(wave.ordered.keys() - wave.finished) + len(self.chosen)
+        parked = {machine.machine for machine in self.room.parked()}
+        gone = [machine for machine in unheard if machine not in self.room.machines]
+        if gone:
+            log.bind(wave=wave.number, machines=gone).info("machines of the wave are gone")
+            self.scheduler.submit(RecordUpkeep(number=wave.number, finished=gone))
+        for machine in unheard:
+            if machine in parked and machine not in wave.ordered and machine not in self.ordering:
+                if under_way >= wave.max_down:
+                    return
+                under_way += 1
+                self.room.busy[machine] = self.scheduler.clock.now_ms()
+                self._send_off(nursery, wave, machine)
 
     def _candidates(self, wave: UpkeepWave, by_machine: dict[str, Minion]) -> list[WaveMachine]:
         free = self._free_shares()
@@ -100,6 +107,7 @@
             )
             for machine in wave.machines
             if machine in by_machine
+            and machine not in self.room.busy
             and not by_machine[machine].report.leaving
             and not by_machine[machine].report.draining
         ]
@@ -152,6 +160,7 @@
 
     def _send_off(self, nursery: trio.Nursery, wave: UpkeepWave, machine: str) -> None:
         self.ordering.add(machine)
+        self.room.busy.setdefault(machine, self.scheduler.clock.now_ms())
         nursery.start_soon(self._order, wave, machine)
 
     def _resend(self, nursery: trio.Nursery, wave: UpkeepWave) -> None:
@@ -164,7 +173,7 @@
         scheduler = self.scheduler
         try:
             await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[machine]))
-            answer = await self.port.upkeep(
+            answer = await self.room.port.upkeep(
                 machine, wave=wave.number, holder=scheduler.replica.node_id, token=scheduler.term
             )
         except NoAnswerError as exc:
@@ -184,8 +193,8 @@
         if answer is MachineAnswer.ORDERED:
             scheduler.submit(RecordUpkeep(number=wave.number, confirmed=[machine]))
             self.chosen.pop(machine, None)
-            self.confirmed_ms[machine] = scheduler.clock.wall_ms()
-            minion = self._minions_by_machine().get(machine)
+            self.confirmed_ms[machine] = scheduler.clock.now_ms()
+            minion = self.room.minions().get(machine)
             if minion is not None:
                 scheduler.end_of_life(minion, "upkeep")
         elif answer in (MachineAnswer.NOT_IN_WAVE, MachineAnswer.MALFORMED):
@@ -204,41 +213,19 @@
     def _note_finished(self, wave: UpkeepWave, by_machine: dict[str, Minion]) -> None:
         back = []
         for machine, confirmed in wave.ordered.items():
-            if not confirmed or machine in wave.finished:
-                continue
-            minion = by_machine.get(machine)
-            ordered_ms = self.confirmed_ms.get(machine, self._began_wall_ms())
-            if minion is not None and not minion.report.leaving:
+            if confirmed and machine not in wave.finished and self._is_back(machine, by_machine):
                 back.append(machine)
-                log.bind(wave=wave.number, machine=machine, ordered_ms=ordered_ms).info(
-                    "machine is back from upkeep"
-                )
         if back:
+            log.bind(wave=wave.number, machines=back).info("machines are back from upkeep")
+            for machine in back:
+                self.room.busy.pop(machine, None)
             self.scheduler.submit(RecordUpkeep(number=wave.number, finished=back))
 
-    def _began_wall_ms(self) -> int:
-        clock = self.scheduler.clock
-        return clock.wall_ms() - (clock.now_ms() - self.scheduler.began_ms)
-
-    async def _look_up_missing(
-        self, wave: UpkeepWave, by_machine: dict[str, Minion], now_ms: int
-    ) -> None:
-        """Give up machines that are gone for good, by the machines' list."""
-        missing = [
-            machine
-            for machine in wave.machines
-            if machine not in wave.finished
-            and (machine not in by_machine or by_machine[machine].report.leaving)
-        ]
-        if not missing or now_ms - self.listed_ms < LIST_INTERVAL_MS:
-            return
-        self.listed_ms = now_ms
-        try:
-            machines = {found.machine for found in await self.port.list_machines()}
-        except NoAnswerError as exc:
-            log.bind(wave=wave.number).warning("machines not listed: {}", exc)
-            return
-        gone = [machine for machine in missing if machine not in machines]
-        if gone:
-            log.bind(wave=wave.number, machines=gone).info("machines of the wave are gone")
-            self.scheduler.submit(RecordUpkeep(number=wave.number, finished=gone))
+    def _is_back(self, machine: str, by_machine: dict[str, Minion]) -> bool:
+        minion = by_machine.get(machine)
+        if minion is not None and not minion.gone:
+            return True
+        listed = self.room.machines.get(machine)
+        confirmed_ms = self.confirmed_ms.get(machine, self.scheduler.began_ms)
+        fresh = self.room.listed_ms > confirmed_ms
+        return fresh and listed is not None and listed.state is MachineState.UP
