--- a/src/hornbeamreach/fleet/machine_room.py
+++ b/src/hornbeamreach/fleet/machine_room.py
@@ -51,6 +51,8 @@
         """Return the present minion of each machine that one was heard of."""
         found: dict[str, Minion] = {}
         for minion in self.scheduler.books.minions.values():
+            if minion.gone:
+                continue
             machine = minion.report.machine or minion.minion_id
             known = found.get(machine)
             if known is None or known.report.born_ms < minion.report.born_ms:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -28,6 +28,7 @@
 from hornbeamreach.tables.jobs import JobRow, Resources, WorkerRow
 from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.tables.table_file import edits_between
+from hornbeamreach.tables.workload import StepJobSpec, StepSpec
 
 LINK_SECRET = "link-secret-for-tests"
 OPERATOR = "operator-credential"
@@ -249,3 +250,23 @@
         )
         for process in processes
     }
+
+
+def step_table(**queues: Any) -> DeclaredTable:
+    """Return a table of one pool and one queue for step jobs, called by host and path."""
+    columns = {"host": "a.example", "path_prefix": "/jobs/", "max_attempts": 3, **queues}
+    return DeclaredTable(
+        teams={"team-a": TeamRow(weight=1, max_running=1_000_000, home="dc1")},
+        pools={"pool-a": PoolRow(max_down=1_000_000)},
+        queues={"queue-a": QueueRow(pool="pool-a", **columns)},
+    )
+
+
+def step(count: int = 1, **fields: Any) -> StepSpec:
+    """Return a step of small tasks."""
+    return StepSpec(**{"count": count, "cpu_millis": 1_000, "estimate_ms": 600, **fields})
+
+
+def step_job(*steps: StepSpec, **fields: Any) -> StepJobSpec:
+    """Return a job of the steps, one after the other unless they say otherwise."""
+    return StepJobSpec(payload="work", steps=steps or (step(),), **fields)
