Count machines whose upkeep is being ordered; end a scheduler that lost its lease

(2) A scheduler that lost its lease for a moment went on with orders left out, and one begun anew in the same term reused fencing tokens; now it is over for good and its successor's tokens are higher. (3) A machine whose move was never answered stayed cordoned. In a scratch play the new lease test also passes with the old code, so it does not show (2).

--- a/src/hornbeamreach/fleet/moves.py
+++ b/src/hornbeamreach/fleet/moves.py
@@ -78,6 +78,9 @@
             if here or parked or now_ms - self.room.busy.get(machine, now_ms) > LATE_ORDER_MS:
                 del self.arriving[machine]
                 self.room.busy.pop(machine, None)
+                if minion is not None:
+                    # A move that was never answered and was not carried out either.
+                    minion.cordoned = False
 
     # Loads
 
--- a/src/hornbeamreach/fleet/scheduler.py
+++ b/src/hornbeamreach/fleet/scheduler.py
@@ -31,8 +31,10 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_AT_ONCE = 500
-# A fencing token is the term and, below it, a number that rises within the term.
-TOKEN_STEP_BITS = 20
+# A fencing token is the term, the number of the scheduler in this process, and a number that
+# rises for each minion; together they stay below 2^53, the largest whole number of JSON.
+TOKEN_STEP_BITS = 16
+GENERATION_BITS = 12
 # The admission service takes a list of at most this many minions.
 MAX_ADVISED_MINIONS = 30
 
@@ -49,8 +51,11 @@
         clock: Clock,
         metrics: Metrics,
         timing: FleetTiming,
+        generation: int = 0,
     ) -> None:
         self.replica = replica
+        self.generation = generation
+        self.over = False
         self.clock = clock
         self.metrics = metrics
         self.timing = timing
@@ -74,12 +79,18 @@
     # Questions
 
     def is_current(self) -> bool:
-        """Tell whether this replica still leads in this scheduler's term."""
-        return self.replica.is_leader() and self.replica.core.term == self.term
+        """Tell whether this replica has led all the time since this scheduler began.
+
+        Once it has not, orders may have been left out, so the scheduler is over for good.
+        """
+        leads = self.replica.is_leader() and self.replica.core.term == self.term
+        self.over = self.over or not leads
+        return not self.over
 
     def token(self, minion: Minion) -> int:
         """Return the fencing token of orders to a minion."""
-        return (self.term << TOKEN_STEP_BITS) + minion.token_step
+        part = (self.term << GENERATION_BITS) + self.generation
+        return (part << TOKEN_STEP_BITS) + minion.token_step
 
     def lease_for(self, minion: Minion) -> int | None:
         """Return a lease to grant on the minion's clock, or None before its clock was read."""
@@ -245,6 +256,7 @@
         self.books.minions[report.minion] = minion
         for run in list(self.books.orphans.pop(report.minion, {}).values()):
             # Its order may still arrive at the new life: the first look there decides.
+            run.born_ms = report.born_ms
             minion.book(run)
         if report.minion not in self.watches:
             watch = MinionWatch(scheduler=self, minion_id=report.minion, port=self.port)
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -27,7 +27,7 @@
 )
 from hornbeamreach.fleet.moves import PoolMoves
 from hornbeamreach.fleet.ports import AdvicePort, MachinePort, MinionPort
-from hornbeamreach.fleet.scheduler import Scheduler
+from hornbeamreach.fleet.scheduler import GENERATION_BITS, Scheduler
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.fleet.upkeep import Upkeep
 from hornbeamreach.link.interface import HandlerTable
@@ -36,6 +36,9 @@
 
 log = part_logger("fleet")
 
+RESTART_PAUSE_MS = 20
+MAX_GENERATIONS = 1 << GENERATION_BITS
+
 
 @define(kw_only=True, eq=False)
 class FleetService:
@@ -49,6 +52,7 @@
     clock: Clock
     metrics: Metrics
     timing: FleetTiming = field(factory=FleetTiming)
+    generation: int = field(default=0, init=False)
     scheduler: Scheduler | None = field(default=None, init=False)
     desk: Desk | None = field(default=None, init=False)
 
@@ -73,7 +77,9 @@
                 clock=self.clock,
                 metrics=self.metrics,
                 timing=self.timing,
+                generation=self.generation % MAX_GENERATIONS,
             )
+            self.generation += 1
             try:
                 async with trio.open_nursery() as nursery:
                     if self.machine_port is not None:
@@ -87,7 +93,7 @@
                 log.info("the term ended during a decision: {}", group.exceptions[0])
             finally:
                 self.scheduler = self.desk = None
-            await trio.sleep(seconds(1))
+            await trio.sleep(seconds(RESTART_PAUSE_MS))
 
     async def _serve(self, scheduler: Scheduler) -> None:
         while scheduler.nursery is None:
--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -13,7 +13,13 @@
 from hornbeamreach.fleet.machine_room import MachineRoom
 from hornbeamreach.fleet.ports import MachineAnswer, MachineState, NoAnswerError
 from hornbeamreach.logs import part_logger
-from hornbeamreach.systems.upkeep import WaveMachine, may_stop, next_machines, tasks_away
+from hornbeamreach.systems.upkeep import (
+    WaveMachine,
+    may_stop,
+    next_machines,
+    places_left,
+    tasks_away,
+)
 from hornbeamreach.tables.minions import BookedRun, Minion
 from hornbeamreach.tables.workload import UpkeepWave, parse_task_key, step_key
 
@@ -70,7 +76,7 @@
             self._note_finished(wave, by_machine)
             self._choose_parked(nursery, wave, unheard)
             candidates = self._candidates(wave, by_machine)
-            for candidate in next_machines(wave, candidates, set(self.chosen)):
+            for candidate in next_machines(wave, candidates, self._taken()):
                 self._choose(wave, candidate, now_ms)
             self._resend(nursery, wave)
             for machine in list(self.chosen):
@@ -81,9 +87,11 @@
                 if self._may_go(wave, minion, now_ms):
                     self._send_off(nursery, wave, machine)
 
+    def _taken(self) -> set[str]:
+        return self.chosen.keys() | self.ordering
+
     def _choose_parked(self, nursery: trio.Nursery, wave: UpkeepWave, unheard: list[str]) -> None:
         """Order the upkeep of machines that are off, and give up those that are gone."""
-        under_way = len(wave.ordered.keys() - wave.finished) + len(self.chosen)
         parked = {machine.machine for machine in self.room.parked()}
         gone = [machine for machine in unheard if machine not in self.room.machines]
         if gone:
@@ -91,9 +99,8 @@
             self.scheduler.submit(RecordUpkeep(number=wave.number, finished=gone))
         for machine in unheard:
             if machine in parked and machine not in wave.ordered and machine not in self.ordering:
-                if under_way >= wave.max_down:
+                if not places_left(wave, self._taken()):
                     return
-                under_way += 1
                 self.room.busy[machine] = self.scheduler.clock.now_ms()
                 self._send_off(nursery, wave, machine)
 
--- a/src/hornbeamreach/systems/upkeep.py
+++ b/src/hornbeamreach/systems/upkeep.py
@@ -26,19 +26,23 @@
     pool_free: float
 
 
+def places_left(wave: UpkeepWave, taken: set[str]) -> int:
+    """Return how many more machines may be taken beside those that are down or chosen."""
+    down = wave.ordered.keys() - wave.finished
+    return max(0, wave.max_down - len(down | taken))
+
+
 def next_machines(
-    wave: UpkeepWave, candidates: Iterable[WaveMachine], chosen: set[str]
+    wave: UpkeepWave, candidates: Iterable[WaveMachine], taken: set[str]
 ) -> list[WaveMachine]:
     """Choose machines to empty now, so that at most `max_down` are chosen or under way."""
-    under_way = len(wave.ordered.keys() - wave.finished)
-    places = wave.max_down - under_way - len(chosen - wave.ordered.keys())
     free = [
         candidate
         for candidate in candidates
-        if candidate.machine not in chosen and candidate.machine not in wave.ordered
+        if candidate.machine not in taken and candidate.machine not in wave.ordered
     ]
     free.sort(key=lambda c: (len(c.minion.runs) > 0, -c.pool_free, len(c.minion.runs)))
-    return free[: max(0, places)]
+    return free[: places_left(wave, taken)]
 
 
 def tasks_away(runs: dict[str, BookedRun], prefix: str, count: int) -> int:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,9 +26,10 @@
     VmRow,
 )
 from hornbeamreach.tables.jobs import JobRow, Resources, WorkerRow
+from hornbeamreach.tables.minions import BookedRun, Minion, MinionReport, RunPhase
 from hornbeamreach.tables.reports import JobSpec
 from hornbeamreach.tables.table_file import edits_between
-from hornbeamreach.tables.workload import StepJobSpec, StepSpec
+from hornbeamreach.tables.workload import StepJobSpec, StepSpec, UpkeepWave
 
 LINK_SECRET = "link-secret-for-tests"
 OPERATOR = "operator-credential"
@@ -270,3 +271,44 @@
 def step_job(*steps: StepSpec, **fields: Any) -> StepJobSpec:
     """Return a job of the steps, one after the other unless they say otherwise."""
     return StepJobSpec(payload="work", steps=steps or (step(),), **fields)
+
+
+def minion(name: str = "i-1", **fields: Any) -> Minion:
+    """Return a minion of sixteen cores that was looked at."""
+    columns = {
+        "minion": name,
+        "born_ms": 1,
+        "pool": "pool-a",
+        "address": "10.9.0.1:8000",
+        "data_center": "dc1",
+        "sequence": 1,
+        "capacity": Resources(cpu_millis=16_000, memory_mb=32_768),
+        "rack": "r1-1",
+        "labels": ("a", "r1-1"),
+        **fields,
+    }
+    return Minion(report=MinionReport(**columns), heard_ms=0, looked_ms=0)
+
+
+def run(key: str = "0.0.0", **fields: Any) -> BookedRun:
+    """Return a run of one core that is at work."""
+    columns = {
+        "job_id": "0" * 16,
+        "key": key,
+        "run": 1,
+        "team": "team-a",
+        "minion": "i-1",
+        "born_ms": 1,
+        "needs": Resources(cpu_millis=1_000),
+        "charged": Resources(cpu_millis=1_000),
+        "phase": RunPhase.RUNNING,
+        **fields,
+    }
+    return BookedRun(**columns)
+
+
+def wave(machines: list[str], *, max_down: int = 1) -> UpkeepWave:
+    """Return a wave that was just ordered."""
+    return UpkeepWave(
+        number=1, machines=tuple(machines), max_down=max_down, ordered_ms=0, due_ms=30_000
+    )
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -243,6 +243,21 @@
 
         play(scenario, seed=seed)
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_a_lease_that_lapses_for_a_moment_leaves_no_run_behind(self, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            leader = await fleet.wait_leader()
+            for number in range(10):
+                await fleet.submit(job_id(number), step_job(step(9), step(9, after=(0,))), 300)
+                # Longer than the leader's lease, shorter than most election timeouts.
+                fleet.network.cut({leader}, set(fleet.addresses))
+                await trio.sleep(0.8 + 0.05 * number)
+                fleet.network.heal()
+                await trio.sleep(0.4)
+            await wait_all(fleet, 30)
+
+        play(scenario, seed=seed)
+
     @pytest.mark.parametrize("seed", range(3))
     def test_all_control_loses_power_at_once(self, seed):
         async def scenario(fleet: StepFleet) -> None:
