--- a/src/hornbeamreach/control/workload_log.py
+++ b/src/hornbeamreach/control/workload_log.py
@@ -93,6 +93,15 @@
     due_ms: int
 
 
+@wire_type("note_machine_orders")
+@define(frozen=True, kw_only=True)
+class NoteMachineOrders:
+    """Note that orders for machines are about to be given."""
+
+    machines: list[str]
+    at_ms: int
+
+
 @wire_type("record_upkeep")
 @define(frozen=True, kw_only=True)
 class RecordUpkeep:
@@ -102,6 +111,7 @@
     ordered: list[str] = field(factory=list)
     confirmed: list[str] = field(factory=list)
     finished: list[str] = field(factory=list)
+    at_ms: int = 0
 
 
 def _accepted(state: ControlState) -> Outcome:
@@ -266,12 +276,20 @@
     if wave is not None:
         for machine in command.ordered:
             wave.ordered.setdefault(machine, False)
+            state.workload.machine_orders[machine] = command.at_ms
         for machine in command.confirmed:
             wave.ordered[machine] = True
         wave.finished.update(command.finished)
     return _accepted(state)
 
 
+@appliers.register("NoteMachineOrders")
+def _apply_machine_orders(state: ControlState, command: NoteMachineOrders) -> Outcome:
+    for machine in command.machines:
+        state.workload.machine_orders[machine] = command.at_ms
+    return _accepted(state)
+
+
 WORKLOAD_COMMANDS: tuple[type, ...] = (
     ApplyDeclaration,
     AcceptJob,
@@ -279,6 +297,7 @@
     RecordRuns,
     ForgetJobs,
     OrderWave,
+    NoteMachineOrders,
     RecordUpkeep,
 )
 
--- a/src/hornbeamreach/fleet/books.py
+++ b/src/hornbeamreach/fleet/books.py
@@ -174,6 +174,7 @@
         ),
         lasting=step.lasting,
         filler=step.filler,
+        latency_target_ms=step.latency_target_ms,
         phase=phase,
         settled_ms=now_ms,
         started_ms=now_ms,
--- a/src/hornbeamreach/fleet/machine_room.py
+++ b/src/hornbeamreach/fleet/machine_room.py
@@ -15,6 +15,12 @@
 
 log = part_logger("machines")
 
+# The platform wants orders for one machine from one scheduler at a time: a new one leaves a
+# machine alone until the right of the one before to give orders has run out.
+HANDOVER_MS = 3_000
+# Added to that where the time of the earlier order is told by another machine's clock.
+CLOCK_SKEW_MS = 3_000
+
 # The list is read at most this often; each call to the platform has a price.
 LIST_INTERVAL_MS = 1_500
 
@@ -31,6 +37,8 @@
     tried_ms: int = -LIST_INTERVAL_MS
     # Machines that an order of ours is under way for, by when it was given.
     busy: dict[str, int] = field(factory=dict)
+    # Machines that this scheduler gave orders for.
+    ordered: set[str] = field(factory=set)
 
     async def refresh(self) -> bool:
         """Read the list if it is old; tell whether there is one."""
@@ -47,6 +55,17 @@
                 self.listed_ms = now_ms
         return self.listed_ms >= 0
 
+    def may_order(self, machine: str) -> bool:
+        """Tell whether no earlier scheduler can still be giving orders for a machine."""
+        scheduler = self.scheduler
+        if scheduler.clock.now_ms() - scheduler.began_ms >= HANDOVER_MS:
+            return True
+        began_wall_ms = scheduler.clock.wall_ms() - (scheduler.clock.now_ms() - scheduler.began_ms)
+        ordered_ms = scheduler.ahead.workload.machine_orders.get(machine)
+        if ordered_ms is None or ordered_ms >= began_wall_ms:
+            return ordered_ms is None or machine in self.ordered
+        return began_wall_ms - ordered_ms > HANDOVER_MS + CLOCK_SKEW_MS
+
     def minions(self) -> dict[str, Minion]:
         """Return the present minion of each machine that one was heard of."""
         found: dict[str, Minion] = {}
@@ -67,6 +86,7 @@
             for machine in self.machines.values()
             if machine.state is MachineState.UP
             and machine.machine not in self.busy
+            and self.may_order(machine.machine)
             and machine.pool in pools
             and pools[machine.pool].standby
         ]
--- a/src/hornbeamreach/fleet/moves.py
+++ b/src/hornbeamreach/fleet/moves.py
@@ -8,9 +8,10 @@
 from attrs import define, field
 
 from hornbeamreach.clock import seconds
+from hornbeamreach.control.workload_log import NoteMachineOrders
+from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.machine_room import MachineRoom
 from hornbeamreach.fleet.ports import MachineAnswer, NoAnswerError
-from hornbeamreach.fleet.upkeep import HANDOVER_MS
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.pool_moves import MachineMove, Mover, PoolLoad, PoolLoads, pool_movers
 from hornbeamreach.tables.minions import Minion
@@ -48,8 +49,7 @@
             while True:
                 await trio.sleep(seconds(STEP_MS))
                 now_ms = self.scheduler.clock.now_ms()
-                young = now_ms - self.scheduler.began_ms < HANDOVER_MS
-                if self.scheduler.nursery is None or young or not await self.room.refresh():
+                if self.scheduler.nursery is None or not await self.room.refresh():
                     continue
                 if self.scheduler.is_current():
                     self._step(nursery, now_ms)
@@ -115,7 +115,8 @@
     def _idle(self, members: list[tuple[str, Minion]], now_ms: int) -> tuple[tuple[str, int], ...]:
         found = []
         for machine, minion in members:
-            if minion.runs or minion.cordoned or machine in self.room.busy:
+            busy = machine in self.room.busy or not self.room.may_order(machine)
+            if minion.runs or minion.cordoned or busy:
                 self.idle_since_ms.pop(machine, None)
             else:
                 since_ms = self.idle_since_ms.setdefault(machine, now_ms)
@@ -155,12 +156,18 @@
         scheduler = self.scheduler
         bound = log.bind(machine=move.machine, source=move.source, pool=move.pool)
         try:
+            self.room.ordered.add(move.machine)
+            at_ms = scheduler.clock.wall_ms()
+            await scheduler.commit(NoteMachineOrders(machines=[move.machine], at_ms=at_ms))
             answer = await self.room.port.move(
                 move.machine,
                 pool=move.pool,
                 holder=scheduler.replica.node_id,
                 token=scheduler.term,
             )
+        except (NotLeaderError, RefusedError) as exc:
+            bound.info("move not ordered: {}", exc)
+            return
         except NoAnswerError as exc:
             bound.warning("move unanswered, it may be carried out late: {}", exc)
             scheduler.metrics.event("move_unanswered")
--- a/src/hornbeamreach/fleet/orders.py
+++ b/src/hornbeamreach/fleet/orders.py
@@ -17,6 +17,7 @@
     StartReply,
 )
 from hornbeamreach.logs import part_logger
+from hornbeamreach.systems.fill_pacing import PaceFacts, pacers, worst_tail
 from hornbeamreach.tables.minions import BookedRun, Minion, RunPhase
 from hornbeamreach.tables.workload import RunEnd, parse_task_key
 
@@ -26,6 +27,7 @@
 log = part_logger("orders")
 
 NEVER_MS = 1 << 62
+UNKNOWN_PACE = -1
 
 
 class Orders:
@@ -188,6 +190,41 @@
             scheduler.watches[minion.minion_id].look_now()
             return
 
+    # Pace
+
+    def pace_fillers(self, minion: Minion) -> None:
+        """Set the pace of a minion's fillers by what its serving tasks' tails show."""
+        fillers = [run for run in minion.runs.values() if run.filler]
+        if not fillers:
+            return
+        now_ms = self.scheduler.clock.now_ms()
+        facts = PaceFacts(
+            pace=minion.filler_pace,
+            worst=worst_tail(minion.runs.values()),
+            since_change_ms=now_ms - minion.paced_ms,
+        )
+        pace = pacers.get("back_off")(facts)
+        if pace != minion.filler_pace:
+            log.bind(minion=minion.minion_id, worst=facts.worst, before=facts.pace).info(
+                "fillers work at {} percent", pace
+            )
+            minion.filler_pace, minion.paced_ms = pace, now_ms
+        for run in fillers:
+            if run.pace != pace and run.phase is RunPhase.RUNNING and self.scheduler.nursery:
+                run.pace = pace
+                self.scheduler.nursery.start_soon(self._pace, minion, run, pace)
+
+    async def _pace(self, minion: Minion, run: BookedRun, percent: int) -> None:
+        token = self.scheduler.token(minion)
+        try:
+            await self.port.pace(
+                minion.report, task=run.name, run=run.run, percent=percent, token=token
+            )
+        except (NoAnswerError, OtherLifeError, FencedError) as exc:
+            log.bind(task=run.name, minion=run.minion).info("pace not set: {}", exc)
+            # The next look sets it again.
+            run.pace = UNKNOWN_PACE
+
     def stop_stray(self, minion: Minion, task: str, run: int) -> None:
         """Stop a run that a minion lists and that is not booked there."""
         if self.scheduler.nursery is not None:
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -37,7 +37,7 @@
     """Choose starts by the policies that the settings name."""
 
     books: Books
-    order: Order = field(factory=lambda: task_orders.get("in_time_first"))
+    order: Order = field(factory=lambda: task_orders.get("begun_then_oldest"))
     place: Place = field(factory=lambda: task_placements.get("best_fit"))
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
--- a/src/hornbeamreach/fleet/state.py
+++ b/src/hornbeamreach/fleet/state.py
@@ -17,6 +17,7 @@
         workload,
         jobs={job_id: _copy_job(job) for job_id, job in workload.jobs.items()},
         tombstones=dict(workload.tombstones),
+        machine_orders=dict(workload.machine_orders),
         waves={number: _copy_wave(wave) for number, wave in workload.waves.items()},
     )
 
--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -29,9 +29,6 @@
 log = part_logger("upkeep")
 
 STEP_MS = 100
-# The platform takes orders for a machine from one scheduler at a time: a new one waits until
-# the earlier one's right to give orders has run out.
-HANDOVER_MS = 3_000
 # In the last part of a wave's time machines go although short tasks are at work there.
 HURRY_SHARE = 0.35
 # A machine that was chosen goes after this, whatever short tasks are left on it.
@@ -57,7 +54,7 @@
                 await trio.sleep(seconds(STEP_MS))
                 scheduler = self.scheduler
                 now_ms = scheduler.clock.now_ms()
-                if scheduler.nursery is None or now_ms - scheduler.began_ms < HANDOVER_MS:
+                if scheduler.nursery is None:
                     continue
                 try:
                     await self._step(nursery, now_ms)
@@ -115,6 +112,7 @@
             for machine in wave.machines
             if machine in by_machine
             and machine not in self.room.busy
+            and self.room.may_order(machine)
             and not by_machine[machine].report.leaving
             and not by_machine[machine].report.draining
         ]
@@ -173,13 +171,16 @@
     def _resend(self, nursery: trio.Nursery, wave: UpkeepWave) -> None:
         """Repeat orders whose answer an earlier scheduler may not have had."""
         for machine, confirmed in wave.ordered.items():
-            if not confirmed and machine not in self.ordering and machine not in wave.finished:
+            waits = machine in self.ordering or not self.room.may_order(machine)
+            if not (confirmed or waits or machine in wave.finished):
                 self._send_off(nursery, wave, machine)
 
     async def _order(self, wave: UpkeepWave, machine: str) -> None:
         scheduler = self.scheduler
         try:
-            await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[machine]))
+            self.room.ordered.add(machine)
+            at_ms = scheduler.clock.wall_ms()
+            await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[machine], at_ms=at_ms))
             answer = await self.room.port.upkeep(
                 machine, wave=wave.number, holder=scheduler.replica.node_id, token=scheduler.term
             )
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -156,6 +156,7 @@
         running = {(task.task, task.run): task for task in look.running}
         self._take_running(minion, running, now_ms)
         self._find_missing(minion, running, sent_ms, token)
+        scheduler.orders.pace_fillers(minion)
         scheduler.notify()
 
     def _take_end(self, minion: Minion, ended: EndedTask, now_ms: int) -> None:
--- a/src/hornbeamreach/systems/task_order.py
+++ b/src/hornbeamreach/systems/task_order.py
@@ -45,15 +45,15 @@
     return (-step.waited_ms,)
 
 
-@task_orders.register("in_time_first")
-def in_time_first(step: WaitingStep) -> tuple:
-    """Put lasting tasks first, then what can still be in time, the least work first.
+@task_orders.register("begun_then_oldest")
+def begun_then_oldest(step: WaitingStep) -> tuple:
+    """Put lasting tasks first, then what can still be in time: begun jobs, then the oldest.
 
-    What is late already waits for the valley, the oldest first once it has aged.
+    What is late already waits for the valley, the least work first until it has aged.
     """
     if step.lasting:
         return (0, int(step.filler), -step.waited_ms)
     if step.slack_ms >= 0:
-        return (1, step.rank, int(not step.begun), step.slack_ms + step.work_core_ms)
+        return (1, step.rank, int(not step.begun), -step.waited_ms)
     aged = step.waited_ms >= AGEING_MS
     return (2, int(not step.begun), int(not aged), step.work_core_ms)
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -64,6 +64,7 @@
     charged: Resources
     lasting: bool = False
     filler: bool = False
+    latency_target_ms: int = 0
     phase: RunPhase = RunPhase.BOOKED
     # When the order's outcome became known; only a later look shows that the run is gone.
     settled_ms: int = 0
@@ -111,6 +112,9 @@
     # Failed runs in a row, of which jobs.
     failing_jobs: set[str] = field(factory=set)
     cordoned: bool = False
+    # Share of their speed at which the minion's fillers should work, and since when.
+    filler_pace: int = 100
+    paced_ms: int = 0
     # Known to have ended; a late report of this life changes nothing.
     gone: bool = False
 
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -208,3 +208,5 @@
     # Ids that were cancelled before a job of that id was accepted.
     tombstones: dict[str, int] = field(factory=dict)
     waves: dict[int, UpkeepWave] = field(factory=dict)
+    # Wall time of the latest order for each machine, by whichever scheduler.
+    machine_orders: dict[str, int] = field(factory=dict)
