--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -148,8 +148,9 @@
         occurrence, number, _ = parse_task_key(run.key)
         step = job.spec.steps[number]
         prefix = f"{step_key(occurrence, number)}."
-        away = tasks_away(books.runs_of.get(run.job_id, {}), prefix, step.count)
-        return may_stop(run, away, step.may_miss)
+        now_ms = self.scheduler.clock.now_ms()
+        away = tasks_away(books.runs_of.get(run.job_id, {}), prefix, step.count, now_ms)
+        return may_stop(run, away, step.may_miss, now_ms=now_ms)
 
     def _may_go(self, wave: UpkeepWave, minion: Minion, now_ms: int) -> bool:
         if not minion.runs:
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -187,6 +187,7 @@
             if task.percent != run.percent:
                 run.progressed_ms = now_ms
             run.percent, run.figure = task.percent, task.figure
+            run.listed_ms = now_ms
 
     def _adopt(self, run: BookedRun) -> None:
         job = self.scheduler.books.job(run.job_id)
--- a/src/hornbeamreach/systems/upkeep.py
+++ b/src/hornbeamreach/systems/upkeep.py
@@ -14,6 +14,8 @@
 from hornbeamreach.tables.workload import UpkeepWave
 
 FULL_SPEED = 100
+# Looks come once a second; a minion that missed two of them may be gone.
+FRESH_MS = 2_500
 
 
 @define(frozen=True, kw_only=True)
@@ -45,17 +47,19 @@
     return free[: places_left(wave, taken)]
 
 
-def tasks_away(runs: dict[str, BookedRun], prefix: str, count: int) -> int:
-    """Count the tasks of a step that are not fully at work."""
-    at_work = sum(
-        1
-        for key, run in runs.items()
-        if key.startswith(prefix) and run.phase is RunPhase.RUNNING and run.percent >= FULL_SPEED
-    )
-    return count - at_work
+def at_work(run: BookedRun, now_ms: int) -> bool:
+    """Tell whether a run was listed a short while ago as working at full speed."""
+    fresh = now_ms - run.listed_ms <= FRESH_MS
+    return run.phase is RunPhase.RUNNING and run.percent >= FULL_SPEED and fresh
 
 
-def may_stop(run: BookedRun, away: int, may_miss: int) -> bool:
+def tasks_away(runs: dict[str, BookedRun], prefix: str, count: int, now_ms: int) -> int:
+    """Count the tasks of a step that are not known to be fully at work."""
+    working = sum(1 for key, run in runs.items() if key.startswith(prefix) and at_work(run, now_ms))
+    return count - working
+
+
+def may_stop(run: BookedRun, away: int, may_miss: int, *, now_ms: int) -> bool:
     """Tell whether a lasting task may be stopped without breaking its step's budget."""
-    others_away = away - int(not (run.phase is RunPhase.RUNNING and run.percent >= FULL_SPEED))
+    others_away = away - int(not at_work(run, now_ms))
     return may_miss == 0 or others_away < may_miss
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -71,6 +71,8 @@
     started_ms: int = 0
     percent: int = 0
     progressed_ms: int = 0
+    # When the latest look that listed it had come.
+    listed_ms: int = 0
     # Latest rough figure: tail latency in ms for a task that serves, else processor use.
     figure: int = 0
     pace: int = 100
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -50,13 +50,20 @@
 class TestMayStop:
     def test_a_task_at_work_stops_only_while_the_others_are(self):
         runs = {f"0.0.{n}": builders.run(key=f"0.0.{n}", percent=100) for n in range(5)}
-        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5), may_miss=1)
+        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5, 500), may_miss=1, now_ms=500)
         runs["0.0.4"].phase = RunPhase.STOPPING
-        assert not may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5), may_miss=1)
-        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5), may_miss=2)
+        assert not may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5, 500), may_miss=1, now_ms=500)
+        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5, 500), may_miss=2, now_ms=500)
 
     def test_a_task_that_still_starts_is_away_itself(self):
         runs = {f"0.0.{n}": builders.run(key=f"0.0.{n}", percent=100) for n in range(5)}
         runs["0.0.0"].percent = 40
-        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5), may_miss=1)
-        assert not may_stop(runs["0.0.1"], tasks_away(runs, "0.0.", 5), may_miss=1)
+        assert may_stop(runs["0.0.0"], tasks_away(runs, "0.0.", 5, 500), may_miss=1, now_ms=500)
+        assert not may_stop(runs["0.0.1"], tasks_away(runs, "0.0.", 5, 500), may_miss=1, now_ms=500)
+
+    def test_a_task_of_a_minion_that_has_fallen_silent_is_away(self):
+        runs = {f"0.0.{n}": builders.run(key=f"0.0.{n}", percent=100) for n in range(5)}
+        for run in list(runs.values())[:4]:
+            run.listed_ms = 9_000
+        assert tasks_away(runs, "0.0.", 5, 10_000) == 1
+        assert not may_stop(runs["0.0.0"], 1, may_miss=1, now_ms=10_000)
