--- a/tests/builders.py
+++ b/tests/builders.py
@@ -312,3 +312,73 @@
     return UpkeepWave(
         number=1, machines=tuple(machines), max_down=max_down, ordered_ms=0, due_ms=30_000
     )
+
+
+def platform_configuration() -> dict[str, Any]:
+    """Return a configuration as the platform's operators send it."""
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "queue-a",
+                "host": "a.example",
+                "path-prefix": "/jobs/",
+                "kind": "non_idempotent",
+                "timeout-ms": 3_000,
+                "target-latency-ms": 600,
+                "priority": 1,
+                "service": "pool-a",
+                "max-attempts": 4,
+                "slack-factor": 1.6,
+                "public": False,
+            }
+        ],
+        "services": [
+            {"name": "pool-a", "health-path": "/healthz", "rejects-overload": True},
+            {"name": "pool-b", "standby": True},
+        ],
+        "limits": {"max-body-bytes": 262_144},
+        "tenants": [
+            {
+                "name": "team-a",
+                "api-keys": ["key-1", "key-2"],
+                "weight": 22,
+                "cap": {"cpu": 352_731, "mem-mb": 1_024_937, "gpu": 0},
+            }
+        ],
+    }
+
+
+def platform_heartbeat() -> dict[str, Any]:
+    """Return a heartbeat as the platform's minions send it."""
+    return {
+        "service": "pool-a",
+        "address": "10.128.0.9:8080",
+        "zone": "dc1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clock-ms": 482_113,
+        "sequence": 4,
+        "born": 1_790_000_000_000,
+        "machine": "m-1",
+    }
+
+
+def platform_settings() -> dict[str, Any]:
+    """Return the decoded settings file of a control process on the platform."""
+    return {
+        "node-name": "core-1",
+        "ip": "10.1.0.26",
+        "zone": "dc1",
+        "internal-port-range": [7_000, 7_015],
+        "seeds": ["10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"],
+        "bootstrap": True,
+        "data-dir": "/data/core",
+        "bind-addresses": {"control": "10.1.0.26:8345"},
+        "bounds": {"hold-max-ms": 10_000, "grace-s": 6, "status_s": 120},
+        "cloud-api": {"address": "10.200.0.82:8344"},
+    }
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -41,6 +41,43 @@
             assert not parts & {"systems", "link"}, path
 
 
+# Names that only the users' platform uses; the product has its own.
+WIRE_NAMES = (
+    "run-start",
+    "run-stop",
+    "may-miss",
+    "heartbeat-address",
+    "fencing-token",
+    "wave-start",
+    "cpu-share",
+    "api-keys",
+    "required-label",
+    "anti-affinity",
+    "HORNBEAMREACH_NODE_FILE",
+)
+
+
+class TestPlatform:
+    def outside(self):
+        return [path for path in SOURCE.rglob("*.py") if path.parent.name != "platform"]
+
+    def test_nothing_outside_imports_it(self):
+        for path in self.outside():
+            assert not [n for n in imports(path) if n.startswith("hornbeamreach.platform")], path
+
+    def test_its_names_stay_inside(self):
+        for path in self.outside():
+            text = path.read_text()
+            assert not [name for name in WIRE_NAMES if name in text], path
+
+    def test_it_is_less_than_a_twelfth_of_the_code(self):
+        def lines(paths):
+            return sum(len(path.read_text().splitlines()) for path in paths)
+
+        inside = lines((SOURCE / "platform").glob("*.py"))
+        assert inside / lines(SOURCE.rglob("*.py")) < 1 / 12
+
+
 class TestHouse:
     def test_no_file_carries_a_notice(self):
         for path in SOURCE.rglob("*.py"):
