--- a/src/hornbeamreach/fleet/scheduler.py
+++ b/src/hornbeamreach/fleet/scheduler.py
@@ -31,6 +31,8 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_AT_ONCE = 500
+# Without an occurrence to come, the jobs are looked through again after this.
+NEVER_DUE_MS = 60_000
 # A fencing token is the term, the number of the scheduler in this process, and a number that
 # rises for each minion; together they stay below 2^53, the largest whole number of JSON.
 TOKEN_STEP_BITS = 16
@@ -325,16 +327,15 @@
     def _wake_for_due(self, wall_ms: int) -> None:
         if self.due_ms is not None and self.due_ms > wall_ms:
             return
-        coming = []
+        coming = [wall_ms + NEVER_DUE_MS]
         for job in self.ahead.workload.jobs.values():
             if job.spec.timed and not job.ended:
                 self.books.stale_jobs.add(job.job_id)
                 due_ms = next_due_ms(job.spec, wall_ms)
                 if due_ms is not None:
                     coming.append(due_ms)
-        self.due_ms = min(coming, default=None)
-        if coming:
-            self.notify()
+        self.due_ms = min(coming)
+        self.notify()
 
     def _forget_old(self, now_ms: int, wall_ms: int) -> None:
         if now_ms - self.forgot_ms < FORGET_INTERVAL_MS:
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -21,6 +21,7 @@
     QueueAnswer,
     QueueCall,
 )
+from hornbeamreach.fleet.ports import AdvicePort
 from hornbeamreach.fleet.service import FleetService
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.link.interface import HandlerTable
@@ -59,6 +60,7 @@
         seed: int = 1,
         timing: FleetTiming | None = None,
         table: DeclaredTable | None = None,
+        advice: AdvicePort | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = virtual_clock()
@@ -69,6 +71,7 @@
         self.disks = {address: MemoryDisk() for address in self.addresses}
         self.control: dict[str, ControlProcess] = {}
         self.table = table or builders.step_table()
+        self.advice = advice
         self.specs: dict[str, StepJobSpec] = {}
         self.work_ms: dict[str, float] = {}
         self.minions = StandInMinions(
@@ -152,7 +155,7 @@
             handlers=handlers,
             minion_port=self.minions.port_for(address),
             machine_port=None,
-            advice_port=None,
+            advice_port=self.advice,
             clock=self.clock,
             metrics=Metrics(),
             timing=self.timing,
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -160,6 +160,72 @@
         play(scenario)
 
 
+class TestForms:
+    def test_a_gang_starts_together_or_not_at_all(self):
+        async def scenario(fleet: StepFleet) -> None:
+            gang = step(3, cpu_millis=16_000, gang=True)
+            await fleet.submit(job_id(1), step_job(step(5, cpu_millis=16_000)), 2_000)
+            await fleet.submit(job_id(2), step_job(gang))
+            await fleet.wait_state(job_id(2), "completed")
+
+        runs = [r for r in play(scenario).minions.history if r.task.startswith(job_id(2))]
+        assert len(runs) == 3
+        assert max(r.began_ms for r in runs) - min(r.began_ms for r in runs) < 200
+        assert len({r.run for r in runs}) == 1
+
+    def test_occurrences_begin_at_their_times(self):
+        async def scenario(fleet: StepFleet) -> None:
+            first_ms = fleet.clock.wall_ms() + 3_000
+            spec = step_job(step(2), repetitions=3, first_due_ms=first_ms, interval_ms=2_000)
+            fleet.first_ms = first_ms - fleet.clock.wall_ms() + trio.current_time() * 1_000
+            await fleet.submit(job_id(1), spec)
+            await fleet.wait_state(job_id(1), "completed")
+
+        fleet = play(scenario)
+        assert len(fleet.minions.history) == 6
+        for run in fleet.minions.history:
+            due_ms = fleet.first_ms + 2_000 * int(run.task.split(".")[1])
+            assert 0 <= run.began_ms - due_ms < 500
+
+    def test_only_minions_that_the_admission_service_allows_run_a_step(self):
+        class Advice:
+            asked: list[str] = []
+
+            async def admitted(self, step: str, minions: list[str]) -> dict[str, str]:
+                self.asked.append(step)
+                await trio.sleep(0.05)
+                return {"i-2": "ticket-2", "i-3": "ticket-3"}
+
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(1), step_job(step(6), step(2, after=(0,))))
+            await fleet.wait_state(job_id(1), "completed")
+
+        from . import builders
+
+        advice = Advice()
+        table = builders.step_table(advice_valid_ms=5_000, advice_decide_ms=50)
+        fleet = play(scenario, table=table, advice=advice)
+        assert {run.minion for run in fleet.minions.history} <= {"i-2", "i-3"}
+        assert advice.asked == [f"{job_id(1)}.0.0", f"{job_id(1)}.0.1"]
+
+    def test_a_checkpoint_is_carried_to_the_next_run(self):
+        from hornbeamreach.control.state_machine import apply_command
+        from hornbeamreach.control.workload_log import AcceptJob, RecordRuns
+        from hornbeamreach.tables.control_state import ControlState
+
+        state = ControlState()
+        name = job_id(1)
+        accept = AcceptJob(
+            job_id=name, queue="q", pool="p", team="t", spec=step_job(step(1)), at_ms=0
+        )
+        apply_command(state, 1, accept)
+        start = RecordRuns(starts=[(name, "0.0.0", 1, "i-1", 1)])
+        apply_command(state, 2, start)
+        apply_command(state, 3, RecordRuns(ends=[(name, "0.0.0", 1, "stopped", "saved-7")]))
+        task = state.workload.jobs[name].tasks["0.0.0"]
+        assert (task.checkpoint, task.minion, task.failures) == ("saved-7", "", 0)
+
+
 async def submit_many(fleet: StepFleet, count: int, first: int = 0) -> None:
     for number in range(first, first + count):
         await fleet.submit(job_id(number), step_job(step(5), step(4, after=(0,))))
