--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -379,7 +379,7 @@
     # Replication
 
     def _append(self, entry: LogEntry) -> int:
-        self.log.entries.append(entry)
+        self.log.append(entry)
         self.ready.entries.append(entry)
         self._broadcast()
         return entry.index
@@ -493,7 +493,7 @@
                 continue
             if present is not None:
                 self._cut_log(entry.index)
-            self.log.entries.append(entry)
+            self.log.append(entry)
             self.ready.entries.append(entry)
 
     def _cut_log(self, index: int) -> None:
--- a/src/hornbeamreach/control/raft_log.py
+++ b/src/hornbeamreach/control/raft_log.py
@@ -13,6 +13,8 @@
 
     snapshot: Snapshot | None = None
     entries: list[LogEntry] = field(factory=list)
+    # The entries that set the members: asking for the members must not search the log.
+    member_entries: list[LogEntry] = field(factory=list, init=False)
     initial_members: dict[str, str] = field(factory=dict)
 
     @property
@@ -49,29 +51,32 @@
         start = max(0, index - self.base_index - 1)
         return self.entries[start : start + limit]
 
+    def append(self, entry: LogEntry) -> None:
+        """Add an entry behind the last one."""
+        self.entries.append(entry)
+        if entry.members is not None:
+            self.member_entries.append(entry)
+
     def cut_from(self, index: int) -> None:
         """Drop the entries from an index on."""
+        self.member_entries = [entry for entry in self.member_entries if entry.index < index]
         del self.entries[max(0, index - self.base_index - 1) :]
 
     def members(self) -> dict[str, str]:
         """Return the members by the latest entry that sets them, committed or not."""
-        for entry in reversed(self.entries):
-            if entry.members is not None:
-                return entry.members
+        if self.member_entries:
+            return self.member_entries[-1].members or {}
         return self.snapshot.members if self.snapshot else self.initial_members
 
     def members_index(self) -> int:
         """Return the index of the latest membership change in the log, or the base."""
-        for entry in reversed(self.entries):
-            if entry.members is not None:
-                return entry.index
-        return self.base_index
+        return self.member_entries[-1].index if self.member_entries else self.base_index
 
     def members_at(self, index: int) -> dict[str, str]:
         """Return the members as of an index."""
-        for entry in reversed(self.entries):
-            if entry.members is not None and entry.index <= index:
-                return entry.members
+        for entry in reversed(self.member_entries):
+            if entry.index <= index:
+                return entry.members or {}
         return self.snapshot.members if self.snapshot else self.initial_members
 
     def compact(self, snapshot: Snapshot) -> None:
@@ -81,3 +86,4 @@
         else:
             self.entries = []
         self.snapshot = snapshot
+        self.member_entries = [entry for entry in self.entries if entry.members is not None]
--- a/src/hornbeamreach/control/storage.py
+++ b/src/hornbeamreach/control/storage.py
@@ -134,4 +134,4 @@
         raise CorruptLogError(
             f"{LOG_NAME} goes from entry {log.last_index} to {entry.index}; replace this replica"
         )
-    log.entries.append(entry)
+    log.append(entry)
