--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -239,11 +239,18 @@
         ready = [
             member
             for member in self._other_members()
-            if self._peer(member).match_index == self.log.last_index
+            if self._peer(member).match_index >= self.commit_index
         ]
         if not ready:
             return False
-        target = max(ready, key=lambda member: self._peer(member).answered_sent_ms)
+        # Under load nobody has the very last entries; whoever has most wins the others' votes.
+        target = max(
+            ready,
+            key=lambda member: (
+                self._peer(member).match_index,
+                self._peer(member).answered_sent_ms,
+            ),
+        )
         self._send(TimeoutNow(source=self.node_id, target=target, term=self.term))
         return True
 
