--- a/src/hornbeamreach/systems/pool_moves.py
+++ b/src/hornbeamreach/systems/pool_moves.py
@@ -14,7 +14,7 @@
 
 # A pool gets machines until its demand takes at most this share of it: tasks of a few cores
 # leave gaps on every machine.
-TARGET_USE = 0.8
+TARGET_USE = 0.65
 # A pool gives machines only while its demand stays below this share of the rest.
 SURPLUS_USE = 0.5
 # A machine costs as much in a pool for about 1 s as a move; parking it and fetching it back
