Count a lease from the moment an order goes out; leave long single tasks alone

(2) A task that was alone in its step and longer than declared was stopped as slow, again and again. Slowness is told only from the step's other runs, and once for a task. Library logs become one line instead of a traceback, links log when they are lost and found, silent links are found out within 2.2 s, control answers what is in flight before it ends.

--- a/src/hornbeamreach/fleet/books.py
+++ b/src/hornbeamreach/fleet/books.py
@@ -114,6 +114,13 @@
                 counts[run.minion] = counts.get(run.minion, 0) + 1
         return counts
 
+    def step_runs(self, run: BookedRun) -> list[BookedRun]:
+        """List the booked runs of the same occurrence of a run's step."""
+        occurrence, step, _ = parse_task_key(run.key)
+        prefix = f"{step_key(occurrence, step)}."
+        runs = self.runs_of.get(run.job_id, {})
+        return [other for key, other in runs.items() if key.startswith(prefix)]
+
     # Ready steps
 
     def refresh_ready(self, wall_ms: int) -> None:
--- a/src/hornbeamreach/fleet/orders.py
+++ b/src/hornbeamreach/fleet/orders.py
@@ -58,6 +58,8 @@
             return
         if scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
+            # From now on the run may begin, so its lease counts from now on as well.
+            scheduler.lease_for(minion)
             scheduler.nursery.start_soon(self._start, run, minion)
 
     def _end_unsent(self, run: BookedRun) -> None:
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -20,6 +20,7 @@
 from hornbeamreach.systems.fill_pacing import FULL_PACE
 from hornbeamreach.systems.stragglers import (
     STRAGGLER_PAUSE_MS,
+    Lag,
     RunFacts,
     lag_of,
     typical_ms,
@@ -35,8 +36,6 @@
 # Pauses before a minion that does not answer is asked again grow up to this: a lease of 6 s
 # must be renewed soon after a cut heals.
 MAX_LOOK_PAUSE_MS = 600
-# Declared lengths are off by up to this factor.
-DECLARED_ERROR = 2
 # An end is recorded within tens of ms; after this the lease is renewed all the same.
 MAX_RECORDING_MS = 1_000
 
@@ -216,13 +215,15 @@
                 percent=run.percent,
                 since_start_ms=now_ms - run.started_ms,
                 since_progress_ms=now_ms - run.progressed_ms,
-                typical_ms=typical_ms(books.runs_of.get(run.job_id, {}).values(), run, now_ms)
-                or run.expected_ms * DECLARED_ERROR,
+                typical_ms=typical_ms(books.step_runs(run), run, now_ms),
             )
             lag = lag_of(facts)
             step = books.step_of(run)
             if lag is None or step is None or step.gang:
                 continue
+            if lag is Lag.SLOW and run.name in books.failed_on:
+                # It was slow elsewhere too, so it is the task that is long.
+                continue
             log.bind(
                 request=run.job_id,
                 task=run.key,
--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -23,9 +23,11 @@
 
 NOTIFY, REQUEST, REPLY = 0, 1, 2
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-PING_INTERVAL_MS = 1_500
-PING_TIMEOUT_MS = 2_000
-OPEN_TIMEOUT_MS = 1_500
+# A connection that falls silent is found out within both together: below the 3 s for which a
+# machine must stay in touch.
+PING_INTERVAL_MS = 1_000
+PING_TIMEOUT_MS = 1_200
+OPEN_TIMEOUT_MS = 1_200
 CLOSE_TIMEOUT_MS = 500
 RECONNECT_DELAY_MS = 200
 NOTIFY_QUEUE_LENGTH = 1_024
@@ -70,12 +72,14 @@
         async with connect(f"ws://{self.address}/link", **options) as socket:
             self.socket = socket
             self.connected.set()
+            log.bind(peer=self.address).info("connected to a peer")
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._send_notifications, socket)
                     await self._receive(socket)
                     nursery.cancel_scope.cancel()
             finally:
+                log.bind(peer=self.address, waiting=len(self.waiting)).info("connection ended")
                 self._forget_connection()
 
     def _forget_connection(self) -> None:
--- a/src/hornbeamreach/logs.py
+++ b/src/hornbeamreach/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import sys
 from typing import Any
@@ -73,6 +74,16 @@
         del self.waiting[:written]
 
 
+class LibraryLogs(logging.Handler):
+    """Pass on what libraries log, an error as one line instead of a traceback."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one record of the standard library's logging."""
+        error = record.exc_info[1] if record.exc_info else None
+        bound = logger.bind(part=f"{record.name}:", error=repr(error) if error else "")
+        bound.log(logging.getLevelName(record.levelno), record.getMessage())
+
+
 def configure_json_logs(*, level: str = "INFO") -> None:
     """Send JSON lines to standard output; a reader that is slow costs lines, not time."""
     os.set_blocking(STDOUT, False)
@@ -81,3 +92,4 @@
     logger.add(
         LineWriter(STDOUT).take, level=level, format="{message}", backtrace=False, diagnose=False
     )
+    logging.basicConfig(handlers=[LibraryLogs()], level=logging.WARNING, force=True)
--- a/src/hornbeamreach/platform/daemons.py
+++ b/src/hornbeamreach/platform/daemons.py
@@ -48,6 +48,8 @@
 UNREADY_MS = 2_600
 # What is in flight then has this long; with the above it stays below a grace of 6 s.
 FINISH_MS = 2_600
+# A control replica that ends hands its leadership over and answers what is in flight.
+HANDOVER_MS = 1_500
 # A process that was started with the same settings reads them again this often.
 SETTINGS_CHECK_MS = 1_000
 
@@ -173,7 +175,8 @@
             nursery.start_soon(_watch_signals, signals, stop, settings)
             nursery.start_soon(_watch_settings, settings, discovery.learn)
             await nursery.start(server.run)
-            await nursery.start(_serve, face, current.control_address, stop)
+            served = trio.Event()
+            await nursery.start(_serve, face, current.control_address, stop, served)
             await nursery.start(_serve, _metrics_face(metrics), current.own_address, stop)
             nursery.start_soon(replica.run)
             nursery.start_soon(discovery.run)
@@ -181,7 +184,8 @@
             log.bind(replica=identity.replica, founders=founders).info("control starts")
             await stop.wait()
             replica.transfer_leadership()
-            await trio.sleep(seconds(500))
+            with trio.move_on_after(seconds(HANDOVER_MS)):
+                await served.wait()
             log.info("control ends")
             nursery.cancel_scope.cancel()
     disk.close()
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -281,6 +281,43 @@
 
         play(scenario)
 
+    def test_a_run_whose_order_is_just_going_out_holds_a_lease(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(1), step_job(step(1)))
+            await fleet.wait_state(job_id(1), "completed")
+            # All leases have run out by now, as nothing runs.
+            await trio.sleep(20)
+            leader = await fleet.wait_leader()
+            scheduler = fleet.control[leader].service.scheduler
+            assert scheduler is not None
+            send = scheduler.orders._start
+
+            async def send_after_a_tick(*arguments: Any) -> None:
+                scheduler._tick()
+                await send(*arguments)
+
+            scheduler.orders._start = send_after_a_tick
+            await fleet.submit(job_id(2), step_job(step(5)))
+            await fleet.wait_state(job_id(2), "completed")
+
+        assert len(play(scenario).minions.history) == 6
+
+    def test_a_long_task_alone_in_its_step_is_let_be(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(1), step_job(step(1, estimate_ms=300)), 4_000)
+            await fleet.wait_state(job_id(1), "completed")
+
+        assert len(play(scenario).minions.history) == 1
+
+    def test_tasks_that_stand_still_start_elsewhere(self):
+        async def scenario(fleet: StepFleet) -> None:
+            for name in ("i-1", "i-2"):
+                fleet.minions.minions[name].stalls = True
+            await fleet.submit(job_id(1), step_job(step(12, max_per_minion=2)))
+            await fleet.wait_state(job_id(1), "completed", 15)
+
+        play(scenario)
+
     @pytest.mark.parametrize("seed", range(4))
     def test_a_leader_that_loses_power_loses_no_accepted_job(self, seed):
         async def scenario(fleet: StepFleet) -> None:
