Keep a minion's lives apart: ends, orders and leases of one prove nothing for the next

(2) A start that was answered may have reached the next life already; its run counted as lost with the earlier one. All runs now go over to the next life until the first look there. (3) A first look after a report that had been long on its way granted a shorter lease than the earlier leader had, so a run was given up while it ran on.

--- a/src/hornbeamreach/fleet/scheduler.py
+++ b/src/hornbeamreach/fleet/scheduler.py
@@ -153,7 +153,7 @@
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
         books = self.books
         ended, books.seen_ends = books.seen_ends, []
-        listed = {name: minion.listed_end for name, minion in books.minions.items()}
+        listed = [(minion, minion.listed_end) for minion in books.minions.values()]
         ends = [(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended]
         if ends:
             # The planner looks at the view, which must know the ends first.
@@ -175,7 +175,10 @@
         self.nursery.start_soon(self._after_commit, proposal, listed, starts)
 
     async def _after_commit(
-        self, proposal: PendingProposal, listed: dict[str, int], starts: list[BookedRun]
+        self,
+        proposal: PendingProposal,
+        listed: list[tuple[Minion, int]],
+        starts: list[BookedRun],
     ) -> None:
         try:
             await self.replica.outcome_of(proposal)
@@ -188,12 +191,13 @@
         for run in starts:
             self.orders.send_start(run)
 
-    def _cover(self, listed: dict[str, int]) -> None:
-        for name, number in listed.items():
-            minion = self.books.minions.get(name)
-            if minion is not None and number > minion.recorded_end:
+    def _cover(self, listed: list[tuple[Minion, int]]) -> None:
+        for minion, number in listed:
+            # A later life under the same id numbers its ends anew.
+            is_present = self.books.minions.get(minion.minion_id) is minion
+            if is_present and number > minion.recorded_end:
                 minion.recorded_end = number
-                self.watches[name].notify()
+                self.watches[minion.minion_id].notify()
 
     def _stop_if_ended(self, job_id: str) -> None:
         job = self.books.job(job_id)
@@ -254,7 +258,7 @@
         )
         if earlier is not None:
             minion.token_step = earlier.token_step + 1
-            self._end_life(earlier, keep_unknown=True)
+            self._end_life(earlier)
         self.books.minions[report.minion] = minion
         for run in list(self.books.orphans.pop(report.minion, {}).values()):
             # Its order may still arrive at the new life: the first look there decides.
@@ -268,23 +272,26 @@
         self.watches[report.minion].notify()
         return minion
 
-    def _end_life(self, minion: Minion, *, keep_unknown: bool) -> None:
+    def _end_life(self, minion: Minion) -> None:
+        """Hand a life's runs to the next one under the same id.
+
+        A start may have reached either of the two, whatever was answered: the first look at
+        the next life tells which runs are there.
+        """
         for run in list(minion.runs.values()):
-            unsure = run.phase in (RunPhase.SENT, RunPhase.UNKNOWN, RunPhase.STOPPING)
-            if keep_unknown and unsure:
-                minion.release(run.name)
+            minion.release(run.name)
+            if run.phase is not RunPhase.BOOKED:
                 run.phase = RunPhase.UNKNOWN
-                run.settled_ms = self.clock.now_ms()
-                self.books.orphans.setdefault(run.minion, {})[run.name] = run
-            else:
-                self.books.end(run, RunEnd.LOST)
-        self.notify()
+            run.settled_ms = self.clock.now_ms()
+            self.books.orphans.setdefault(run.minion, {})[run.name] = run
 
     def end_of_life(self, minion: Minion, why: str) -> None:
         """Take note that a minion is gone and with it all that ran there."""
         log.bind(minion=minion.minion_id, runs=len(minion.runs)).info("minion is gone: {}", why)
         self.metrics.event(f"minion_gone_{why}")
-        self._end_life(minion, keep_unknown=False)
+        for run in list(minion.runs.values()):
+            self.books.end(run, RunEnd.LOST)
+        self.notify()
         minion.report = _leaving(minion.report)
         minion.gone = True
         self.port.forget(minion.minion_id)
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from hornbeamreach.clock import seconds
@@ -149,16 +150,29 @@
     def _take(self, minion: Minion, look: Look, sent_ms: int, token: int) -> None:
         scheduler = self.scheduler
         now_ms = scheduler.clock.now_ms()
+        if scheduler.books.minions.get(self.minion_id) is not minion:
+            return
         if look.born_ms != minion.report.born_ms:
-            # The heartbeat of this life is still on its way; its report begins the life.
             if look.born_ms > minion.report.born_ms:
-                scheduler.end_of_life(minion, "restarted")
+                # The report of the new life is still on its way.
+                scheduler.take_report(
+                    attrs.evolve(
+                        minion.report,
+                        born_ms=look.born_ms,
+                        sequence=0,
+                        clock_ms=look.clock_ms,
+                    )
+                )
             return
         if minion.failed_calls:
             log.bind(minion=minion.minion_id, tries=minion.failed_calls).info(
                 "minion answers again"
             )
         minion.failed_calls = 0
+        if minion.looked_ms < 0:
+            # Above any lease that an earlier scheduler can have granted.
+            bound_ms = look.clock_ms + scheduler.timing.lease_ms
+            minion.lease_until_ms = max(minion.lease_until_ms, bound_ms)
         minion.looked_ms = sent_ms
         minion.clock_read_ms, minion.clock_arrived_ms = look.clock_ms, now_ms
         for ended in look.ended:
--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -74,6 +74,8 @@
     up: bool = True
     draining: bool = False
     sequence: int = 0
+    # How long ago the clock was read that a report tells, as if it had been on its way.
+    report_lag_ms: int = 0
     # The minion's clock: 2 % slow at most, and new in each life.
     clock_rate: float = 1.0
     clock_from_ms: float = 0.0
@@ -108,7 +110,7 @@
             kind="a",
             rack=self.rack,
             labels=("a", self.rack),
-            clock_ms=int(self.clock_ms()),
+            clock_ms=max(1, int(self.clock_ms()) - self.report_lag_ms),
             machine=f"m-{self.minion}",
         )
 
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -281,6 +281,47 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_ends_of_an_earlier_life_cover_none_of_the_next(self, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            await submit_many(fleet, 6)
+            for address in fleet.addresses:
+                fleet.sync_ms[address] = 500
+            await trio.sleep(0.9)
+            for name in ("i-1", "i-2", "i-3"):
+                fleet.minions.restart(name)
+            await trio.sleep(2)
+            scheduler = fleet.control[await fleet.wait_leader()].service.scheduler
+            assert scheduler is not None
+            for minion in scheduler.books.minions.values():
+                assert minion.recorded_end <= minion.listed_end
+            for address in fleet.addresses:
+                fleet.sync_ms[address] = 5
+            await wait_all(fleet)
+
+        play(scenario, seed=seed)
+
+    def test_a_lease_of_an_earlier_leader_counts_although_its_report_was_old(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(1), step_job(step(1, lasting=True)))
+            await trio.sleep(3)
+            name = fleet.minions.history[0].minion
+            # The next leader hears of the minion by a report that was long on its way.
+            fleet.minions.minions[name].report_lag_ms = 3_500
+            fleet.stop_control(await fleet.wait_leader())
+            leader = await fleet.wait_leader()
+            looked = False
+            while not looked:
+                scheduler = fleet.control[leader].service.scheduler
+                minion = scheduler.books.minions.get(name) if scheduler else None
+                looked = minion is not None and minion.looked_ms >= 0
+                await trio.sleep(0.01)
+            fleet.minions.cuts.add((leader, name))
+            await trio.sleep(8)
+            assert len(fleet.minions.history) == 2
+
+        play(scenario)
+
     def test_a_run_whose_order_is_just_going_out_holds_a_lease(self):
         async def scenario(fleet: StepFleet) -> None:
             await fleet.submit(job_id(1), step_job(step(1)))
