Count no silent minion as a pool's machine; send for one where a lasting task has no place

Silent minions no longer count nor get work, and a lasting task that waits 0.6 s asks for a machine.

--- a/benches/step_load.py
+++ b/benches/step_load.py
@@ -185,6 +185,8 @@
             now_ms += PLAN_EVERY_MS
 
     def _set_machines(self, now_ms: int) -> None:
+        for minion in self.books.minions.values():
+            minion.heard_ms = now_ms
         for number in range(len(self.books.minions), self.machines_at(now_ms)):
             name = f"i-{number}"
             report = MinionReport(
--- a/src/hornbeamreach/fleet/moves.py
+++ b/src/hornbeamreach/fleet/moves.py
@@ -28,6 +28,9 @@
 # An order without an answer may be carried out this much later; until then nothing new runs
 # on the machine.
 LATE_ORDER_MS = 13_000
+# A lasting task that waits longer than this finds no minion in its pool: a start takes tens
+# of ms, and 3 s without a run are too long.
+LACKING_MS = 600
 # A pool without lasting tasks keeps this many machines for its first jobs.
 LEAST_MACHINES = 2
 
@@ -42,6 +45,8 @@
     # Target pool of machines under way, by machine.
     arriving: dict[str, str] = field(factory=dict)
     idle_since_ms: dict[str, int] = field(factory=dict)
+    # Since when a lasting task waits, by pool.
+    lacking_since_ms: dict[str, int] = field(factory=dict)
 
     async def run(self) -> None:
         """Move machines until cancelled."""
@@ -88,9 +93,11 @@
         """Return what each pool has and is asked for."""
         table = self.scheduler.ahead.state.table
         demand, least = self._demand(), self._least()
+        lacking = self._lacking(now_ms)
         by_pool: dict[str, list[tuple[str, Minion]]] = {}
         for machine, minion in minions.items():
-            if not minion.report.leaving and not minion.report.draining:
+            ends = minion.report.leaving or minion.report.draining
+            if not ends and not minion.is_silent(now_ms):
                 by_pool.setdefault(minion.report.pool, []).append((machine, minion))
         loads = {}
         for pool, row in table.pools.items():
@@ -107,7 +114,11 @@
                     (minion.report.capacity.cpu_millis for _, minion in members), default=0
                 ),
                 demand_millis=demand.get(pool, 0),
-                least=max(LEAST_MACHINES, least.get(pool, 0) + 1),
+                least=max(
+                    LEAST_MACHINES,
+                    least.get(pool, 0) + 1,
+                    len(members) + 1 if pool in lacking else 0,
+                ),
                 idle=self._idle(members, now_ms),
             )
         return PoolLoads(loads=loads)
@@ -150,6 +161,21 @@
                 least[pool] = max(least.get(pool, 0), _distinct_minions(job))
         return least
 
+    def _lacking(self, now_ms: int) -> set[str]:
+        """Name the pools where a lasting task has waited for a minion for a while."""
+        books = self.scheduler.books
+        waiting = set()
+        for job_id, steps in books.ready.items():
+            job = books.job(job_id)
+            if job is not None and any(job.spec.steps[step.step].lasting for step in steps):
+                waiting.add(books.pool_of(job))
+        self.lacking_since_ms = {pool: self.lacking_since_ms.get(pool, now_ms) for pool in waiting}
+        return {
+            pool
+            for pool, since_ms in self.lacking_since_ms.items()
+            if now_ms - since_ms >= LACKING_MS
+        }
+
     # Orders
 
     async def _move(self, move: MachineMove, minion: Minion | None) -> None:
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -88,5 +88,6 @@
         and not minion.cordoned
         and minion.looked_ms >= 0
         and minion.failed_calls == 0
+        and not minion.is_silent(now_ms)
         and minion.suspect_until_ms <= now_ms
     ]
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -10,6 +10,10 @@
 
 # A minion's clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
+# A minion that missed three heartbeats, 1.5 s each, or two looks in a row is taken for gone
+# where it is counted on; what runs there waits for its lease.
+SILENT_MS = 4_500
+SILENT_CALLS = 2
 
 
 @define(frozen=True, kw_only=True)
@@ -130,6 +134,12 @@
         passed = max(0, now_ms - self.clock_arrived_ms)
         return self.clock_read_ms + int(passed * (1 - CLOCK_DRIFT))
 
+    def is_silent(self, now_ms: int) -> bool:
+        """Tell whether neither a report nor the answer to a look came for a while."""
+        return self.failed_calls >= SILENT_CALLS or (
+            now_ms - max(self.heard_ms, self.clock_arrived_ms) > SILENT_MS
+        )
+
     def free(self) -> Resources:
         """Return the capacity that no booked run takes."""
         return self.report.capacity.minus(self.used)
--- /dev/null
+++ b/tests/test_pool_moves.py
@@ -0,0 +1,92 @@
+"""Machines go where the demand is, and pools keep what lasting tasks need."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from hornbeamreach.control.workload_log import AcceptJob
+from hornbeamreach.fleet.books import Books
+from hornbeamreach.fleet.machine_room import MachineRoom
+from hornbeamreach.fleet.moves import LACKING_MS, PoolMoves
+from hornbeamreach.fleet.state import AheadState
+from hornbeamreach.systems.pool_moves import PARK_AFTER_MS, PoolLoad, PoolLoads, follow_turns
+from hornbeamreach.tables.control_state import ControlState
+
+from . import builders
+
+MACHINE = 16_000
+
+
+def load(pool: str, **fields) -> PoolLoad:
+    return PoolLoad(pool=pool, **{"machine_millis": MACHINE, **fields})
+
+
+def moves(*loads: PoolLoad) -> list[tuple[str, str]]:
+    found = follow_turns(PoolLoads(loads={item.pool: item for item in loads}))
+    return [(move.machine, move.pool) for move in found]
+
+
+class TestFollowTurns:
+    def test_parked_machines_come_to_the_pool_whose_turn_it_is(self):
+        spare = load("spare", standby=True, machines=2, idle=(("m-1", 0), ("m-2", 0)))
+        assert moves(spare, load("a", machines=6, demand_millis=120_000)) == [
+            ("m-1", "a"),
+            ("m-2", "a"),
+        ]
+
+    def test_what_is_on_its_way_counts(self):
+        spare = load("spare", standby=True, machines=1, idle=(("m-1", 0),))
+        busy = load("a", machines=6, arriving=6, demand_millis=120_000)
+        assert moves(spare, busy) == []
+
+    def test_a_pool_gives_only_what_it_can_do_without(self):
+        idle = (("m-1", 9_000), ("m-2", 9_000))
+        assert moves(load("spare", standby=True), load("a", machines=6, least=5, idle=idle)) == [
+            ("m-1", "spare")
+        ]
+
+    def test_machines_are_parked_only_after_a_while(self):
+        idle = (("m-1", PARK_AFTER_MS - 1),)
+        assert moves(load("spare", standby=True), load("a", machines=6, idle=idle)) == []
+
+
+def pool_moves(now_ms: int) -> PoolMoves:
+    """Return the moves of a scheduler with three minions and a lasting job."""
+    ahead = AheadState.of(ControlState(table=builders.step_table()))
+    books = Books(ahead=ahead)
+    for number in range(3):
+        minion = builders.minion(f"i-{number}", machine=f"m-{number}")
+        minion.heard_ms = now_ms
+        books.minions[f"i-{number}"] = minion
+    scheduler = SimpleNamespace(
+        ahead=ahead,
+        books=books,
+        began_ms=0,
+        clock=SimpleNamespace(now_ms=lambda: now_ms, wall_ms=lambda: now_ms),
+    )
+    spec = builders.step_job(builders.step(5, lasting=True, max_per_minion=3))
+    accept = AcceptJob(
+        job_id="0" * 16, queue="queue-a", pool="pool-a", team="team-a", spec=spec, at_ms=0
+    )
+    ahead.apply(accept)
+    return PoolMoves(scheduler=scheduler, room=MachineRoom(scheduler=scheduler, port=None))
+
+
+class TestLoads:
+    def test_silent_minions_do_not_count(self):
+        found = pool_moves(20_000)
+        minions = found.room.minions()
+        assert found.loads(minions, 20_000).loads["pool-a"].machines == 3
+        minions["m-0"].failed_calls = 2
+        minions["m-1"].heard_ms = 15_000
+        assert found.loads(minions, 20_000).loads["pool-a"].machines == 1
+
+    def test_a_lasting_task_without_a_place_asks_for_a_machine(self):
+        found = pool_moves(20_000)
+        books = found.scheduler.books
+        books.stale_jobs.add("0" * 16)
+        books.refresh_ready(20_000)
+        minions = found.room.minions()
+        assert found.loads(minions, 20_000).loads["pool-a"].wanted == 0
+        later = found.loads(minions, 20_000 + LACKING_MS)
+        assert later.loads["pool-a"].wanted == 1
