--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import orjson
 import pytest
 import trio
@@ -263,8 +264,6 @@
             port = listeners[0].socket.getsockname()[1]
             nursery.start_soon(trio.serve_listeners, serve, listeners)
             report = builders.minion().report
-            import attrs
-
             report = attrs.evolve(report, address=f"127.0.0.1:{port}")
             result = await act(PlatformMinions(http=PlatformHttp()), report)
             nursery.cancel_scope.cancel()
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -5,15 +5,20 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import pytest
 import trio
 
+from hornbeamreach.control.state_machine import apply_command
+from hornbeamreach.control.workload_log import AcceptJob, RecordRuns
 from hornbeamreach.exceptions import RefusedError
-from hornbeamreach.fleet.messages import QueueAction
+from hornbeamreach.fleet.messages import QueueAction, QueueCall
 from hornbeamreach.link.leader_finder import NoLeaderError
+from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.workload import RunEnd
 from hornbeamreach.verdict import Reason
 
+from . import builders
 from .builders import step, step_job
 from .fakes import run_virtual
 from .step_fleet import StepFleet
@@ -118,11 +123,9 @@
             assert run.end is RunEnd.DONE
 
     def test_a_label_and_a_team_limit_hold(self):
-        from . import builders
 
         table = builders.step_table()
         row = table.teams["team-a"]
-        import attrs
 
         table.teams["team-a"] = attrs.evolve(row, max_cpu_millis=4_000)
 
@@ -144,7 +147,6 @@
         async def scenario(fleet: StepFleet) -> None:
             answer = await fleet.call(QueueAction.READ, job_id(9))
             assert answer.reason is Reason.UNKNOWN_JOB
-            from hornbeamreach.fleet.messages import QueueCall
 
             wrong_key = QueueCall(
                 action=QueueAction.READ, host="a.example", path="/jobs/1", key_hash="key-9"
@@ -200,8 +202,6 @@
             await fleet.submit(job_id(1), step_job(step(6), step(2, after=(0,))))
             await fleet.wait_state(job_id(1), "completed")
 
-        from . import builders
-
         advice = Advice()
         table = builders.step_table(advice_valid_ms=5_000, advice_decide_ms=50)
         fleet = play(scenario, table=table, advice=advice)
@@ -209,9 +209,6 @@
         assert advice.asked == [f"{job_id(1)}.0.0", f"{job_id(1)}.0.1"]
 
     def test_a_checkpoint_is_carried_to_the_next_run(self):
-        from hornbeamreach.control.state_machine import apply_command
-        from hornbeamreach.control.workload_log import AcceptJob, RecordRuns
-        from hornbeamreach.tables.control_state import ControlState
 
         state = ControlState()
         name = job_id(1)
