Trust no machines' list that is older than the end of our own order

A machine whose minion was heard is not parked, a list counts only if it was asked for after the end of our order, and an order that was done already ends nothing. The three tests failed before.

--- a/src/hornbeamreach/fleet/machine_room.py
+++ b/src/hornbeamreach/fleet/machine_room.py
@@ -37,6 +37,8 @@
     tried_ms: int = -LIST_INTERVAL_MS
     # Machines that an order of ours is under way for, by when it was given.
     busy: dict[str, int] = field(factory=dict)
+    # When the latest order of ours for a machine was over.
+    released_ms: dict[str, int] = field(factory=dict)
     # Machines that this scheduler gave orders for.
     ordered: set[str] = field(factory=set)
 
@@ -66,6 +68,11 @@
             return ordered_ms is None or machine in self.ordered
         return began_wall_ms - ordered_ms > HANDOVER_MS + CLOCK_SKEW_MS
 
+    def release(self, machine: str) -> None:
+        """Take note that an order for a machine is over."""
+        if self.busy.pop(machine, None) is not None:
+            self.released_ms[machine] = self.scheduler.clock.now_ms()
+
     def minions(self) -> dict[str, Minion]:
         """Return the present minion of each machine that one was heard of."""
         found: dict[str, Minion] = {}
@@ -81,11 +88,15 @@
     def parked(self) -> list[Machine]:
         """List the machines that are off in a standby pool and can be ordered about."""
         pools = self.scheduler.ahead.state.table.pools
+        # The list may be older than a move that has ended since.
+        heard = self.minions()
         return [
             machine
             for machine in self.machines.values()
             if machine.state is MachineState.UP
             and machine.machine not in self.busy
+            and machine.machine not in heard
+            and self.listed_ms > self.released_ms.get(machine.machine, -1)
             and self.may_order(machine.machine)
             and machine.pool in pools
             and pools[machine.pool].standby
--- a/src/hornbeamreach/fleet/moves.py
+++ b/src/hornbeamreach/fleet/moves.py
@@ -82,7 +82,7 @@
             )
             if here or parked or now_ms - self.room.busy.get(machine, now_ms) > LATE_ORDER_MS:
                 del self.arriving[machine]
-                self.room.busy.pop(machine, None)
+                self.room.release(machine)
                 if minion is not None:
                     # A move that was never answered and was not carried out either.
                     minion.cordoned = False
@@ -201,14 +201,16 @@
         bound.info("move: {}", answer.value)
         scheduler.metrics.event(f"move_{answer.value}")
         if answer is MachineAnswer.ORDERED:
-            if minion is not None:
+            # The order is answered so too where the machine was in that pool already, and then
+            # it ended nothing.
+            if minion is not None and minion.report.pool != move.pool:
                 scheduler.end_of_life(minion, "moved")
             return
         self.arriving.pop(move.machine, None)
         if minion is not None:
             minion.cordoned = False
         await trio.sleep(seconds(ARRIVAL_MS))
-        self.room.busy.pop(move.machine, None)
+        self.room.release(move.machine)
 
 
 def _distinct_minions(job: StepJob) -> int:
--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -227,7 +227,7 @@
         if back:
             log.bind(wave=wave.number, machines=back).info("machines are back from upkeep")
             for machine in back:
-                self.room.busy.pop(machine, None)
+                self.room.release(machine)
             self.scheduler.submit(RecordUpkeep(number=wave.number, finished=back))
 
     def _is_back(self, machine: str, by_machine: dict[str, Minion]) -> bool:
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -4,13 +4,23 @@
 
 from types import SimpleNamespace
 
+import trio
+
 from hornbeamreach.control.workload_log import AcceptJob
 from hornbeamreach.fleet.books import Books
 from hornbeamreach.fleet.machine_room import MachineRoom
 from hornbeamreach.fleet.moves import LACKING_MS, PoolMoves
+from hornbeamreach.fleet.ports import Machine, MachineAnswer, MachineState
 from hornbeamreach.fleet.state import AheadState
-from hornbeamreach.systems.pool_moves import PARK_AFTER_MS, PoolLoad, PoolLoads, follow_turns
+from hornbeamreach.systems.pool_moves import (
+    PARK_AFTER_MS,
+    MachineMove,
+    PoolLoad,
+    PoolLoads,
+    follow_turns,
+)
 from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.declared import PoolRow
 
 from . import builders
 
@@ -90,3 +100,53 @@
         assert found.loads(minions, 20_000).loads["pool-a"].wanted == 0
         later = found.loads(minions, 20_000 + LACKING_MS)
         assert later.loads["pool-a"].wanted == 1
+
+
+class AnsweringPort:
+    """Answer every order for a machine as carried out."""
+
+    async def move(self, machine: str, **order) -> MachineAnswer:
+        return MachineAnswer.ORDERED
+
+
+class TestStaleLists:
+    def listed(self, found: PoolMoves) -> None:
+        found.scheduler.ahead.state.table.pools["spare"] = PoolRow(max_down=0, standby=True)
+        found.room.machines = {
+            "m-0": Machine(machine="m-0", pool="spare", state=MachineState.UP),
+            "m-9": Machine(machine="m-9", pool="spare", state=MachineState.UP),
+        }
+        found.room.listed_ms = 19_000
+
+    def test_a_machine_whose_minion_was_heard_is_not_parked(self):
+        found = pool_moves(20_000)
+        self.listed(found)
+        assert [machine.machine for machine in found.room.parked()] == ["m-9"]
+
+    def test_a_list_from_before_the_end_of_an_order_tells_nothing(self):
+        found = pool_moves(20_000)
+        self.listed(found)
+        found.room.busy["m-9"] = 18_000
+        found.room.release("m-9")
+        assert found.room.parked() == []
+
+    def test_an_order_that_was_done_already_ends_nothing(self):
+        found = pool_moves(20_000)
+        ended = []
+
+        async def commit(command) -> None:
+            return None
+
+        found.scheduler.commit = commit
+        found.scheduler.replica = SimpleNamespace(node_id="a")
+        found.scheduler.term = 1
+        found.scheduler.metrics = SimpleNamespace(event=lambda name: None)
+        found.scheduler.end_of_life = lambda minion, why: ended.append(minion.minion_id)
+        found.room.port = AnsweringPort()
+        minion = found.scheduler.books.minions["i-0"]
+        again = MachineMove(machine="m-0", source="spare", pool="pool-a")
+        trio.run(found._move, again, minion)
+        assert ended == []
+        away = MachineMove(machine="m-0", source="pool-a", pool="spare")
+        trio.run(found._move, away, minion)
+        assert ended == ["i-0"]
