Count a machine as back from upkeep only by a life born after its order

A machine whose minion had crashed and come back under another id had two lives in the books; the order ended the later one, and the earlier, never seen to end, then counted as the machine's present life: the machine was taken for back at once. A report of the ended life that a cut had held up did the same. An order sent again (answered 200 as already done) ended the life that followed the upkeep, and with it runs that were at work. Change: the present life of a machine is its latest, or none if that has ended; a machine is back by a life born after the ended one, else by a list asked for after the order; only a first order ends a life, a repeated one makes the minion be looked at. Ruled out: the bound itself (places_left counts ordered, chosen and orders under way alike).

--- a/src/hornbeamreach/fleet/machine_room.py
+++ b/src/hornbeamreach/fleet/machine_room.py
@@ -75,15 +75,14 @@
 
     def minions(self) -> dict[str, Minion]:
         """Return the present minion of each machine that one was heard of."""
-        found: dict[str, Minion] = {}
+        latest: dict[str, Minion] = {}
         for minion in self.scheduler.books.minions.values():
-            if minion.gone:
-                continue
             machine = minion.report.machine or minion.minion_id
-            known = found.get(machine)
+            known = latest.get(machine)
             if known is None or known.report.born_ms < minion.report.born_ms:
-                found[machine] = minion
-        return found
+                latest[machine] = minion
+        # Where the latest life has ended, earlier ones that were never seen to end have too.
+        return {machine: minion for machine, minion in latest.items() if not minion.gone}
 
     def parked(self) -> list[Machine]:
         """List the machines that are off in a standby pool and can be ordered about."""
--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -46,6 +46,8 @@
     ordering: set[str] = field(factory=set)
     # When each machine's upkeep was confirmed in this term.
     confirmed_ms: dict[str, int] = field(factory=dict)
+    # When the life that an order of this term ended was born, by machine.
+    ended_born_ms: dict[str, int] = field(factory=dict)
 
     async def run(self) -> None:
         """Work on the waves until cancelled."""
@@ -68,7 +70,8 @@
                 continue
             by_machine = self.room.minions()
             unheard = [m for m in wave.machines if m not in wave.finished and m not in by_machine]
-            if unheard and not await self.room.refresh():
+            unsure = [m for m in wave.ordered.keys() - wave.finished if m not in self.ended_born_ms]
+            if (unheard or unsure) and not await self.room.refresh():
                 continue
             self._note_finished(wave, by_machine)
             self._choose_parked(nursery, wave, unheard)
@@ -178,6 +181,7 @@
 
     async def _order(self, wave: UpkeepWave, machine: str) -> None:
         scheduler = self.scheduler
+        is_first = machine not in wave.ordered
         try:
             self.room.ordered.add(machine)
             at_ms = scheduler.clock.wall_ms()
@@ -195,17 +199,23 @@
             log.bind(wave=wave.number, machine=machine).info("upkeep not ordered: {}", exc)
             return
         log.bind(wave=wave.number, machine=machine).info("upkeep: {}", answer.value)
-        await self._answered(wave, machine, answer)
+        await self._answered(wave, machine, answer, is_first=is_first)
 
-    async def _answered(self, wave: UpkeepWave, machine: str, answer: MachineAnswer) -> None:
+    async def _answered(
+        self, wave: UpkeepWave, machine: str, answer: MachineAnswer, *, is_first: bool
+    ) -> None:
         scheduler = self.scheduler
         if answer is MachineAnswer.ORDERED:
             scheduler.submit(RecordUpkeep(number=wave.number, confirmed=[machine]))
             self.chosen.pop(machine, None)
             self.confirmed_ms[machine] = scheduler.clock.now_ms()
             minion = self.room.minions().get(machine)
-            if minion is not None:
+            if minion is not None and is_first:
+                self.ended_born_ms[machine] = minion.report.born_ms
                 scheduler.end_of_life(minion, "upkeep")
+            elif minion is not None:
+                # An earlier order may have been carried out, and this be the life after it.
+                scheduler.watches[minion.minion_id].look_now()
         elif answer in (MachineAnswer.NOT_IN_WAVE, MachineAnswer.MALFORMED):
             scheduler.submit(RecordUpkeep(number=wave.number, finished=[machine]))
             self.chosen.pop(machine, None)
@@ -232,8 +242,10 @@
 
     def _is_back(self, machine: str, by_machine: dict[str, Minion]) -> bool:
         minion = by_machine.get(machine)
-        if minion is not None and not minion.gone:
-            return True
+        ended_born_ms = self.ended_born_ms.get(machine)
+        # A late report of the life that the order ended does not show that the machine is back.
+        if minion is not None and ended_born_ms is not None:
+            return minion.report.born_ms > ended_born_ms
         listed = self.room.machines.get(machine)
         confirmed_ms = self.confirmed_ms.get(machine, self.scheduler.began_ms)
         fresh = self.room.listed_ms > confirmed_ms
