--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -139,7 +139,8 @@
     def _other_members(self) -> list[str]:
         return [member for member in self.members() if member != self.node_id]
 
-    def _followers(self) -> list[str]:
+    def followers(self) -> list[str]:
+        """List the replicas that get the log: members, then learners."""
         members = self._other_members()
         return members + [learner for learner in self.learners if learner not in members]
 
@@ -397,7 +398,7 @@
         if self.quorum_sent_ms() + ELECTION_TIMEOUT_MAX_MS <= self.now_ms:
             self._become_follower(self.term, None)
         elif self.now_ms >= self.heartbeat_due_ms:
-            for member in self._followers():
+            for member in self.followers():
                 peer = self._peer(member)
                 peer.next_index = min(peer.next_index, self.log.last_index + 1)
                 if self.now_ms - peer.in_flight_sent_ms >= HEARTBEAT_MS:
@@ -408,7 +409,7 @@
     def _broadcast(self, *, heartbeat: bool = False) -> None:
         if heartbeat:
             self.heartbeat_due_ms = self.now_ms + HEARTBEAT_MS
-        for member in self._followers():
+        for member in self.followers():
             self._replicate_to(member, heartbeat=heartbeat)
 
     def broadcast_heartbeat(self) -> None:
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -30,6 +30,7 @@
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.logs import part_logger
+from hornbeamreach.systems.relay_choice import Follower
 from hornbeamreach.tables.control_state import ControlState
 
 log = part_logger("replica")
@@ -127,6 +128,15 @@
         """Return the members' addresses by id."""
         return dict(self.core.members())
 
+    def followers(self) -> list[Follower]:
+        """List the other members and learners that this leader replicates to."""
+        core = self.core
+        return [
+            Follower(address=address, silent_ms=core.silent_ms(name))
+            for name in core.followers()
+            if (address := self.address_of(name)) is not None
+        ]
+
     async def wait_changed(self) -> None:
         """Return at the next applied command or change of role."""
         await self.changed.wait()
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -58,10 +58,13 @@
             for step in steps:
                 rank = self.order(self.waiting_step(job, step, wall_ms))
                 by_pool.setdefault(pool, []).append((rank, step, job))
+        members: dict[str, list[Minion]] = {pool: [] for pool in by_pool}
+        for minion in books.minions.values():
+            if minion.report.pool in members:
+                members[minion.report.pool].append(minion)
         found: list[BookedRun] = []
         for pool, waiting in by_pool.items():
-            members = [m for m in books.minions.values() if m.report.pool == pool]
-            plan = PoolPlan(minions=usable(members, now_ms))
+            plan = PoolPlan(minions=usable(members[pool], now_ms))
             if not plan.minions:
                 continue
             waiting.sort(key=lambda item: item[0])
--- a/src/hornbeamreach/fleet/scheduler.py
+++ b/src/hornbeamreach/fleet/scheduler.py
@@ -32,6 +32,8 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_AT_ONCE = 500
+# Reports that a cut held up come some seconds late; this is far above a minute's cut.
+KEEP_GONE_MS = 120_000
 # Without an occurrence to come, the jobs are looked through again after this.
 NEVER_DUE_MS = 60_000
 # A fencing token is the term, the number of the scheduler in this process, and a number that
@@ -154,7 +156,11 @@
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
         books = self.books
         ended, books.seen_ends = books.seen_ends, []
-        listed = [(minion, minion.listed_end) for minion in books.minions.values()]
+        listed = [
+            (minion, minion.listed_end)
+            for minion in books.minions.values()
+            if minion.listed_end > minion.recorded_end
+        ]
         ends = [(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended]
         if ends:
             # The planner looks at the view, which must know the ends first.
@@ -349,6 +355,7 @@
         if now_ms - self.forgot_ms < FORGET_INTERVAL_MS:
             return
         self.forgot_ms = now_ms
+        self._forget_minions(now_ms)
         before = wall_ms - self.timing.keep_ended_ms
         workload = self.ahead.workload
         old = [job.job_id for job in workload.jobs.values() if job.ended and job.ended_ms < before]
@@ -357,6 +364,14 @@
         if old:
             self.submit(ForgetJobs(job_ids=old[:MAX_FORGOTTEN_AT_ONCE]))
 
+    def _forget_minions(self, now_ms: int) -> None:
+        """Drop lives that ended so long ago that no late report of theirs can come."""
+        for minion in list(self.books.minions.values()):
+            silent_ms = now_ms - max(minion.heard_ms, minion.clock_arrived_ms)
+            if minion.gone and not minion.runs and silent_ms > KEEP_GONE_MS:
+                del self.books.minions[minion.minion_id]
+                self.watches.pop(minion.minion_id).end()
+
     # Admission service
 
     def _ask_advice(self) -> None:
--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -51,6 +51,7 @@
         self.port = port
         self.wake = trio.Event()
         self.waiting: trio.CancelScope | None = None
+        self.ended = False
 
     def notify(self) -> None:
         """Look soon if there is a reason to."""
@@ -62,9 +63,14 @@
             self.waiting.cancel()
         self.wake.set()
 
+    def end(self) -> None:
+        """Look no more."""
+        self.ended = True
+        self.wake.set()
+
     async def run(self) -> None:
         """Look again and again while there is a reason."""
-        while True:
+        while not self.ended:
             minion = self.scheduler.books.minions.get(self.minion_id)
             if minion is None or not self._has_reason(minion):
                 await self.wake.wait()
--- a/src/hornbeamreach/platform/daemons.py
+++ b/src/hornbeamreach/platform/daemons.py
@@ -20,6 +20,8 @@
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.exceptions import SettingsError
 from hornbeamreach.fleet.messages import AskStatus, StatusTold
+from hornbeamreach.fleet.relay import OrderRelay
+from hornbeamreach.fleet.relayed_minions import RelayedMinions
 from hornbeamreach.fleet.service import FleetService
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
@@ -155,10 +157,23 @@
                 seeds=founders,
             )
             http = PlatformHttp()
+            minions = PlatformMinions(http=http)
+            relay = OrderRelay(port=minions, link=link, handlers=handlers, metrics=metrics)
+            shared = RelayedMinions(
+                port=minions,
+                link=link,
+                handlers=handlers,
+                address=current.link_address,
+                clock=clock,
+                metrics=metrics,
+                answer_ms=current.timing.answer_ms,
+                followers=replica.followers,
+                rng=rng,
+            )
             service = FleetService(
                 replica=replica,
                 handlers=handlers,
-                minion_port=PlatformMinions(http=http),
+                minion_port=shared,
                 machine_port=PlatformMachines(http=http, address=current.machines_address),
                 advice_port=(
                     PlatformAdvice(http=http, address=current.advice_address)
@@ -180,6 +195,8 @@
             await nursery.start(_serve, _metrics_face(metrics), current.own_address, stop)
             nursery.start_soon(replica.run)
             nursery.start_soon(discovery.run)
+            nursery.start_soon(relay.run)
+            nursery.start_soon(shared.run)
             nursery.start_soon(service.run)
             log.bind(replica=identity.replica, founders=founders).info("control starts")
             await stop.wait()
--- a/src/hornbeamreach/platform/operators.py
+++ b/src/hornbeamreach/platform/operators.py
@@ -89,12 +89,9 @@
 
     async def _report(self, minion: str, body: bytes) -> tuple[int, Any]:
         report = decode_report(minion, body)
+        # No address for later heartbeats: spread over the replicas, they cost the leader least.
         await self._ask(MinionHeard(report=report), REPORT_TIMEOUT_MS)
-        leader = self.finder.leader
-        if not leader or leader == self.settings.link_address:
-            return 200, {}
-        host = leader.rpartition(":")[0]
-        return 200, {"heartbeat-address": f"{host}:{self.settings.control_port}"}
+        return 200, {}
 
     async def _leave(self, minion: str, body: bytes) -> tuple[int, Any]:
         data = plain.decode_json(body) if body else {}
--- a/src/hornbeamreach/platform/settings.py
+++ b/src/hornbeamreach/platform/settings.py
@@ -52,11 +52,6 @@
         """Return the address of the product's own interface and metrics."""
         return f"{self.ip}:{self.own_port}"
 
-    @property
-    def control_port(self) -> str:
-        """Return the port on which every control replica serves operators and minions."""
-        return self.seeds[0].rpartition(":")[2]
-
     def link_of(self, control_address: str) -> str:
         """Return the link address beside a control address; ports are the same everywhere."""
         return f"{control_address.rpartition(':')[0]}:{self.link_port}"
