Apply own proposals without decoding them

Change: a pending proposal keeps its command; commands never change once proposed. Ruled out: sharing parts between the view ahead and the committed state (tables were shared before).

--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -59,6 +59,8 @@
 
     term: int
     done: trio.Event
+    # As it was proposed, so that applying it need not decode it; None for a membership change.
+    command: Command | None = None
     outcome: Outcome | None = None
 
 
@@ -158,7 +160,7 @@
 
     def submit(self, command: Command) -> PendingProposal:
         """Append a command in the order of the calls; raise NotLeaderError if not leading."""
-        return self._track(self.core.propose(encode(command)))
+        return self._track(self.core.propose(encode(command)), command)
 
     async def outcome_of(self, proposal: PendingProposal) -> Outcome:
         """Wait until a submitted command is applied; raise NotLeaderError if it may be lost."""
@@ -171,8 +173,8 @@
         """Add or remove one replica."""
         await self.outcome_of(self._track(self.core.propose_members(members)))
 
-    def _track(self, index: int) -> PendingProposal:
-        proposal = PendingProposal(term=self.core.term, done=trio.Event())
+    def _track(self, index: int, command: Command | None = None) -> PendingProposal:
+        proposal = PendingProposal(term=self.core.term, done=trio.Event(), command=command)
         self.pending[index] = proposal
         self._wake()
         return proposal
@@ -276,12 +278,16 @@
         self.applied_term = snapshot.term
 
     def _apply(self, entry: LogEntry) -> None:
-        command = decode(entry.data) if entry.data else NoOp()
+        proposal = self.pending.pop(entry.index, None)
+        is_own = proposal is not None and proposal.term == entry.term
+        if is_own and proposal.command is not None:
+            command = proposal.command
+        else:
+            command = decode(entry.data) if entry.data else NoOp()
         outcome = apply_command(self.state, entry.index, command)
         self.applied_term = entry.term
-        proposal = self.pending.pop(entry.index, None)
         if proposal is not None:
-            proposal.outcome = outcome if proposal.term == entry.term else None
+            proposal.outcome = outcome if is_own else None
             proposal.done.set()
 
     def _fail_pending(self) -> None:
