--- a/src/hornbeamreach/fleet/watch.py
+++ b/src/hornbeamreach/fleet/watch.py
@@ -19,6 +19,7 @@
 )
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.fill_pacing import FULL_PACE
+from hornbeamreach.systems.relay_choice import look_pause_ms
 from hornbeamreach.systems.stragglers import (
     STRAGGLER_PAUSE_MS,
     Lag,
@@ -78,6 +79,7 @@
                 continue
             self.wake = trio.Event()
             if minion.listed_end > minion.recorded_end:
+                await trio.sleep(seconds(look_pause_ms(len(self.scheduler.books.minions))))
                 # The minion would list the same ends again until they are recorded.
                 with trio.move_on_after(seconds(MAX_RECORDING_MS)):
                     while minion.listed_end > minion.recorded_end:
--- a/src/hornbeamreach/platform/http.py
+++ b/src/hornbeamreach/platform/http.py
@@ -9,8 +9,9 @@
 from hornbeamreach.clock import seconds
 from hornbeamreach.fleet.ports import NoAnswerError
 
-# Idle connections kept to one address; a minion takes 64 from all callers together.
-MAX_IDLE_CONNECTIONS = 4
+# Idle connections kept to one address: a plan starts up to about this many tasks on a minion
+# at once, and a minion takes 64 from all callers together.
+MAX_IDLE_CONNECTIONS = 10
 # An idle connection is not used after this: the other side may have closed it.
 MAX_IDLE_MS = 10_000
 READ_BYTES = 65_536
--- a/src/hornbeamreach/systems/relay_choice.py
+++ b/src/hornbeamreach/systems/relay_choice.py
@@ -18,6 +18,9 @@
 # After an order without an answer its minion, or its follower, is reached directly for this
 # long: what the two can reach may differ.
 REST_MS = 3_000
+# In a fleet of more than that, a look waits this long after one that found an end, and finds
+# more of them: a minion of 16 cores ends some 20 tasks a second at a queue's turn.
+LOOK_PAUSE_MS = 40
 
 
 @define(frozen=True, kw_only=True)
@@ -49,6 +52,11 @@
         return False
 
 
+def look_pause_ms(minions: int) -> int:
+    """Return how long to wait between two looks that found something."""
+    return LOOK_PAUSE_MS if minions > DIRECT_MINIONS else 0
+
+
 def choose_relay(
     minion: str,
     followers: list[Follower],
--- a/tests/test_relayed_orders.py
+++ b/tests/test_relayed_orders.py
@@ -16,10 +16,12 @@
 from hornbeamreach.systems.relay_choice import (
     DIRECT_MINIONS,
     FOLLOWER_SILENT_MS,
+    LOOK_PAUSE_MS,
     REST_MS,
     Follower,
     RelayRests,
     choose_relay,
+    look_pause_ms,
 )
 
 from . import builders, step_fleet
@@ -52,6 +54,10 @@
         assert {chosen(f"i-{n}", [silent, FOLLOWERS[1]]) for n in range(50)} == {"c:1"}
         assert chosen("i-1", [silent]) is None
 
+    def test_looks_pause_in_a_large_fleet_only(self):
+        assert look_pause_ms(DIRECT_MINIONS) == 0
+        assert look_pause_ms(MANY) == LOOK_PAUSE_MS
+
     def test_what_failed_rests_for_a_while(self):
         rests = RelayRests()
         rests.rest("i-1", 0)
