Keep a machine that was chosen for upkeep empty across its minion's lives

By reading: a machine is cordoned when it is chosen; if its minion crashed before it was empty, the next life was not, got lasting tasks and never emptied. Change: the present minion of each chosen machine is cordoned at every step. Ruled out: the bound of machines down (places were free). Conclusion: the new test fails on the code before.

--- a/src/hornbeamreach/fleet/upkeep.py
+++ b/src/hornbeamreach/fleet/upkeep.py
@@ -83,6 +83,8 @@
                 minion = by_machine.get(machine)
                 if minion is None or machine in self.ordering or machine not in wave.machines:
                     continue
+                # Also a life that began after the machine was chosen: it takes no new work.
+                minion.cordoned = True
                 self._empty(wave, minion)
                 if self._may_go(wave, minion, now_ms):
                     self._send_off(nursery, wave, machine)
--- a/tests/test_machine_lives.py
+++ b/tests/test_machine_lives.py
@@ -84,6 +84,25 @@
         assert upkeep.room.minions() == {}
 
 
+class TestEmptying:
+    def test_a_life_that_began_after_its_machine_was_chosen_takes_no_work(self, upkeep):
+        upkeep.scheduler.orders = SimpleNamespace(stop=lambda run, reason: None)
+        hear(upkeep, "i-first", 1_000)
+
+        async def step() -> None:
+            async with trio.open_nursery() as nursery:
+                for name in ("i-first", "i-next"):
+                    upkeep.scheduler.books.minions[name].book(builders.run(lasting=True))
+                    await upkeep._step(nursery, NOW_MS)
+                    if name == "i-first":
+                        upkeep.scheduler.books.minions[name].gone = True
+                        hear(upkeep, "i-next", 2_000)
+
+        trio.run(step)
+        assert upkeep.chosen.keys() == {"m-1"}
+        assert upkeep.scheduler.books.minions["i-next"].cordoned
+
+
 class TestBackFromUpkeep:
     def test_an_earlier_life_under_another_id_is_not_back(self, upkeep):
         hear(upkeep, "i-crashed", 1_000)
