Let the command line wait for an election, and call a lost answer no 'not run'

Reading the client showed more: an answer lost on its way from one replica was reported as not run if the next replica refused. Change: the client asks round after round for up to 5 s while all say not run; what one replica left unclear stays so. Ruled out: replication (elections come from the single process of `serve` standing still).

--- a/src/hornbeamreach/web/client.py
+++ b/src/hornbeamreach/web/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import httpcore
@@ -14,6 +15,9 @@
 
 DEFAULT_TIMEOUT_MS = 40_000
 CONNECT_TIMEOUT_MS = 2_000
+# An election takes up to 1.4 s, and twice that if its first round has no winner.
+LEADER_WAIT_MS = 5_000
+ROUND_PAUSE_MS = 300
 HTTP_ERROR = 400
 
 
@@ -96,8 +100,21 @@
         self.pool = httpcore.ConnectionPool()
 
     def send(self, method: str, path: str, body: dict[str, Any] | None = None) -> Any:
-        """Send a request, or raise RefusedError with what control announcement."""
+        """Send a request to the leader, or raise RefusedError; wait while there is none."""
+        ends = time.monotonic() + seconds(LEADER_WAIT_MS)
+        while True:
+            try:
+                return self._send_round(method, path, body)
+            except RefusedError as refusal:
+                may_wait = refusal.reason is Reason.NO_LEADER and time.monotonic() < ends
+                if not may_wait or refusal.verdict is not Verdict.NOT_RUN:
+                    raise
+            time.sleep(seconds(ROUND_PAUSE_MS))
+
+    def _send_round(self, method: str, path: str, body: dict[str, Any] | None) -> Any:
+        """Ask each replica once; a refusal says not run only if each of them said so."""
         refusal = RefusedError(Reason.NO_LEADER, "no control replica can be reached")
+        unclear: RefusedError | None = None
         for address in self.addresses:
             try:
                 answer = self._send_to(address, method, path, body)
@@ -105,14 +122,16 @@
                 continue
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
                 detail = f"{address} did not answer; send the operation again under its id"
-                refusal = RefusedError(Reason.NO_LEADER, detail, verdict=Verdict.MAY_HAVE_RUN)
+                unclear = RefusedError(Reason.NO_LEADER, detail, verdict=Verdict.MAY_HAVE_RUN)
                 continue
             if answer.status < HTTP_ERROR:
                 return answer.json()
             refusal = refusal_from(answer)
             if refusal.reason is not Reason.NO_LEADER:
                 raise refusal
-        raise refusal
+            if refusal.verdict is not Verdict.NOT_RUN:
+                unclear = refusal
+        raise unclear or refusal
 
     def _send_to(
         self, address: str, method: str, path: str, body: dict[str, Any] | None
