Plan accepted jobs and stop cancelled ones whatever becomes of the call

A job was stored, shown as queued and never started; a cancelled job's tasks ran on. Cause: an effect of a committed command was left to the task that served the call. That task ends with the connection it came over (a killed entry, reset connections, a lost link), between proposal and commit. Class: an effect that depends on a single, cancellable wake-up. Ruled out: the same loss for a caller that got a 2xx on this code; there the job was marked before the answer. Change: StepScheduler.accept_job plans at the proposal, for the planner reads the proposed state and orders wait for commits that come later in the log; cancel_job stops the runs from the scheduler's own nursery. Declarations, waves and VM orders were looked at: their effects are read from the state by timers.

--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -126,7 +126,7 @@
         spec=call.spec,
         at_ms=service.clock.wall_ms(),
     )
-    await scheduler.commit(command)
+    await scheduler.accept_job(command)
     log.bind(
         request=job_id,
         queue=authorized.queue,
@@ -134,7 +134,6 @@
         steps=len(call.spec.steps),
         version=service.state.workload.declared_version,
     ).info("job accepted")
-    scheduler.add_job(job_id, is_new=known is None)
     return QueueAnswer(served=QueueOutcome.ACCEPTED)
 
 
@@ -155,8 +154,7 @@
     if job is not None and (job.queue, job.team) != (authorized.queue, authorized.team):
         return build_refusal(Reason.UNKNOWN_JOB, "no such job")
     # Commits the cancel of an ended job too: its end may not be committed yet.
-    await scheduler.commit(CancelJob(job_id=job_id, at_ms=service.clock.wall_ms()))
-    scheduler.stop_job(job_id, "cancelled")
+    await scheduler.cancel_job(CancelJob(job_id=job_id, at_ms=service.clock.wall_ms()))
     log.bind(request=job_id, known=job is not None).info("job cancelled")
     if job is None:
         return build_refusal(Reason.UNKNOWN_JOB, "no such job")
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -8,7 +8,13 @@
 from hornbeamreach.clock import Clock, seconds
 from hornbeamreach.control.replica import PendingProposal, Replica
 from hornbeamreach.control.state_machine import Outcome
-from hornbeamreach.control.workload_commands import ForgetJobs, RecordRuns, WorkloadCommand
+from hornbeamreach.control.workload_commands import (
+    AcceptJob,
+    CancelJob,
+    ForgetJobs,
+    RecordRuns,
+    WorkloadCommand,
+)
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.minion_orders import MinionOrders
@@ -128,7 +134,9 @@
         Raise NotLeaderError like `propose`, and RefusedError if leadership changes before the
         outcome is known.
         """
-        proposal = self.propose(command)
+        return await self._wait_for_commit(self.propose(command))
+
+    async def _wait_for_commit(self, proposal: PendingProposal) -> Outcome:
         try:
             return await self.replica.wait_for_outcome(proposal)
         except NotLeaderError:
@@ -235,14 +243,39 @@
             self.orders.stop(run, reason)
         self.notify()
 
-    def add_job(self, job_id: str, *, is_new: bool = True) -> None:
-        """Plan an accepted job."""
-        job = self.fleet.job(job_id)
+    async def accept_job(self, command: AcceptJob) -> None:
+        """Propose a job and wait until it is committed; raise errors like `commit`.
+
+        The job is planned even if the waiting task is cancelled, as it is when the connection
+        that the call came over is lost.
+        """
+        is_new = self.fleet.job(command.job_id) is None
+        proposal = self.propose(command)
+        job = self.fleet.job(command.job_id)
         if is_new and job is not None:
             self.fleet.record_arrival(job, self.clock.now_ms())
-        self.fleet.stale_jobs.add(job_id)
+        self.fleet.stale_jobs.add(command.job_id)
         self.next_schedule_ms = None
         self.notify()
+        await self._wait_for_commit(proposal)
+
+    async def cancel_job(self, command: CancelJob) -> None:
+        """Propose a cancellation and wait until it is committed; raise errors like `commit`.
+
+        The job's runs are stopped even if the waiting task is cancelled.
+        """
+        proposal = self.propose(command)
+        assert self.nursery is not None
+        self.nursery.start_soon(self._stop_cancelled_job, command.job_id, proposal)
+        await self._wait_for_commit(proposal)
+
+    async def _stop_cancelled_job(self, job_id: str, proposal: PendingProposal) -> None:
+        try:
+            await self.replica.wait_for_outcome(proposal)
+        except NotLeaderError as exc:
+            log.bind(request=job_id, term=self.term).info("cancellation not recorded: {}", exc)
+            return
+        self.stop_job(job_id, "cancelled")
 
     def on_declaration(self) -> None:
         """Plan all jobs again under a new declaration."""
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -1,4 +1,4 @@
-"""An accepted job runs, and a cancelled one stops, whatever becomes of the call that asked for it."""
+"""An accepted job runs and a cancelled one stops, whatever becomes of the call."""
 
 from __future__ import annotations
 
