Log why a job does not start, and plan again what no event has planned

What callers saw: LOST, one job in a pool with most of its room free. No line told whether the leader held the job, whether its step was ready, or what kept it out. Cause of the second part: a job is computed as ready only when an event marks it; a missed event left it out until the leader changed. Class: an effect that depends on a single wake-up. Change: fleet/waiting_jobs logs each job with nothing running after 3 s, and after twice the time again, with the count of the pool's minions by obstacle, at most 5 lines a second; it also looks at the jobs in turn, at most 10 computations a tick of 100 ms, and plans those that could start and are not planned, with a warning and a counter.

--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -23,6 +23,7 @@
 from hornbeamreach.fleet.ports import AdmissionPort, MinionPort, UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.timing import FleetTiming
+from hornbeamreach.fleet.waiting_jobs import WaitingJobs
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.job_progress import next_due_ms
@@ -87,6 +88,7 @@
         self.next_schedule_ms: int | None = None
         self.uncommitted_proposals = 0
         self.tickets_requested: set[tuple[str, int, int]] = set()
+        self.waiting_jobs = WaitingJobs(scheduler=self)
 
     # State
 
@@ -366,6 +368,7 @@
                 self._end_lapsed_runs(list(runs.values()), minion_id)
         self._check_schedules(wall_ms)
         self._forget_old(now_ms, wall_ms)
+        self.waiting_jobs.tick(now_ms, wall_ms)
         unrecorded = any(m.listed_end > m.recorded_end for m in self.fleet.minions.values())
         if self.fleet.ready or self.fleet.unrecorded_ends or unrecorded:
             self.notify()
