--- a/src/hornbeamreach/fleet/waiting_jobs.py
+++ b/src/hornbeamreach/fleet/waiting_jobs.py
@@ -110,7 +110,7 @@
         fleet = self.scheduler.fleet
         pool = fleet.pool_of(job)
         request = self._placement_request(job, step)
-        members = [minion for minion in fleet.minions.values() if minion.report.pool == pool]
+        members = [m for m in fleet.minions.values() if m.report.pool == pool and not m.gone]
         spec = job.spec.steps[step.step]
         charged = Resources(
             cpu_millis=spec.cpu_millis,
--- a/src/hornbeamreach/systems/wait_obstacles.py
+++ b/src/hornbeamreach/systems/wait_obstacles.py
@@ -33,7 +33,7 @@
     step, report = request.step, minion.report
     siblings = request.siblings.get(minion.minion_id, 0)
     checks = (
-        (Obstacle.LEAVING, report.leaving or minion.gone),
+        (Obstacle.LEAVING, report.leaving),
         (Obstacle.DRAINING, report.draining),
         (Obstacle.CORDONED, minion.cordoned),
         (Obstacle.NOT_POLLED, minion.polled_ms < 0),
