Add the terms for tasks that crash their minions, and simulated minions that do

Cause: the replicated state and the simulated minions have no word for a crash: every run that ended with its minion is LOST, so neither a scheduler nor a test can tell a crash from a partition or a move. Change: RunEnd.CRASHED, TaskRecord.crashes, ReservedRun.suspect; SimulatedMinions.deadly_tasks crash the minion that starts them. Nothing uses them yet. tests/test_step_jobs.py passes.

--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -31,6 +31,8 @@
 LATE_DELAY_MIN_MS = 2_000
 LATE_DELAY_MAX_MS = 12_000
 FULL_PERCENT = 100
+# A deadly task crashes its minion this long after its start.
+DEADLY_DELAY_MS = 10
 # Work of this length or more represents a long-running task.
 LONG_RUNNING_WORK_MS = 1_000_000
 
@@ -137,6 +139,9 @@
     late_order_fraction: float = 0.0
     # Fraction of orders that take effect immediately and whose response is lost.
     lost_response_fraction: float = 0.0
+    # Tasks that crash each minion that starts them, which is back after `crash_downtime_ms`.
+    deadly_tasks: set[str] = field(factory=set)
+    crash_downtime_ms: int = 3_000
     # (caller, minion) pairs without a connection.
     partitions: set[tuple[str, str]] = field(factory=set)
     poll_count: int = 0
@@ -217,6 +222,10 @@
         self.nursery.start_soon(self._run_task, minion, run)
 
     async def _run_task(self, minion: SimulatedMinion, run: SimulatedRun) -> None:
+        if run.task in self.deadly_tasks:
+            await trio.sleep(seconds(DEADLY_DELAY_MS))
+            await self._crash_and_restart(minion, run)
+            return
         with run.scope:
             if minion.stalls:
                 run.stalled = True
@@ -224,6 +233,14 @@
             await trio.sleep(seconds(run.work_ms))
             self.end(minion, run, RunEnd.FAILED if minion.fails else RunEnd.DONE)
 
+    async def _crash_and_restart(self, minion: SimulatedMinion, run: SimulatedRun) -> None:
+        if minion.running.get(run.task) is not run:
+            return
+        self.crash(minion.minion)
+        await trio.sleep(seconds(self.crash_downtime_ms))
+        if not minion.up:
+            self.restart(minion.minion)
+
     def end(self, minion: SimulatedMinion, run: SimulatedRun, reason: RunEnd) -> None:
         """End a run and add it to the minion's list of ends."""
         if minion.running.get(run.task) is not run:
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -70,6 +70,8 @@
     charged: Resources
     lasting: bool = False
     filler: bool = False
+    # A minion has crashed under the task, which is not cleared of having caused it.
+    suspect: bool = False
     latency_target_ms: int = 0
     phase: RunPhase = RunPhase.RESERVED
     # An earlier scheduler started it, at a time that is not known here.
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -101,8 +101,10 @@
     GANG_BROKEN = "broken"
     # The other members of the gang did not start in time.
     GANG_INCOMPLETE = "alone"
-    # The run never began, or it ended with its minion.
+    # The run never began, or it ended with its minion for another reason than a crash.
     LOST = "lost"
+    # The minion crashed while the run was there or may have been.
+    CRASHED = "crashed"
 
 
 def task_key(occurrence: int, step: int, index: int) -> str:
@@ -130,6 +132,8 @@
     minion: str = ""
     born_ms: int = 0
     failures: int = 0
+    # Minions that crashed under the task since it was last cleared of having caused a crash.
+    crashes: int = 0
     done: bool = False
     checkpoint: str = ""
 
