Refuse a job that every leader would plan for longer than its lease

Cause: a job's repetitions were bounded by 2**53 only, and its tasks by 100,000 of one occurrence. due_occurrences and next_due_ms went through all repetitions on the leader, whose event loop then neither answered nor sent heartbeats; the lease lapsed, and the job moved with the log to the next leader, and the next. One request was enough to stop a deployment for good. A step that names one predecessor 50,000 times has the same effect, more slowly. Evidence: {'repetitions': 10**9} passed decode_job. With 3,000,000 repetitions the computation of the next due time alone takes longer than the 300 ms that the test allows, against a lease of 600 ms. Ruled out: only making the loops lazy, since occurrences without an interval are all due at once, each with its tasks. Equal predecessors count once. Occurrences that are due and the next due time are computed, not searched.

--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -13,6 +13,7 @@
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.registry import Registry
+from hornbeamreach.systems.job_limits import exceeded_limit
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.workload import StepJobState
@@ -118,6 +119,9 @@
     known = workload.jobs.get(job_id)
     if known is not None and (known.queue, known.team) != (authorized.queue, authorized.team):
         return build_refusal(Reason.FOREIGN_JOB, "another job has this id")
+    exceeded = exceeded_limit(call.spec)
+    if known is None and exceeded is not None:
+        return build_refusal(Reason.MALFORMED, exceeded)
     command = AcceptJob(
         job_id=job_id,
         queue=authorized.queue,
--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.exceptions import InvalidInputError
 from hornbeamreach.platform import fields
+from hornbeamreach.systems.job_limits import exceeded_limit
 from hornbeamreach.tables.declared import (
     DEFERRABLE,
     MAX_COUNT,
@@ -24,7 +25,6 @@
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 1_000
-MAX_TASKS = 100_000
 # Team of jobs submitted to an open queue without a key.
 ANONYMOUS_TEAM = ""
 DRAINING = "draining"
@@ -50,16 +50,17 @@
     if not 0 < len(rows) <= MAX_STEPS:
         raise InvalidInputError(f"not 1 to {MAX_STEPS} steps", path="steps")
     steps = tuple(_decode_step(row, position) for position, row in enumerate(rows))
-    if sum(step.count for step in steps) > MAX_TASKS:
-        raise InvalidInputError(f"more than {MAX_TASKS} tasks", path="steps")
-    repetitions = fields.integer(data, "repetitions", 0)
-    return StepJobSpec(
+    spec = StepJobSpec(
         payload=payload,
         steps=steps,
-        repetitions=repetitions,
+        repetitions=fields.integer(data, "repetitions", 0),
         first_due_ms=fields.integer(data, "first-ms", 0),
         interval_ms=fields.integer(data, "interval-ms", 0),
     )
+    exceeded = exceeded_limit(spec)
+    if exceeded is not None:
+        raise InvalidInputError(exceeded, path="steps")
+    return spec
 
 
 def _decode_step(row: Any, position: int) -> StepSpec:
@@ -74,7 +75,7 @@
         memory_mb=fields.integer(row, "mem-mb", 0),
         accelerators=fields.integer(row, "gpu", 0),
         estimate_ms=fields.integer(row, "estimate-ms", 0),
-        after=tuple(after),
+        after=tuple(dict.fromkeys(after)),
         checkpointing=fields.boolean(row, "checkpointing"),
         gang=fields.boolean(row, "gang"),
         same_rack=fields.boolean(row, "rack-local"),
--- a/src/hornbeamreach/systems/job_progress.py
+++ b/src/hornbeamreach/systems/job_progress.py
@@ -28,20 +28,25 @@
 
 def due_occurrences(spec: StepJobSpec, wall_ms: int) -> Iterator[int]:
     """Yield the occurrences that are due."""
-    if not spec.timed:
-        yield 0
-        return
-    for occurrence in range(spec.repetitions):
-        if spec.due_ms(occurrence) <= wall_ms:
-            yield occurrence
+    yield from range(_due_count(spec, wall_ms) if spec.timed else 1)
+
+
+def _due_count(spec: StepJobSpec, wall_ms: int) -> int:
+    """Return how many occurrences of a timed job are due."""
+    since_first_ms = wall_ms - spec.first_due_ms
+    if since_first_ms < 0:
+        return 0
+    if spec.interval_ms == 0:
+        return spec.repetitions
+    return min(spec.repetitions, since_first_ms // spec.interval_ms + 1)
 
 
 def next_due_ms(spec: StepJobSpec, wall_ms: int) -> int | None:
     """Return the wall time at which the next occurrence is due, or None."""
     if not spec.timed:
         return None
-    upcoming = (spec.due_ms(number) for number in range(spec.repetitions))
-    return min((due for due in upcoming if due > wall_ms), default=None)
+    upcoming = _due_count(spec, wall_ms)
+    return spec.due_ms(upcoming) if upcoming < spec.repetitions else None
 
 
 def ready_steps(job: StepJob, wall_ms: int) -> list[ReadyStep]:
