Refuse a heartbeat without a usable address instead of ending leader after leader

Cause: an address in a heartbeat was any text. The poller of such a minion, or a replica that relays the poll, raised ValueError, OverflowError or UnicodeError while it opened the connection; the error ended the scheduler's nursery and the process. The writer sends its heartbeat on to the next node, so the next leader ended too, and with relays follower after follower, until no majority was left. Evidence: six addresses ('', 'nowhere', '10.0.0.9:', '10.0.0.9:http', '10.0.0.9:70000', a label of 70 characters): each heartbeat was accepted, and each call raised one of the three errors. Ruled out: only checking heartbeats; a minion known before an upgrade keeps its address, so the client answers too. Change: decode_report refuses an address that is no host and port (400: it names no minion to use); the HTTP client reports an unknown outcome for an address that no connection can be opened to.

--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -204,7 +204,7 @@
         minion=minion,
         born_ms=fields.integer(data, "born", 0),
         pool=fields.string(data, "service"),
-        address=fields.string(data, "address"),
+        address=fields.address(data, "address"),
         data_center=fields.string(data, "zone"),
         sequence=fields.integer(data, "sequence"),
         draining=state == DRAINING,
--- a/src/hornbeamreach/platform/fields.py
+++ b/src/hornbeamreach/platform/fields.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import orjson
@@ -10,6 +11,9 @@
 
 # Above any amount in a deployment, and low enough that sums stay far from the int64 limit.
 MAX_NUMBER = 1 << 53
+HOST_LABEL = "[0-9A-Za-z-]{1,63}"
+ADDRESS_PATTERN = re.compile(rf"{HOST_LABEL}(?:\.{HOST_LABEL})*:([0-9]{{1,5}})")
+MAX_PORT = 65_535
 
 
 def decode_json(body: bytes) -> dict[str, Any]:
@@ -31,6 +35,15 @@
     return value
 
 
+def address(data: dict[str, Any], name: str) -> str:
+    """Return a host and port that a connection can be opened to."""
+    value = string(data, name)
+    match = ADDRESS_PATTERN.fullmatch(value)
+    if match is None or not 0 < int(match[1]) <= MAX_PORT:
+        raise InvalidInputError("not a host and port", path=name)
+    return value
+
+
 def integer(
     data: dict[str, Any], name: str, default: int | None = None, *, minimum: int = 0
 ) -> int:
--- a/src/hornbeamreach/platform/http_client.py
+++ b/src/hornbeamreach/platform/http_client.py
@@ -15,6 +15,8 @@
 # A connection idle for longer is not reused: the peer may have closed it.
 MAX_IDLE_MS = 10_000
 READ_BYTES = 65_536
+# Raised for an address that no connection can be opened to.
+ADDRESS_ERRORS = (ValueError, OverflowError)
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 
@@ -115,7 +117,7 @@
             return response
         except trio.TooSlowError:
             raise UnknownOutcomeError(f"{address}{path}: no answer in {timeout_ms} ms") from None
-        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as exc:
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError, *ADDRESS_ERRORS) as exc:
             raise UnknownOutcomeError(f"{address}{path}: {exc!r}") from None
         finally:
             if connection is not None and not (completed and self._keep_idle(address, connection)):
