Keep a minion's unreadable answer from ending leader after leader

Cause: the leader raised on three kinds of answers. A start answered with a clock-ms that is no whole number raised InvalidInputError; a value nested 1,000 deep in place of a text raised RecursionError; and a run or end number above 64 bits was accepted, but the next stop or poll that carries it back can't be encoded (TypeError). Each ended the scheduler's nursery and the process. The minion answers the next leader alike, or a relaying follower. Ruled out: skipping just the unreadable row. A list without one of its runs would say that the run is not there. Change: such an answer leaves the outcome unknown, as other unreadable ones did; numbers are bounded as in requests.

--- a/src/hornbeamreach/platform/minion_port.py
+++ b/src/hornbeamreach/platform/minion_port.py
@@ -39,6 +39,16 @@
     "room": StartAnswer.NO_ROOM,
     "ticket": StartAnswer.BAD_TICKET,
 }
+# Raised for lists of another form; a deeply nested value in place of a text exceeds the recursion
+# limit.
+LIST_ERRORS = (
+    InvalidInputError,
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+)
 
 
 @define(kw_only=True, eq=False)
@@ -142,11 +152,14 @@
     if response.status in UNHEALTHY_STATUSES:
         return StartReply(answer=StartAnswer.UNHEALTHY)
     body = _decode(response) if response.body else {}
-    clock_ms = fields.integer(body, "clock-ms", 0) if body else 0
+    try:
+        clock_ms = fields.integer(body, "clock-ms", 0)
+    except InvalidInputError as exc:
+        raise UnknownOutcomeError(f"unreadable answer: {exc}") from None
     if response.status == HTTP_OK:
         return StartReply(answer=StartAnswer.STARTED, clock_ms=clock_ms)
     if response.status == HTTP_CONFLICT:
-        known = START_ANSWER_BY_CONFLICT_REASON.get(str(body.get("reason")))
+        known = START_ANSWER_BY_CONFLICT_REASON.get(_reason(response))
         if known is not None:
             return StartReply(answer=known, clock_ms=clock_ms)
     if response.status == 400:
@@ -163,29 +176,37 @@
             running=[_decode_running_task(row) for row in fields.items(body, "running")],
             ended=[_decode_ended_task(row) for row in fields.items(body, "finished")],
         )
-    except (InvalidInputError, ValueError, TypeError, IndexError) as exc:
+    except LIST_ERRORS as exc:
         raise UnknownOutcomeError(f"unreadable lists: {exc!r}") from None
 
 
+def _count(value: Any) -> int:
+    """Convert a number in a row; raise ValueError for one that no order can carry back."""
+    number = int(value)
+    if not 0 <= number <= fields.MAX_NUMBER:
+        raise ValueError(f"{value} is out of range")
+    return number
+
+
 def _decode_running_task(row: list[Any]) -> RunningTask:
     # Rows are positional: task, run, checkpoint, percent and, where tasks share, a load figure.
     task, run, checkpoint, percent = row[:4]
     figure = row[4] if len(row) > 4 else 0
     return RunningTask(
         task=str(task),
-        run=int(run),
+        run=_count(run),
         checkpoint=str(checkpoint),
-        percent=int(percent),
-        figure=int(figure),
+        percent=_count(percent),
+        figure=_count(figure),
     )
 
 
 def _decode_ended_task(row: list[Any]) -> EndedTask:
     number, task, run, end, checkpoint = row[:5]
     return EndedTask(
-        number=int(number),
+        number=_count(number),
         task=str(task),
-        run=int(run),
+        run=_count(run),
         end=RunEnd(end),
         checkpoint=str(checkpoint),
     )
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -14,10 +14,13 @@
 from hornbeamreach.fleet.ports import StartOrder, UnknownOutcomeError
 from hornbeamreach.platform.decoding import decode_report
 from hornbeamreach.platform.http_client import PlatformHttpClient, Response
+from hornbeamreach.platform.minion_port import PlatformMinionPort
 
 from . import builders
 
 REPORT = decode_report("i-1", orjson.dumps(builders.platform_heartbeat()))
+# Stands for lists nested nearly as deeply as the JSON decoder allows.
+NESTED, NESTING = "nested", 1_000
 ORDER = StartOrder(task="a.0.0.0", run=1, payload="x", lease_until_ms=9, token=1)
 BAD_ADDRESSES = ["", "nowhere", "10.0.0.9:", "10.0.0.9:http", "10.0.0.9:70000", "x" * 70 + ".:80"]
 
@@ -30,7 +33,9 @@
     body: Any
 
     async def send(self, *arguments: Any, **options: Any) -> Response:
-        return Response(status=self.status, body=orjson.dumps(self.body))
+        lists = b"[" * NESTING + b"]" * NESTING
+        body = orjson.dumps(self.body).replace(b'"nested"', lists)
+        return Response(status=self.status, body=body)
 
 
 @pytest.mark.parametrize("address", BAD_ADDRESSES)
@@ -46,3 +51,45 @@
                 await PlatformHttpClient().send(address, "POST", "/hold", timeout_ms=500)
 
         trio.run(call)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ("status", "body"),
+        [
+            (200, {"clock-ms": "soon"}),
+            (200, {"clock-ms": -1}),
+            (409, {"reason": "late", "clock-ms": []}),
+            (400, {"clock-ms": 2**60}),
+            (409, {"reason": NESTED}),
+        ],
+    )
+    def test_a_start_answered_with_another_clock_has_an_unknown_outcome(self, status, body):
+        port = PlatformMinionPort(http=FakeHttp(status, body))
+        with pytest.raises(UnknownOutcomeError):
+            trio.run(port.start, REPORT, ORDER)
+
+    @pytest.mark.parametrize(
+        "lists",
+        [
+            {"running": [["a.0.0.0", 10**18, "", 1]]},
+            {"running": [["a.0.0.0", "9" * 30, "", 1]]},
+            {"running": [["a.0.0.0", 1e300, "", 1]]},
+            {"running": [["a.0.0.0", -1, "", 1]]},
+            {"running": [["a.0.0.0", 1, "", 1, 1e300]]},
+            {"running": [{"task": "a.0.0.0"}]},
+            {"finished": [["9" * 30, "a.0.0.0", 1, "done", ""]]},
+            {"finished": [[1, "a.0.0.0", 1, ["done"], ""]]},
+            {"finished": [[1, "a.0.0.0", 1, {}, ""]]},
+            {"running": [[NESTED, 1, "", 1]]},
+            {"finished": [[1, "a.0.0.0", 1, "done", NESTED]]},
+        ],
+    )
+    def test_a_poll_with_numbers_that_no_order_can_carry_has_an_unknown_outcome(self, lists):
+        port = PlatformMinionPort(http=FakeHttp(200, {"clock-ms": 5, "born": 1, **lists}))
+
+        async def poll() -> None:
+            with pytest.raises(UnknownOutcomeError):
+                await port.poll(REPORT, token=1, recorded_end=0, lease_until_ms=None, wait_ms=0)
+
+        trio.run(poll)
