Keep an unreadable answer about VMs or tickets from ending leader after leader

Cause: a refused VM order whose reason is a list or table raised TypeError, tickets nested 1,000 deep RecursionError; each ended the leader, and the next leader asks the same service the same. A list of VMs that names the same next page again and again was read for ever: each answer came in time, so no maintenance began and the rows piled up. Evidence: the new tests raised these errors, or were cancelled after a second. Change: each leaves the outcome unknown.

--- a/src/hornbeamreach/platform/vm_port.py
+++ b/src/hornbeamreach/platform/vm_port.py
@@ -47,7 +47,7 @@
                 await self.http.send(self.address, "GET", path, timeout_ms=CALL_TIMEOUT_MS)
             )
             found += [vm for row in _vm_rows(body) if (vm := _decode_vm(row)) is not None]
-            page = str(body.get("next-token") or "")
+            page = _next_page(body, page)
             if not page:
                 return found
 
@@ -84,7 +84,7 @@
         if response.status == HTTP_TOO_MANY_REQUESTS:
             return VmOrderAnswer.TOO_MANY
         reason = _decode(response).get("reason") if response.status == HTTP_CONFLICT else None
-        if reason in OUTCOME_BY_CONFLICT_REASON:
+        if isinstance(reason, str) and reason in OUTCOME_BY_CONFLICT_REASON:
             return OUTCOME_BY_CONFLICT_REASON[reason]
         raise UnknownOutcomeError(f"unexpected status {response.status}: {response.body[:200]!r}")
 
@@ -98,6 +98,14 @@
         raise UnknownOutcomeError(f"malformed response: {exc}") from None
 
 
+def _next_page(body: dict[str, Any], page: str) -> str:
+    """Return the token of the next page, empty after the last one."""
+    token = body.get("next-token") or ""
+    if not isinstance(token, (str, int)) or (token and str(token) == page):
+        raise UnknownOutcomeError("malformed VM list: no token of another page")
+    return str(token)
+
+
 def _vm_rows(body: dict[str, Any]) -> list[Any]:
     try:
         return fields.items(body, "machines", required=True)
@@ -137,5 +145,5 @@
             raise UnknownOutcomeError("malformed response: no list of admitted minions")
         try:
             return {str(row[0]): str(row[1]) for row in rows}
-        except (TypeError, IndexError, KeyError) as exc:
+        except (TypeError, LookupError, RecursionError) as exc:
             raise UnknownOutcomeError(f"malformed list of admitted minions: {exc!r}") from None
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -15,6 +15,7 @@
 from hornbeamreach.platform.decoding import decode_report
 from hornbeamreach.platform.http_client import PlatformHttpClient, Response
 from hornbeamreach.platform.minion_port import PlatformMinionPort
+from hornbeamreach.platform.vm_port import PlatformAdmissionPort, PlatformVmPort
 
 from . import builders
 
@@ -33,6 +34,7 @@
     body: Any
 
     async def send(self, *arguments: Any, **options: Any) -> Response:
+        await trio.lowlevel.checkpoint()
         lists = b"[" * NESTING + b"]" * NESTING
         body = orjson.dumps(self.body).replace(b'"nested"', lists)
         return Response(status=self.status, body=body)
@@ -93,3 +95,33 @@
                 await port.poll(REPORT, token=1, recorded_end=0, lease_until_ms=None, wait_ms=0)
 
         trio.run(poll)
+
+    @pytest.mark.parametrize("reason", [[], {}, ["busy"]])
+    def test_a_vm_order_refused_for_an_unreadable_reason_has_an_unknown_outcome(self, reason):
+        port = PlatformVmPort(http=FakeHttp(409, {"reason": reason}), address="x:1")
+
+        async def order() -> None:
+            with pytest.raises(UnknownOutcomeError):
+                await port.start_maintenance("m-1", wave=1, holder="h", token=1)
+
+        trio.run(order)
+
+    @pytest.mark.parametrize("rows", [[5], [{}], [[]], [None], [[NESTED, "t"]]])
+    def test_unreadable_tickets_leave_the_outcome_unknown(self, rows):
+        port = PlatformAdmissionPort(http=FakeHttp(200, {"admitted": rows}), address="x:1")
+
+        async def ask() -> None:
+            with pytest.raises(UnknownOutcomeError):
+                await port.request_tickets("a.0.0", ["i-1"])
+
+        trio.run(ask)
+
+    @pytest.mark.parametrize("token", ["same", NESTED, 5])
+    def test_a_list_of_vms_that_names_no_next_page_ends(self, token):
+        http = FakeHttp(200, {"machines": [], "next-token": token})
+
+        async def list_vms() -> None:
+            with trio.fail_after(1), pytest.raises(UnknownOutcomeError):
+                await PlatformVmPort(http=http, address="x:1").list_vms()
+
+        trio.run(list_vms)
