Keep a call that fails unexpectedly from ending relaying follower after follower

Cause: the relay turned only the three errors of the port's interface into results. Any other error, for one call to one minion, ended the relay's nursery and the follower's process. The leader got no result in time and sent the call through the next follower or itself, so one minion could take down a majority. A batch received twice had the same effect: the second end of its call removed an entry that was gone (KeyError). Evidence: the two new tests. Change: any other error is logged and counted (relay_failed), and its result is an unknown outcome.

--- a/src/hornbeamreach/fleet/order_relay.py
+++ b/src/hornbeamreach/fleet/order_relay.py
@@ -115,8 +115,17 @@
                 result = _failed_result(call, RelayOutcome.FENCED, exc)
             except WrongIncarnationError as exc:
                 result = _failed_result(call, RelayOutcome.WRONG_INCARNATION, exc)
+            except Exception as exc:
+                # The leader sends the call again through the next follower: it must not end
+                # each of them.
+                log.bind(source=source, minion=call.minion, call=type(call).__name__).error(
+                    "call not carried out, unexpected error: {!r}", exc
+                )
+                self.metrics.event("relay_failed")
+                result = _failed_result(call, RelayOutcome.UNKNOWN_OUTCOME, exc)
             finally:
-                del self.calls[call_key]
+                if self.calls.get(call_key) is scope:
+                    del self.calls[call_key]
             self.results.setdefault(source, []).append(result)
             self.wake.set()
 
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -11,7 +11,17 @@
 import trio.testing
 
 from hornbeamreach.exceptions import InvalidInputError
+from hornbeamreach.fleet.order_relay import OrderRelay
 from hornbeamreach.fleet.ports import StartOrder, UnknownOutcomeError
+from hornbeamreach.fleet.relay_messages import (
+    RelayBatch,
+    RelayedPoll,
+    RelayedStart,
+    RelayOutcome,
+    RelayResults,
+)
+from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.decoding import decode_report
 from hornbeamreach.platform.http_client import PlatformHttpClient, Response
 from hornbeamreach.platform.minion_port import PlatformMinionPort
@@ -125,3 +135,63 @@
                 await PlatformVmPort(http=http, address="x:1").list_vms()
 
         trio.run(list_vms)
+
+
+class FailingPort:
+    """Fail at each call with an error that the port's interface does not name."""
+
+    async def start(self, report: Any, order: Any) -> Any:
+        raise ValueError("unexpected")
+
+    async def poll(self, report: Any, **options: Any) -> Any:
+        raise KeyError("unexpected")
+
+
+class RecordingLink:
+    """Keep the notifications sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[RelayResults] = []
+
+    def notify(self, address: str, message: Any) -> None:
+        self.sent.append(message)
+
+
+class TestRelay:
+    def relay_batches(self, *batches: RelayBatch) -> list[Any]:
+        link = RecordingLink()
+        relay = OrderRelay(
+            port=FailingPort(), link=link, handlers=HandlerTable(), metrics=Metrics()
+        )
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.run)
+                await trio.testing.wait_all_tasks_blocked()
+                for batch in batches:
+                    await relay.on_batch(batch)
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return [result for message in link.sent for result in message.results]
+
+    def test_a_call_that_fails_unexpectedly_ends_no_relaying_replica(self):
+        start = RelayedStart(number=1, minion="i-1", address="x:1", order=ORDER)
+        poll = RelayedPoll(
+            number=2,
+            minion="i-1",
+            address="x:1",
+            token=1,
+            recorded_end=0,
+            lease_until_ms=None,
+            wait_ms=0,
+        )
+        results = self.relay_batches(RelayBatch(source="leader:1", starts=[start], looks=[poll]))
+        assert {result.number for result in results} == {1, 2}
+        assert all(result.outcome is RelayOutcome.UNKNOWN_OUTCOME for result in results)
+
+    def test_a_batch_received_twice_ends_no_relaying_replica(self):
+        start = RelayedStart(number=1, minion="i-1", address="x:1", order=ORDER)
+        batch = RelayBatch(source="leader:1", starts=[start])
+        assert len(self.relay_batches(batch, batch)) == 2
