Keep an unexpected error of a call to a minion from ending the process that leads

Cause: an error outside the port's interface ended the scheduler and its process. The next leader repeats the call. Ruled out: catching in each caller (pollers, starts, stops, paces): a new caller would forget it. Change: GuardedMinionPort wraps the platform's port, for the leader and for relays: other errors than the interface's are logged, counted (minion_call_failed) and reported as an unknown outcome, which the scheduler settles by a poll.

--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -12,6 +12,7 @@
 from hornbeamreach.control.disk import FileDisk
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.storage import RaftStorage
+from hornbeamreach.fleet.guarded_port import GuardedMinionPort
 from hornbeamreach.fleet.order_relay import OrderRelay
 from hornbeamreach.fleet.relayed_minion_port import RelayedMinionPort
 from hornbeamreach.fleet.service import FleetService
@@ -84,7 +85,7 @@
                 seeds=seed_addresses,
             )
             http = PlatformHttpClient()
-            minions = PlatformMinionPort(http=http)
+            minions = GuardedMinionPort(port=PlatformMinionPort(http=http), metrics=metrics)
             relay = OrderRelay(port=minions, link=link, handlers=handlers, metrics=metrics)
             minion_port = RelayedMinionPort(
                 port=minions,
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -11,8 +11,9 @@
 import trio.testing
 
 from hornbeamreach.exceptions import InvalidInputError
+from hornbeamreach.fleet.guarded_port import GuardedMinionPort
 from hornbeamreach.fleet.order_relay import OrderRelay
-from hornbeamreach.fleet.ports import StartOrder, UnknownOutcomeError
+from hornbeamreach.fleet.ports import FencedError, StartOrder, UnknownOutcomeError
 from hornbeamreach.fleet.relay_messages import (
     RelayBatch,
     RelayedPoll,
@@ -146,6 +147,37 @@
     async def poll(self, report: Any, **options: Any) -> Any:
         raise KeyError("unexpected")
 
+    async def stop(self, report: Any, **options: Any) -> None:
+        raise TypeError("unexpected")
+
+    async def pace(self, report: Any, **options: Any) -> None:
+        raise RecursionError("unexpected")
+
+
+class TestGuard:
+    @pytest.mark.parametrize(
+        "call",
+        [
+            lambda port: port.start(REPORT, ORDER),
+            lambda port: port.poll(REPORT, token=1),
+            lambda port: port.stop(REPORT, task="a.0.0.0", run=1, token=1),
+            lambda port: port.pace(REPORT, task="a.0.0.0", run=1, percent=5, token=1),
+        ],
+    )
+    def test_an_unexpected_error_of_a_call_leaves_its_outcome_unknown(self, call):
+        guarded = GuardedMinionPort(port=FailingPort(), metrics=Metrics())
+        with pytest.raises(UnknownOutcomeError):
+            trio.run(call, guarded)
+
+    def test_the_errors_of_the_interface_pass_unchanged(self):
+        class FencedPort:
+            async def start(self, report: Any, order: Any) -> Any:
+                raise FencedError("fence")
+
+        guarded = GuardedMinionPort(port=FencedPort(), metrics=Metrics())
+        with pytest.raises(FencedError):
+            trio.run(guarded.start, REPORT, ORDER)
+
 
 class RecordingLink:
     """Keep the notifications sent."""
