Skip a committed command that fails, alike on all replicas, instead of ending each for ever

Cause: an error while a committed command was applied ended the replica. It is in the log, so it ended every replica, and again after each restart: no majority until someone edits the logs. Evidence: with an applier that fails after it has changed the state, all three processes of a fleet ended, and every process that loaded the log. Choice: application depends on the state and the command alone, so such an error occurs on every replica alike. Its proposer gets a refusal; entries that replay the log get an empty item in its place. Not skipped, and still the end of the process: errors of one process (memory, stack, disk), since the others apply the command and a restart applies it again; and a command or encoding that this version doesn't know, since the others may be newer. To skip it would make the replicas differ. So that no leader writes what none can read, submit decodes each command first, except the frequent RecordRuns, which the planner builds. Ruled out: keeping the part that was applied (iteration over sets differs between processes); a copy of the state before each command (the workload is too large). Open: replicas of two versions differ if a command fails in one of them only, as with any change of an applier.

--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -156,7 +156,10 @@
             state = encode_state(self.replica.state)
         else:
             entries = self.replica.core.log.slice_from(message.applied_index + 1, backlog)
-            items = [LogItem(index=entry.index, data=entry.data) for entry in entries]
+            items = [
+                LogItem(index=entry.index, data=self.replica.applied_data(entry))
+                for entry in entries
+            ]
         session = self.session_table.get(holder)
         return RenewReply(
             committed_index=committed_index,
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -10,7 +10,14 @@
 from attrs import define
 
 from hornbeamreach.clock import Clock, seconds
-from hornbeamreach.control.commands import Command, NoOp
+from hornbeamreach.control.commands import Command
+from hornbeamreach.control.log_application import (
+    LOCAL_ERRORS,
+    check_decodable,
+    decode_command,
+    rebuild_state,
+    skipped_outcome,
+)
 from hornbeamreach.control.raft import RaftCore, Ready, Role
 from hornbeamreach.control.raft_messages import (
     AppendReply,
@@ -25,9 +32,9 @@
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.control.storage import RaftStorage
-from hornbeamreach.control.workload_commands import WORKLOAD_COMMANDS
+from hornbeamreach.control.workload_commands import WORKLOAD_COMMANDS, RecordRuns
 from hornbeamreach.exceptions import NotLeaderError
-from hornbeamreach.link.codec import decode, encode
+from hornbeamreach.link.codec import encode
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.relay_choice import Follower
@@ -111,6 +118,8 @@
         self.state = decode_state(snapshot.data) if snapshot else ControlState()
         self.applied_term = snapshot.term if snapshot else 0
         self.pending: dict[int, PendingProposal] = {}
+        # Indexes of commands whose application failed.
+        self.skipped: set[int] = set()
         self.slow_syncs = 0
         self.last_transfer_ms = -TRANSFER_PAUSE_MS
         # Addresses reported by other processes, for a replica that has no log yet.
@@ -163,8 +172,14 @@
         return await self.wait_for_outcome(self.submit(command))
 
     def submit(self, command: Command) -> PendingProposal:
-        """Append a command, in the order of calls; raise NotLeaderError if not leading."""
-        return self._add_pending(self.core.propose(encode(command)), command)
+        """Append a command, in the order of calls.
+
+        Raises NotLeaderError if not leading, and RefusedError if no replica could read it.
+        """
+        data = encode(command)
+        if not isinstance(command, RecordRuns):
+            check_decodable(data)
+        return self._add_pending(self.core.propose(data), command)
 
     async def wait_for_outcome(self, proposal: PendingProposal) -> Outcome:
         """Wait until a submitted command is applied; raise NotLeaderError if it may be lost."""
@@ -302,16 +317,32 @@
     def _apply(self, entry: LogEntry) -> None:
         proposal = self.pending.pop(entry.index, None)
         is_own = proposal is not None and proposal.term == entry.term
-        if is_own and proposal.command is not None:
-            command = proposal.command
-        else:
-            command = decode(entry.data) if entry.data else NoOp()
-        outcome = apply_command(self.state, entry.index, command)
+        known = proposal.command if is_own and proposal else None
+        command = known or decode_command(entry)
+        try:
+            outcome = apply_command(self.state, entry.index, command)
+        except LOCAL_ERRORS:
+            raise
+        except Exception as exc:
+            log.bind(index=entry.index, term=entry.term, command=type(command).__name__).error(
+                "command can't be applied and changes nothing, on all replicas: {!r}", exc
+            )
+            outcome = self._skip(entry)
         self.applied_term = entry.term
         if proposal is not None:
             proposal.outcome = outcome if is_own else None
             proposal.done.set()
 
+    def _skip(self, entry: LogEntry) -> Outcome:
+        """Undo what a failed command has changed, and return its outcome."""
+        self.skipped.add(entry.index)
+        self.state = rebuild_state(self.core.log, entry.index, self.skipped, self.state)
+        return skipped_outcome(self.state)
+
+    def applied_data(self, entry: LogEntry) -> bytes:
+        """Return an entry's encoded command for a process that replays it, empty if skipped."""
+        return b"" if entry.index in self.skipped else entry.data
+
     def _fail_pending(self) -> None:
         for proposal in self.pending.values():
             proposal.done.set()
@@ -331,3 +362,4 @@
         term, voted_for = self.core.term, self.core.voted_for
         await self.run_blocking(self.storage.save_snapshot, snapshot, remaining, term, voted_for)
         self.core.compact(snapshot)
+        self.skipped = {index for index in self.skipped if index > applied}
