--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -225,9 +225,27 @@
         self.work_ready.set()
 
     async def _on_raft_message(self, message: Any) -> None:
+        if isinstance(message, SnapshotRequest) and not self._can_read(message.snapshot):
+            return
         self.core.receive(message, self.clock.now_ms())
         self._wake()
 
+    def _can_read(self, snapshot: Snapshot) -> bool:
+        """Return whether a snapshot can be read here, before it replaces the stored state.
+
+        Once stored, an unreadable one would end this process at each start.
+        """
+        if snapshot.index <= self.core.commit_index:
+            return True
+        try:
+            decode_state(snapshot.data)
+        except Exception as exc:
+            log.bind(index=snapshot.index, size=len(snapshot.data)).error(
+                "snapshot of the leader ignored, it can't be read here: {!r}", exc
+            )
+            return False
+        return True
+
     async def run(self) -> None:
         """Run until cancelled; raise StorageError if storage fails."""
         while True:
--- a/tests/test_failing_commands.py
+++ b/tests/test_failing_commands.py
@@ -8,8 +8,8 @@
 import trio
 
 from hornbeamreach.control import state_machine
-from hornbeamreach.control.raft_messages import LogEntry
-from hornbeamreach.control.snapshots import state_digest
+from hornbeamreach.control.raft_messages import LogEntry, Snapshot, SnapshotRequest
+from hornbeamreach.control.snapshots import encode_state, state_digest
 from hornbeamreach.control.workload_commands import CancelJob
 from hornbeamreach.entry.replayed_state import ReplayedState
 from hornbeamreach.exceptions import RefusedError, StorageError
@@ -155,3 +155,32 @@
             await fleet.submit("0" * 16, step_job(step(1)))
 
         run_fleet(scenario)
+
+
+class TestSnapshots:
+    def test_an_unreadable_snapshot_ends_no_follower_and_stays_off_its_disk(self):
+        async def scenario(fleet: StepFleet) -> None:
+            leader = await fleet.wait_for_leader()
+            address = next(a for a in fleet.addresses if a != leader)
+            replica, core = fleet.control[address].replica, fleet.control[leader].replica.core
+            for data in (b"", b"\x01", encode_state(replica.state)[:-9]):
+                snapshot = Snapshot(
+                    index=core.commit_index + 50, term=core.term, members=core.members(), data=data
+                )
+                message = SnapshotRequest(
+                    source=core.node_id,
+                    target=replica.node_id,
+                    term=core.term,
+                    snapshot=snapshot,
+                    sent_ms=0,
+                )
+                await fleet.network.handlers[address].handle(message)
+                await trio.sleep(0.5)
+            fleet.kill_control(address)
+            fleet.start_control(address)
+            await fleet.submit("0" * 16, step_job(step(3)))
+            await fleet.wait_for_state("0" * 16, "completed")
+            await trio.sleep(1)
+            assert_equal(fleet)
+
+        run_fleet(scenario)
