Report a refusal after a lost answer as one that may have run

Cause: LeaderFinder passed a leader's refusal on unchanged although an earlier attempt of the same request had lost its answer and may have run; CallerApp answered 503 (never accepted) for every refusal, whatever its verdict. A caller could be told that a job never runs while it ran. A reply that can't be decoded ended the search with an error and a 500. Evidence: a scripted link that loses the first answer and refuses the second: verdict not_run, and 503. Change: the verdict of a refusal holds for all attempts; 504 unless the request certainly did not run; an undecodable reply counts as lost, and the next replica is asked.

--- a/src/hornbeamreach/link/leader_finder.py
+++ b/src/hornbeamreach/link/leader_finder.py
@@ -15,6 +15,7 @@
     PeerUnreachableError,
     RefusedError,
 )
+from hornbeamreach.link.codec import DecodeError
 from hornbeamreach.link.interface import Link
 from hornbeamreach.logs import part_logger
 from hornbeamreach.verdict import Verdict
@@ -61,7 +62,7 @@
         """Send a request that may be repeated, and return the leader's reply.
 
         Raises NoLeaderError if no leader replied within `timeout_ms`, and RefusedError if the
-        leader refused.
+        leader refused. The verdict of both holds for all attempts.
         """
         deadline_ms = self.clock.now_ms() + timeout_ms
         may_have_run = False
@@ -79,12 +80,14 @@
             except PeerUnreachableError as exc:
                 self._update_leader(address, None)
                 last_error = str(exc)
-            except PeerTimeoutError as exc:
+            except (PeerTimeoutError, DecodeError) as exc:
                 may_have_run = True
                 self._update_leader(address, None)
                 last_error = str(exc)
             except RefusedError as exc:
                 if exc.verdict is not Verdict.MAY_HAVE_RUN:
+                    if may_have_run and exc.verdict is Verdict.NOT_RUN:
+                        raise _after_lost_answer(exc) from exc
                     raise
                 may_have_run = True
                 self._update_leader(address, None)
@@ -112,3 +115,13 @@
     def _next_replica(self) -> str:
         self.position += 1
         return self.replicas[self.position % len(self.replicas)]
+
+
+def _after_lost_answer(error: RefusedError) -> RefusedError:
+    """Return a refusal whose verdict includes an earlier attempt that may have run."""
+    return RefusedError(
+        error.reason,
+        error.detail,
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_ms=error.retry_after_ms,
+    )
--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -89,8 +89,8 @@
             return
         except RefusedError as exc:
             self.metrics.refused(f"call_{call.action.value}", exc.reason)
-            log.bind(request=call.path).info("call refused: {}", exc)
-            await self._send_response(send, HTTP_UNAVAILABLE, {"reason": exc.reason.value}, 1_000)
+            log.bind(request=call.path, verdict=exc.verdict.value).info("call refused: {}", exc)
+            await self._send_unserved(send, exc.reason, exc.verdict)
             return
         reply: QueueAnswer = found.reply
         if reply.served is QueueOutcome.REFUSED and found.repeated and call.spec is not None:
@@ -106,8 +106,12 @@
         log.bind(request=call.path, action=call.action.value, verdict=exc.verdict.value).warning(
             "no leader answered: {}", exc
         )
-        body = {"reason": Reason.NO_LEADER.value}
-        if exc.verdict is Verdict.NOT_RUN:
+        await self._send_unserved(send, Reason.NO_LEADER, exc.verdict)
+
+    async def _send_unserved(self, send: asgi.Send, reason: Reason, verdict: Verdict) -> None:
+        """Send 503 for a call that certainly did not run, and 504 for any other."""
+        body = {"reason": reason.value}
+        if verdict is Verdict.NOT_RUN:
             await self._send_response(send, HTTP_UNAVAILABLE, body, 1_000)
         else:
             await self._send_response(send, HTTP_GATEWAY_TIMEOUT, body)
