Call a request whose connection is lost at its timeout one that may have run

Cause: PeerConnection decided after the timeout, by whether there was still a connection, that nothing was sent. If the connection was reset in the same moment, a request that was sent was called unreachable, so not run. Evidence: the new test, in which the reset is noticed before the waiting task runs. Change: whether the request was handed to a connection is kept, and decides. Before and after: the test failed on the code before (PeerUnreachableError) and passes.

--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -132,14 +132,16 @@
 
     async def request(self, message: Any, timeout_ms: int) -> Any:
         """Send a request and return its reply, which may be a Refusal or Redirect."""
+        may_be_sent = False
         with trio.move_on_after(seconds(timeout_ms)) as scope:
             with trio.move_on_after(seconds(OPEN_TIMEOUT_MS)):
                 await self.connected.wait()
             if self.socket is None:
                 raise PeerUnreachableError(f"no connection to {self.address}")
+            may_be_sent = True
             return await self._exchange(message)
         assert scope.cancelled_caught
-        if self.socket is None:
+        if not may_be_sent:
             raise PeerUnreachableError(f"no connection to {self.address}")
         raise PeerTimeoutError(f"{self.address} did not answer in {timeout_ms} ms")
 
--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -21,6 +21,7 @@
     REPLY,
     REQUEST,
     LinkServer,
+    PeerConnection,
     WebSocketLink,
     decode_frame,
 )
@@ -145,3 +146,21 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
+
+
+class TestVerdict:
+    def test_a_request_whose_connection_is_lost_at_its_timeout_may_have_run(self):
+        connection = PeerConnection(address="127.0.0.1:1", secret=SECRET)
+
+        class LostSocket:
+            async def send(self, data: bytes) -> None:
+                # The reset is noticed before the task that sent the request runs again.
+                connection.socket = None
+
+        async def main() -> None:
+            connection.socket = LostSocket()
+            connection.connected.set()
+            with pytest.raises(PeerTimeoutError):
+                await connection.request(ReadWave(number=1), 20)
+
+        trio.run(main)
