Send a call whose connection was lost at two endpoints to no third one

Cause: a call to an idempotent service was sent to up to three endpoints, whatever became of them. A call that ends its endpoint took down three, and the third attempt proved nothing more. Evidence: with endpoints that end at this call, it ran three times (test), with and without an idempotency key. What counts: the connection was lost after the call was sent and before its whole answer had come. Refusals, silence (a partition, a slow endpoint) and failed connection attempts do not: the endpoint did not end under the call. An endpoint that stops in order, or an idle connection that it closes as the call is sent, looks the same, so the first loss is still retried elsewhere. One log line for each loss. Open: a call without a key is new at each resend of its client, and counts from zero there.

--- a/src/hornbeamreach/entry/call_service.py
+++ b/src/hornbeamreach/entry/call_service.py
@@ -320,6 +320,11 @@
         )
         if failure_reason is Reason.ENDPOINT_BUSY:
             return
+        if failure_reason is Reason.CONNECTION_LOST:
+            call.connections_lost += 1
+            log.bind(
+                request=call.id, endpoint=row.id, lost=call.connections_lost, attempts=call.attempts
+            ).warning("connection lost while the endpoint had the call: {}", detail)
         if record_failure(self.tables, row, self.clock.now_ms()):
             self.metrics.event("endpoint_ejected")
             log.warning("endpoint {} ejected until its probation, last failure: {}", row.id, detail)
--- a/src/hornbeamreach/systems/dispatch.py
+++ b/src/hornbeamreach/systems/dispatch.py
@@ -154,7 +154,12 @@
 def acquire_hedge_endpoint(
     tables: CallTables, permits: PermitTable, context: DispatchContext, call: CallRow
 ) -> EndpointRow | None:
-    """Acquire another endpoint for a call whose first one is silent, or return None."""
+    """Acquire another endpoint for a call whose first one is silent, or return None.
+
+    A call that has lost a connection goes to one endpoint at a time: it may end each of them.
+    """
+    if call.connections_lost:
+        return None
     endpoints = [
         row
         for row in _usable_endpoints(tables, context, call.service)
--- a/src/hornbeamreach/systems/retries.py
+++ b/src/hornbeamreach/systems/retries.py
@@ -8,6 +8,9 @@
 from hornbeamreach.verdict import Reason, Verdict
 
 MAX_ATTEMPTS = 3
+# A call whose connection is lost as often may itself end the endpoints that serve it. Refusals,
+# silence and failed connection attempts do not count: the endpoint did not end under the call.
+MAX_CONNECTIONS_LOST = 2
 INITIAL_TOKENS = 3.0
 MAX_TOKENS = 20.0
 BASE_BACKOFF_MS = 10
@@ -71,6 +74,8 @@
     tables: CallTables, call: CallRow, failed: FailedAttempt, now_ms: int
 ) -> Reason | None:
     """Return None if the call is retried, or the reason to report to its caller."""
+    if call.connections_lost >= MAX_CONNECTIONS_LOST:
+        return Reason.CONNECTION_LOST
     if failed.verdict is not Verdict.NOT_RUN and not call.idempotent:
         return failed.reason
     may_run_twice = failed.verdict is not Verdict.NOT_RUN
--- a/src/hornbeamreach/tables/calls.py
+++ b/src/hornbeamreach/tables/calls.py
@@ -39,6 +39,8 @@
     waiting_for: str = ""
     # A failed attempt may have run, so a later refusal must not say that the call did not run.
     may_have_run: bool = False
+    # Attempts whose connection was lost before the answer: the call may have ended the endpoint.
+    connections_lost: int = 0
 
 
 @define(kw_only=True)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -229,6 +229,8 @@
     silent: bool = False
     reply_delay_ms: int = 0
     refuse_connections: bool = False
+    # Bodies of calls that end the endpoint, which starts again at once.
+    deadly_bodies: frozenset[bytes] = frozenset()
     running: dict[str, int] = field(factory=dict)
     runs: list[tuple[str, bytes]] = field(factory=list)
     sequence: int = 0
@@ -259,6 +261,9 @@
             raise _attempt_error(Reason.CONNECT_FAILED, Verdict.NOT_RUN)
         if sum(endpoint.running.values()) >= endpoint.slots:
             raise _attempt_error(Reason.ENDPOINT_BUSY, Verdict.NOT_RUN)
+        if body in endpoint.deadly_bodies:
+            endpoint.runs.append((request_id, body))
+            raise _attempt_error(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
         io_timeout_ms = options["io_timeout_ms"]
         done = trio.Event()
         self.fleet.background.start_soon(
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -156,3 +156,33 @@
             assert len(leaving.runs) == before
 
         run_call_scenario(scenario)
+
+
+class TestDeadlyCalls:
+    """One call must not end endpoint after endpoint."""
+
+    @staticmethod
+    async def earn_retries(fleet):
+        for number in range(100):
+            await fleet.call("dc1-e1", "red", body=f"earn {number}".encode())
+        for endpoint in fleet.endpoints.values():
+            endpoint.deadly_bodies = frozenset({b"deadly"})
+
+    @pytest.mark.parametrize("token", ["", "deadly"])
+    def test_a_call_that_ends_two_endpoints_is_not_sent_to_a_third(self, token):
+        async def scenario(fleet):
+            await self.earn_retries(fleet)
+            key = fleet.idempotency_key(token) if token else ""
+            with pytest.raises(RefusedError) as caught:
+                await fleet.call("dc1-e1", "red", body=b"deadly", idempotency_key=key)
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+            assert caught.value.reason is Reason.CONNECTION_LOST
+            assert fleet.count_runs(b"deadly") == 2
+            if key:
+                for entry in ("dc1-e1", "dc1-e2", "dc2-e1"):
+                    with pytest.raises(RefusedError) as caught:
+                        await fleet.call(entry, "red", body=b"deadly", idempotency_key=key)
+                    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+                assert fleet.count_runs(b"deadly") == 2
+
+        run_call_scenario(scenario)
