Keep the record of a call that may have run when a later attempt did not

Cause: an idempotent call with a key whose first attempt may have run, and whose next one was refused a connection, withdrew its record: the last failure alone decided. A resend with the key was then sent again, although the caller had been told may_have_run, and could end two more endpoints each time. If the second attempt's start could not be recorded, the caller was told not_run. Evidence: the two new tests: two runs for one key, and verdict not_run after a run. Ruled out: calls of non-idempotent services; they have no second attempt after one that may have run. Change: a record is withdrawn only if no attempt may have run; the refusal's verdict holds for all attempts.

--- a/src/hornbeamreach/entry/call_service.py
+++ b/src/hornbeamreach/entry/call_service.py
@@ -87,9 +87,14 @@
 
 def _refusal(call: CallRow, reason: Reason, detail: str, verdict: Verdict) -> RefusedError:
     """Return a refusal whose verdict holds for every attempt of the call."""
+    return RefusedError(reason, detail, verdict=_verdict_of_all(call, verdict))
+
+
+def _verdict_of_all(call: CallRow, verdict: Verdict) -> Verdict:
+    """Return a verdict that holds for the earlier attempts of the call too."""
     if call.may_have_run and verdict is Verdict.NOT_RUN:
-        verdict = Verdict.MAY_HAVE_RUN
-    return RefusedError(reason, detail, verdict=verdict)
+        return Verdict.MAY_HAVE_RUN
+    return verdict
 
 
 class CallService:
@@ -233,7 +238,14 @@
                 await self.records.start(request, row.id)
         except RefusedError as exc:
             self._discard_unsent(call, row)
-            pending.resolve(exc)
+            pending.resolve(
+                RefusedError(
+                    exc.reason,
+                    exc.detail,
+                    verdict=_verdict_of_all(call, exc.verdict),
+                    retry_after_ms=exc.retry_after_ms,
+                )
+            )
             return
         group = AttemptGroup(attempts=[self._new_attempt(call, row)])
         left_ms = max(1, call.deadline_ms - self.clock.now_ms())
@@ -360,7 +372,7 @@
     ) -> None:
         not_run = failure.verdict is Verdict.NOT_RUN
         call.may_have_run = call.may_have_run or not not_run
-        if pending.request.idempotency_key and not_run:
+        if pending.request.idempotency_key and not call.may_have_run:
             await self.records.withdraw(pending.request)
         now_ms = self.clock.now_ms()
         refusal_reason = retry_refusal(self.tables, call, failure, now_ms)
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -5,10 +5,13 @@
 import pytest
 import trio
 
+from hornbeamreach.entry.call_records import CallRecords
+from hornbeamreach.entry.endpoint_client import AttemptError
 from hornbeamreach.exceptions import RefusedError
+from hornbeamreach.systems.retries import FailedAttempt
 from hornbeamreach.verdict import Reason, Verdict
 
-from .fakes import VirtualFleet, run_virtual
+from .fakes import FakeEndpointClient, VirtualFleet, run_virtual
 
 
 def run_call_scenario(scenario, **options):
@@ -186,3 +189,54 @@
                 assert fleet.count_runs(b"deadly") == 2
 
         run_call_scenario(scenario)
+
+    def test_a_resend_is_not_sent_after_a_break_and_a_refused_connection(self, monkeypatch):
+        async def scenario(fleet):
+            await self.earn_retries(fleet)
+            key = fleet.idempotency_key("deadly")
+            broken = []
+            send = FakeEndpointClient.send
+
+            async def break_once(client, **options):
+                # The first endpoint ends; all others refuse connections from then on.
+                if options["body"] == b"deadly" and broken:
+                    raise AttemptError(
+                        FailedAttempt(
+                            reason=Reason.CONNECT_FAILED, verdict=Verdict.NOT_RUN, detail=""
+                        )
+                    )
+                broken.append(client.address)
+                return await send(client, **options)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(FakeEndpointClient, "send", break_once)
+                with pytest.raises(RefusedError) as caught:
+                    await fleet.call("dc1-e1", "red", body=b"deadly", idempotency_key=key)
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+            with pytest.raises(RefusedError) as caught:
+                await fleet.call("dc1-e2", "red", body=b"deadly", idempotency_key=key)
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+            assert fleet.count_runs(b"deadly") == 1
+
+        run_call_scenario(scenario)
+
+    def test_a_retry_that_cannot_be_recorded_may_have_run(self, monkeypatch):
+        async def scenario(fleet):
+            await self.earn_retries(fleet)
+            starts = []
+            start = CallRecords.start
+
+            async def start_once(records, request, endpoint):
+                if starts:
+                    raise RefusedError(Reason.RECORDS_UNAVAILABLE, "no majority")
+                starts.append(endpoint)
+                await start(records, request, endpoint)
+
+            monkeypatch.setattr(CallRecords, "start", start_once)
+            key = fleet.idempotency_key("deadly")
+            with pytest.raises(RefusedError) as caught:
+                await fleet.call("dc1-e1", "red", body=b"deadly", idempotency_key=key)
+            assert caught.value.reason is Reason.RECORDS_UNAVAILABLE
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+        run_call_scenario(scenario)
