Count the crashes of minions under a task, and give up a task that causes them

Cause: RunEnd.LOST was crash, move, upkeep and a start that never arrived alike, so nothing counted the minions that crash under a task. A task that crashes each minion that starts it was started without end, each start ending the runs of other jobs on that VM; callers saw their jobs late, or not at all, and the job itself `running` for ever. Ruled out: counting LOST ends (a move or a lost start answer would accuse tasks); counting by silence (a partition would); giving up by count alone (a neighbour in the same crash would fail, the registry's baseline "count" shows it). Change: - fleet/crash_recorder: an incarnation has crashed when a later one is known (same id, the address answers as another one, or a new id on the same VM) and neither a drain, a leave nor an order to the VM, of this scheduler or an earlier one, explains it. Runs whose order was sent are marked; they end CRASHED when the poll of the next incarnation, its answer or the lapse of the lease ends them, so nothing is ended sooner than before. Leases that lapsed before the next incarnation was heard are counted then. Long-running tasks 5 s at work are no suspects. - A scheduler recognizes the crashes of runs that it recovered: the record of a start now names the VM and its time, since VMs come back under new ids. - RecordRuns.crashes counts in the replicated state, once for each run. systems/crash_evidence: a task is given up after two crashes, the latest in company of its own job alone; the job is then `failed` with its reason kept. DONE and FAILED ends and time at work (RecordRuns.cleared) clear it. - Simulated VMs can come back under new ids at the old address. Where tests need suspects isolated, which placement does not do yet, a fixture does it.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -8,6 +8,7 @@
 
 from hornbeamreach.control.state_machine import Outcome, appliers
 from hornbeamreach.link.codec import wire_type
+from hornbeamreach.systems.crash_evidence import CrashHistory, giving_up_policies
 from hornbeamreach.tables.control_state import ControlState, KeyRow
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.workload import (
@@ -21,6 +22,8 @@
     step_key,
 )
 
+GIVING_UP_POLICY = "solo"
+
 
 @wire_type("apply_declaration")
 @define(frozen=True, kw_only=True)
@@ -59,15 +62,20 @@
 @wire_type("record_runs")
 @define(frozen=True, kw_only=True)
 class RecordRuns:
-    """Record ends of runs, then starts.
+    """Record ends of runs, then crashes under them, then cleared tasks, then starts.
 
     `ends` holds (job, task key, run, end, checkpoint); `starts` holds (job, task key, run,
-    minion, born_ms). Items that no longer match the state are skipped.
+    minion, born_ms); `crashes` holds (job, task key, run, whether only runs of the job were on
+    the minion); `cleared` holds (job, task key, run). `vms` maps the minions of the starts to
+    their VMs. Items that no longer match the state are skipped.
     """
 
     ends: list[tuple[str, str, int, str, str]] = field(factory=list)
     starts: list[tuple[str, str, int, str, int]] = field(factory=list)
     at_ms: int = 0
+    crashes: list[tuple[str, str, int, bool]] = field(factory=list)
+    cleared: list[tuple[str, str, int]] = field(factory=list)
+    vms: dict[str, str] = field(factory=dict)
 
 
 @wire_type("forget_jobs")
@@ -169,19 +177,44 @@
         job = jobs.get(job_id)
         if job is not None:
             _end_run(state, job, task_key, run, RunEnd(end), checkpoint, command.at_ms)
+    for job_id, task_key, run, solo in command.crashes:
+        job = jobs.get(job_id)
+        if job is not None:
+            _count_crash(job, task_key, run, solo, command.at_ms)
+    for job_id, task_key, run in command.cleared:
+        job = jobs.get(job_id)
+        task = job.tasks.get(task_key) if job is not None else None
+        if task is not None and task.run == run and task.minion:
+            task.crashes = 0
     for job_id, task_key, run, minion, born_ms in command.starts:
         job = jobs.get(job_id)
         if job is not None and not job.ended:
-            _record_start(job, task_key, run, minion, born_ms)
+            task = _record_start(job, task_key, run, minion, born_ms)
+            task.vm = command.vms.get(minion, "")
+            task.started_ms = command.at_ms
     return _accepted(state)
 
 
-def _record_start(job: StepJob, task_key: str, run: int, minion: str, born_ms: int) -> None:
+def _record_start(job: StepJob, task_key: str, run: int, minion: str, born_ms: int) -> TaskRecord:
     task = job.tasks.setdefault(task_key, TaskRecord())
     task.run = max(task.run, run)
     task.minion = minion
     task.born_ms = born_ms
     job.state = StepJobState.RUNNING
+    return task
+
+
+def _count_crash(job: StepJob, task_key: str, run: int, solo: bool, at_ms: int) -> None:
+    """Count a crash under a task's run, and fail the job if the task is given up."""
+    task = job.tasks.get(task_key)
+    if task is None or task.done or not task.crashed_run < run <= task.run:
+        return
+    task.crashed_run = run
+    task.crashes += 1
+    history = CrashHistory(crashes=task.crashes, latest_solo=solo)
+    if not job.ended and giving_up_policies.get(GIVING_UP_POLICY)(history):
+        _end_job(job, StepJobState.FAILED, at_ms)
+        job.failure_reason = f"task {task_key} crashed {task.crashes} minions"
 
 
 def _end_run(
@@ -199,6 +232,9 @@
     task.minion = ""
     if checkpoint:
         task.checkpoint = checkpoint
+    if end in (RunEnd.DONE, RunEnd.FAILED):
+        # Only a live minion lists these ends, so the run didn't crash it.
+        task.crashes = 0
     if end is RunEnd.DONE:
         _record_done(job, task_key, task)
     elif end is RunEnd.FAILED:
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -48,6 +48,9 @@
     # Jobs whose ready steps must be computed again.
     stale_jobs: set[str] = field(factory=set)
     unrecorded_ends: list[UnrecordedEnd] = field(factory=list)
+    # Ended runs under which a crash is to be counted, and runs whose tasks are cleared.
+    unrecorded_crashes: list[ReservedRun] = field(factory=list)
+    unrecorded_clearings: list[ReservedRun] = field(factory=list)
     # Minions where a run failed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
     # Arrivals of jobs in this term.
@@ -82,6 +85,7 @@
         minion = self.minions.get(run.minion)
         if minion is not None and minion.report.born_ms == run.born_ms:
             minion.reserve(run)
+            run.vm = minion.report.machine
         else:
             self.unattached_runs.setdefault(run.minion, {})[run.name] = run
         self.team_use.add(run.team, run.charged)
@@ -107,6 +111,9 @@
         del runs[run.key]
         if not runs:
             del self.runs_by_job[run.job_id]
+        if run.crash is not None and end in (RunEnd.LOST, RunEnd.LEASE_LAPSED):
+            end = RunEnd.CRASHED
+            self.unrecorded_crashes.append(run)
         self.unrecorded_ends.append(
             UnrecordedEnd(
                 job_id=run.job_id, key=run.key, run=run.run, end=end, checkpoint=checkpoint
@@ -186,6 +193,8 @@
             now_ms=now_ms,
         )
         run.recovered = True
+        run.ordered = True
+        run.vm = task.vm
         return run
 
 
@@ -201,6 +210,7 @@
 ) -> ReservedRun:
     """Build the reservation of a run from its job's specification."""
     step = job.spec.steps[parse_task_key(key)[1]]
+    task = job.tasks.get(key)
     return ReservedRun(
         job_id=job.job_id,
         key=key,
@@ -216,6 +226,7 @@
         ),
         lasting=step.lasting,
         filler=step.filler,
+        suspect=task is not None and task.crashes > 0,
         latency_target_ms=step.latency_target_ms,
         phase=phase,
         outcome_known_ms=now_ms,
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -58,6 +58,7 @@
             return
         if scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
+            run.ordered = True
             # The run may begin from now on, so its lease must be valid from now on.
             scheduler.extend_lease(minion)
             scheduler.nursery.start_soon(self._start, run, minion)
@@ -119,6 +120,8 @@
             "start rejected: {}", answer.value
         )
         if answer is StartAnswer.WRONG_INCARNATION:
+            # The run did not begin in the incarnation that is over.
+            run.ordered = False
             scheduler.mark_minion_gone(minion, "replaced")
             return
         if answer in (StartAnswer.UNHEALTHY, StartAnswer.NO_ROOM, StartAnswer.FENCED):
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -185,6 +185,7 @@
                 "minion answers again"
             )
         minion.failed_calls = 0
+        scheduler.crashes.on_answer(minion)
         if minion.polled_ms < 0:
             # An upper bound of any lease that an earlier scheduler can have granted.
             lease_bound_ms = result.clock_ms + scheduler.timing.lease_ms
@@ -208,6 +209,8 @@
         if run is None or run.run != ended.run:
             return
         scheduler = self.scheduler
+        # It began in the incarnation that lists it.
+        run.crash = None
         if ended.end is RunEnd.FAILED:
             log.bind(request=run.job_id, task=run.key, run=run.run, minion=run.minion).info(
                 "run failed"
@@ -229,6 +232,9 @@
                 run.last_progress_ms = now_ms
             run.percent, run.load_metric = task.percent, task.figure
             run.last_listed_ms = now_ms
+            run.crash = None
+            if run.suspect and run.lasting:
+                self.scheduler.crashes.clear_if_at_work(run, now_ms)
 
     def _mark_running(self, run: ReservedRun) -> None:
         job = self.scheduler.fleet.job(run.job_id)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -10,6 +10,7 @@
 from hornbeamreach.control.state_machine import Outcome
 from hornbeamreach.control.workload_commands import ForgetJobs, RecordRuns, WorkloadCommand
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
+from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
@@ -71,6 +72,8 @@
         self.proposed = ProposedState.of(replica.state)
         self.fleet = FleetState(proposed=self.proposed)
         self.fleet.recover_runs(self.began_ms)
+        self.crashes = CrashRecorder(self)
+        self.crashes.recover_ages()
         self.planner = Planner(fleet=self.fleet)
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
@@ -172,22 +175,32 @@
             for minion in fleet.minions.values()
             if minion.listed_end > minion.recorded_end
         ]
-        ends = [(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended]
-        if ends:
+        crashed, fleet.unrecorded_crashes = fleet.unrecorded_crashes, []
+        clearings, fleet.unrecorded_clearings = fleet.unrecorded_clearings, []
+        changes = RecordRuns(
+            ends=[(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended],
+            crashes=[(r.job_id, r.key, r.run, bool(r.crash and r.crash.solo)) for r in crashed],
+            cleared=[(r.job_id, r.key, r.run) for r in clearings],
+            at_ms=wall_ms,
+        )
+        changed_jobs = {item.job_id for item in (*ended, *crashed, *clearings)}
+        if changed_jobs:
             # The planner reads the proposed state, so the ends must be applied first.
-            self.proposed.apply(RecordRuns(ends=ends, at_ms=wall_ms))
-            fleet.stale_jobs.update(e.job_id for e in ended)
+            self.proposed.apply(changes)
+            fleet.stale_jobs.update(changed_jobs)
+            self.crashes.log_counted(crashed, wall_ms)
         starts = self.planner.plan(now_ms, wall_ms)
         self._request_tickets()
-        if not ends and not starts:
+        if not changed_jobs and not starts:
             if not self.uncommitted_proposals:
                 self._mark_ends_recorded(listed_ends)
             return
         self.uncommitted_proposals += 1
         reserved = [(r.job_id, r.key, r.run, r.minion, r.born_ms) for r in starts]
-        self.proposed.apply(RecordRuns(starts=reserved, at_ms=wall_ms))
-        proposal = self.replica.submit(RecordRuns(ends=ends, starts=reserved, at_ms=wall_ms))
-        for job_id in {e.job_id for e in ended}:
+        vms = {run.minion: run.vm for run in starts}
+        self.proposed.apply(RecordRuns(starts=reserved, vms=vms, at_ms=wall_ms))
+        proposal = self.replica.submit(attrs.evolve(changes, starts=reserved, vms=vms))
+        for job_id in changed_jobs:
             self._stop_job_if_ended(job_id)
         assert self.nursery is not None
         self.nursery.start_soon(self._after_commit, proposal, listed_ends, starts)
@@ -223,7 +236,8 @@
         job = self.fleet.job(job_id)
         if job is None or not job.ended:
             return
-        log.bind(request=job_id, state=job.state.value, term=self.term).info("job ended")
+        reason = {"reason": job.failure_reason} if job.failure_reason else {}
+        log.bind(request=job_id, state=job.state.value, term=self.term, **reason).info("job ended")
         self.stop_job(job_id, "job_ended")
 
     # Jobs and declarations
@@ -282,6 +296,7 @@
         if earlier is not None:
             minion.token_step = earlier.token_step + 1
             self._retire_incarnation(earlier)
+        self.crashes.on_report(report, is_first=earlier is None)
         self.fleet.minions[report.minion] = minion
         for run in list(self.fleet.unattached_runs.pop(report.minion, {}).values()):
             # Its order may still reach the new incarnation: the first poll there decides.
@@ -301,6 +316,7 @@
         A start may have reached either incarnation, whatever the response was. The first poll of
         the next one shows which runs are there.
         """
+        self.crashes.on_incarnation_over(minion, REPLACED)
         for run in list(minion.runs.values()):
             minion.release(run.name)
             if run.phase is not RunPhase.RESERVED:
@@ -309,9 +325,10 @@
             self.fleet.unattached_runs.setdefault(run.minion, {})[run.name] = run
 
     def mark_minion_gone(self, minion: Minion, reason: str) -> None:
-        """Mark a minion as gone and end all its runs as lost."""
+        """Mark a minion as gone and end all its runs, as crashed if there is evidence."""
         log.bind(minion=minion.minion_id, runs=len(minion.runs)).info("minion is gone: {}", reason)
         self.metrics.event(f"minion_gone_{reason}")
+        self.crashes.on_incarnation_over(minion, reason)
         for run in list(minion.runs.values()):
             self.fleet.end_run(run, RunEnd.LOST)
         self.notify()
@@ -351,6 +368,7 @@
         log.bind(minion=minion, runs=[run.name for run in runs][:20]).warning(
             "leases have lapsed: the minion was not reached in time"
         )
+        self.crashes.on_lapse(minion, runs)
         for run in runs:
             self.fleet.end_run(run, RunEnd.LEASE_LAPSED)
 
@@ -372,6 +390,7 @@
             return
         self.last_cleanup_ms = now_ms
         self._forget_minions(now_ms)
+        self.crashes.forget_old(now_ms)
         ended_before_ms = wall_ms - self.timing.ended_job_retention_ms
         workload = self.proposed.workload
         old = [
--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -90,6 +90,10 @@
     highest_closed_runs: dict[str, int] = field(factory=dict)
     fails: bool = False
     stalls: bool = False
+    # VM; by default one of its own.
+    machine: str = ""
+    # The VM is back under another id, so calls to this one reach the wrong incarnation.
+    replaced: bool = False
     slowdown: float = 1.0
     ended_event: trio.Event = field(factory=trio.Event)
 
@@ -113,7 +117,7 @@
             rack=self.rack,
             labels=("a", self.rack),
             clock_ms=max(1, int(self.clock_ms()) - self.report_lag_ms),
-            machine=f"m-{self.minion}",
+            machine=self.machine or f"m-{self.minion}",
         )
 
     def used(self) -> Resources:
@@ -142,6 +146,8 @@
     # Tasks that crash each minion that starts them, which is back after `crash_downtime_ms`.
     deadly_tasks: set[str] = field(factory=set)
     crash_downtime_ms: int = 3_000
+    # Called with the next incarnation's minion when VMs come back from a crash under new ids.
+    on_new_id: Callable[[SimulatedMinion], None] | None = None
     # (caller, minion) pairs without a connection.
     partitions: set[tuple[str, str]] = field(factory=set)
     poll_count: int = 0
@@ -238,8 +244,33 @@
             return
         self.crash(minion.minion)
         await trio.sleep(seconds(self.crash_downtime_ms))
-        if not minion.up:
+        if minion.up or minion.replaced:
+            return
+        if self.on_new_id is None:
             self.restart(minion.minion)
+        else:
+            self.replace(minion.minion)
+
+    def replace(self, name: str) -> SimulatedMinion:
+        """Start a new incarnation under a new id on the VM of a crashed one."""
+        earlier = self.minions[name]
+        earlier.replaced = True
+        base = name.partition("+")[0]
+        minion = SimulatedMinion(
+            minion=f"{base}+{earlier.born_ms}",
+            pool=earlier.pool,
+            data_center=earlier.data_center,
+            rack=earlier.rack,
+            capacity=earlier.capacity,
+            born_ms=earlier.born_ms + 1,
+            clock_rate=earlier.clock_rate,
+            clock_origin_ms=trio.current_time() * 1_000,
+            machine=earlier.machine or f"m-{name}",
+        )
+        self.add(minion)
+        if self.on_new_id is not None:
+            self.on_new_id(minion)
+        return minion
 
     def end(self, minion: SimulatedMinion, run: SimulatedRun, reason: RunEnd) -> None:
         """End a run and add it to the minion's list of ends."""
@@ -285,6 +316,8 @@
     async def _connect(self, report: MinionReport) -> SimulatedMinion:
         await trio.sleep(seconds(LINK_DELAY_MS))
         minion = self.fleet.minions[report.minion]
+        if minion.replaced:
+            raise WrongIncarnationError("another incarnation of the minion responded")
         if not minion.up or (self.caller, report.minion) in self.fleet.partitions:
             await trio.sleep(0.7)
             raise UnknownOutcomeError(
@@ -357,7 +390,10 @@
 
     async def start(self, report: MinionReport, order: StartOrder) -> StartReply:
         """Start a run."""
-        minion = await self._connect(report)
+        try:
+            minion = await self._connect(report)
+        except WrongIncarnationError:
+            return StartReply(answer=StartAnswer.WRONG_INCARNATION, clock_ms=0, born_ms=0)
         await self._maybe_delay_order(lambda: minion.up and self.fleet.start(minion, order))
         reply = self.fleet.start(minion, order)
         await self._deliver_response()
--- /dev/null
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -0,0 +1,74 @@
+"""Decide when a task is given up because minions crash under it, and when it is cleared.
+
+Load pattern: a task crashes each minion that starts it, within moments of the start, along with
+the runs of other jobs there. Minions also crash for other reasons, a few at a time, so a run that
+was on a crashed minion is a suspect at most; only a crash of a minion that ran nothing of other
+jobs is evidence against its job alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+
+from hornbeamreach.registry import Registry
+from hornbeamreach.tables.minions import ReservedRun, RunPhase
+
+# A task may be given up once this many minions have crashed under it.
+CRASHES_TO_GIVE_UP = 2
+# A long-running task that was at work for this long before the crash did not cause it.
+SETTLED_MS = 5_000
+# A long-running suspect is cleared after this time at work, doubled for each earlier crash.
+CLEARED_AFTER_MS = 3_000
+MAX_CLEARING_DOUBLINGS = 5
+FULL_PERCENT = 100
+
+
+@define(frozen=True, kw_only=True)
+class CrashHistory:
+    """Hold the crashes counted under a task."""
+
+    crashes: int
+    # Whether only runs of the task's own job were on the minion of the latest crash.
+    latest_solo: bool
+
+
+GivingUpPolicy = Callable[[CrashHistory], bool]
+
+giving_up_policies: Registry[GivingUpPolicy] = Registry("giving up policy")
+
+
+@giving_up_policies.register("count")
+def is_given_up_by_count(history: CrashHistory) -> bool:
+    """Return whether enough minions crashed, whatever else ran there: the plain baseline.
+
+    Load pattern: every task of the fleet is alone on its minion.
+    """
+    return history.crashes >= CRASHES_TO_GIVE_UP
+
+
+@giving_up_policies.register("solo")
+def is_given_up_after_solo_crash(history: CrashHistory) -> bool:
+    """Return whether enough minions crashed, the latest one with runs of the job alone.
+
+    Load pattern: a task that crashes its minions shares them with tasks that must not be given up.
+    """
+    return history.crashes >= CRASHES_TO_GIVE_UP and history.latest_solo
+
+
+def is_settled(run: ReservedRun) -> bool:
+    """Return whether a run is long-running and was at work for too long to have caused a crash."""
+    listed_ms = max(0, run.last_listed_ms - run.started_ms)
+    return run.lasting and run.earlier_ms + listed_ms >= SETTLED_MS
+
+
+def clearing_ms(crashes: int) -> int:
+    """Return the time at work in ms that clears a long-running suspect."""
+    return CLEARED_AFTER_MS << min(max(0, crashes - 1), MAX_CLEARING_DOUBLINGS)
+
+
+def is_cleared(run: ReservedRun, crashes: int, now_ms: int) -> bool:
+    """Return whether a long-running suspect has been at work for long enough."""
+    at_work = run.phase is RunPhase.RUNNING and run.percent == FULL_PERCENT
+    return run.lasting and at_work and now_ms - run.last_progress_ms >= clearing_ms(crashes)
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -55,6 +55,19 @@
     STOPPING = "stopping"
 
 
+@define(frozen=True, kw_only=True)
+class CrashMark:
+    """Describe a run at the crash of its minion."""
+
+    # Incarnation that crashed.
+    born_ms: int
+    phase: RunPhase
+    # Whether only runs of the same job were there.
+    solo: bool
+    # Time since the start.
+    age_ms: int
+
+
 @define(kw_only=True, eq=False)
 class ReservedRun:
     """Represent a run that may take capacity of a minion."""
@@ -90,6 +103,14 @@
     checkpoint: str = ""
     stop_reason: str = ""
     expected_ms: int = 0
+    # VM of the minion; empty if unknown.
+    vm: str = ""
+    # The start order was sent, so the run may have begun.
+    ordered: bool = False
+    # Minimum time that the run was at work before this scheduler began.
+    earlier_ms: int = 0
+    # The minion crashed; unless the run appears on the next incarnation, it ended by that.
+    crash: CrashMark | None = None
 
     @property
     def name(self) -> str:
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -134,6 +134,11 @@
     failures: int = 0
     # Minions that crashed under the task since it was last cleared of having caused a crash.
     crashes: int = 0
+    # Latest run under which a crash was counted; each run counts at most once.
+    crashed_run: int = 0
+    # VM of the minion and wall time of the start of the latest run.
+    vm: str = ""
+    started_ms: int = 0
     done: bool = False
     checkpoint: str = ""
 
@@ -150,6 +155,8 @@
     accepted_ms: int
     state: StepJobState = StepJobState.QUEUED
     ended_ms: int = 0
+    # Why the scheduler gave the job up; empty otherwise.
+    failure_reason: str = ""
     # task key -> record, for tasks that were started at least once
     tasks: dict[str, TaskRecord] = field(factory=dict)
     # step key -> number of tasks done
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -131,6 +131,12 @@
             nursery.start_soon(self._send_reports, minion)
         await self.declare(1)
 
+    def return_under_new_ids(self) -> None:
+        """Let VMs come back from a crash under new minion ids, at their old addresses."""
+        assert self.nursery is not None
+        nursery = self.nursery
+        self.minions.on_new_id = lambda minion: nursery.start_soon(self._send_reports, minion)
+
     def start_control(self, address: str, *, first_start: bool = False) -> None:
         """Start a control process with the contents of its disk."""
         assert self.nursery is not None
--- /dev/null
+++ b/tests/test_crashing_tasks.py
@@ -0,0 +1,549 @@
+"""A task that crashes the minions that start it is given up; its neighbours are not."""
+
+from __future__ import annotations
+
+import attrs
+import cbor2
+import pytest
+import trio
+
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.state_machine import apply_command
+from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders, RecordRuns
+from hornbeamreach.fleet.messages import QueueAction
+from hornbeamreach.fleet.planner import Planner
+from hornbeamreach.link.codec import decode, encode
+from hornbeamreach.standins.step_minions import SimulatedRun
+from hornbeamreach.systems.crash_evidence import (
+    CLEARED_AFTER_MS,
+    SETTLED_MS,
+    CrashHistory,
+    clearing_ms,
+    giving_up_policies,
+    is_cleared,
+    is_settled,
+)
+from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.workload import RunEnd, StepJobState, TaskRecord
+
+from . import builders
+from .builders import step, step_job
+from .step_fleet import StepFleet
+from .test_step_jobs import job_id, run_scenario
+
+DEADLY_JOB = job_id(1)
+DEADLY_TASK = f"{DEADLY_JOB}.0.0.0"
+# At most two more starts may be on their way when the third crash is known.
+MAX_STARTS = 5
+
+
+def starts(fleet: StepFleet, task: str = DEADLY_TASK) -> list[SimulatedRun]:
+    return [run for run in fleet.minions.history if run.task == task]
+
+
+async def workload(fleet: StepFleet):
+    return (await fleet.wait_for_scheduler()).replica.state.workload
+
+
+async def counted(fleet: StepFleet) -> dict[str, int]:
+    """Return the latest run under which a crash was counted, by task."""
+    return {
+        f"{job.job_id}.{key}": task.crashed_run
+        for job in (await workload(fleet)).jobs.values()
+        for key, task in job.tasks.items()
+        if task.crashed_run
+    }
+
+
+async def wait_for_starts(fleet: StepFleet, count: int, task: str = DEADLY_TASK) -> SimulatedRun:
+    """Wait until a task was started `count` times and the last of these runs has ended."""
+    with trio.fail_after(60):
+        while len(starts(fleet, task)) < count or starts(fleet, task)[count - 1].end is None:
+            await trio.sleep(0.005)
+    return starts(fleet, task)[count - 1]
+
+
+async def break_gang(fleet: StepFleet) -> None:
+    """End the other members of the gang whenever the deadly member has crashed its minion."""
+    while True:
+        await trio.sleep(0.1)
+        crashed = {run.run for run in starts(fleet) if run.end is RunEnd.LOST}
+        for minion in fleet.minions.minions.values():
+            for run in list(minion.running.values()):
+                if run.run in crashed:
+                    fleet.minions.end(minion, run, RunEnd.GANG_BROKEN)
+
+
+@pytest.fixture
+def isolation(monkeypatch) -> None:
+    """Start suspects only where nothing of another job is, and other tasks only elsewhere."""
+    start_task = Planner._start_task
+
+    def start_isolated(self, plan, job, key, *arguments):
+        task = job.tasks.get(key)
+        is_suspect = task is not None and task.crashes > 0
+        minions = [
+            minion
+            for minion in plan.minions
+            if not any(
+                run.job_id != job.job_id and (is_suspect or run.suspect)
+                for run in minion.runs.values()
+            )
+        ]
+        allowed = attrs.evolve(plan, minions=minions, too_large=[])
+        return start_task(self, allowed, job, key, *arguments)
+
+    monkeypatch.setattr(Planner, "_start_task", start_isolated)
+
+
+def history(crashes: int, *, solo: bool) -> CrashHistory:
+    return CrashHistory(crashes=crashes, latest_solo=solo)
+
+
+class TestPolicies:
+    def test_a_task_is_given_up_only_after_two_crashes_the_latest_of_them_solo(self):
+        is_given_up = giving_up_policies.get("solo")
+        assert is_given_up(history(2, solo=True))
+        assert not is_given_up(history(1, solo=True))
+        assert not is_given_up(history(9, solo=False))
+
+    def test_the_baseline_gives_up_neighbours_too(self):
+        assert giving_up_policies.get("count")(history(2, solo=False))
+
+    def test_a_long_running_task_is_settled_by_time_at_work(self):
+        run = builders.run(lasting=True, started_ms=1_000, last_listed_ms=1_000 + SETTLED_MS)
+        assert is_settled(run)
+        run.last_listed_ms -= 1
+        assert not is_settled(run)
+        run.earlier_ms = 1
+        assert is_settled(run)
+        run.lasting = False
+        assert not is_settled(run)
+
+    def test_each_earlier_crash_doubles_the_time_at_work_that_clears(self):
+        assert clearing_ms(1) == CLEARED_AFTER_MS
+        assert clearing_ms(3) == 4 * CLEARED_AFTER_MS
+        assert clearing_ms(1_000) < 1_000_000
+        run = builders.run(lasting=True, percent=100, last_progress_ms=0)
+        assert is_cleared(run, 1, CLEARED_AFTER_MS)
+        assert not is_cleared(run, 2, CLEARED_AFTER_MS)
+
+
+@pytest.fixture
+def state() -> ControlState:
+    """Return a state with a job of three tasks, of which the first was started once."""
+    state = ControlState(table=builders.step_table())
+    spec = step_job(step(3))
+    apply_command(
+        state,
+        1,
+        AcceptJob(
+            job_id=DEADLY_JOB, queue="queue-a", pool="pool-a", team="team-a", spec=spec, at_ms=0
+        ),
+    )
+    start(state, 1)
+    return state
+
+
+def start(state: ControlState, run: int) -> None:
+    command = RecordRuns(
+        starts=[(DEADLY_JOB, "0.0.0", run, "i-1", run)], vms={"i-1": "m-1"}, at_ms=100 * run
+    )
+    apply_command(state, state.applied_index + 1, command)
+
+
+def crash(state: ControlState, run: int, *, solo: bool = True, end: str = "crashed") -> None:
+    command = RecordRuns(
+        ends=[(DEADLY_JOB, "0.0.0", run, end, "saved-1")],
+        crashes=[(DEADLY_JOB, "0.0.0", run, solo)],
+        at_ms=9_000,
+    )
+    apply_command(state, state.applied_index + 1, command)
+
+
+class TestReplicatedState:
+    def test_the_second_crash_fails_the_job_and_keeps_the_reason(self, state):
+        crash(state, 1)
+        job = state.workload.jobs[DEADLY_JOB]
+        assert (job.tasks["0.0.0"].crashes, job.state) == (1, StepJobState.RUNNING)
+        assert job.tasks["0.0.0"].checkpoint == "saved-1"
+        start(state, 2)
+        crash(state, 2)
+        assert (job.state, job.ended_ms) == (StepJobState.FAILED, 9_000)
+        assert job.failure_reason == "task 0.0.0 crashed 2 minions"
+
+    def test_crashes_in_company_never_fail_the_job(self, state):
+        for run in range(1, 10):
+            start(state, run)
+            crash(state, run, solo=False)
+        job = state.workload.jobs[DEADLY_JOB]
+        assert (job.tasks["0.0.0"].crashes, job.state) == (9, StepJobState.RUNNING)
+
+    def test_a_crash_is_counted_once_even_after_the_next_start(self, state):
+        # A lease lapses before the new incarnation is heard, so the count comes after the end.
+        apply_command(state, 3, RecordRuns(ends=[(DEADLY_JOB, "0.0.0", 1, "lapsed", "")]))
+        start(state, 2)
+        for _ in range(3):
+            crash(state, 1)
+        task = state.workload.jobs[DEADLY_JOB].tasks["0.0.0"]
+        assert (task.crashes, task.minion) == (1, "i-1")
+
+    @pytest.mark.parametrize("end", ["done", "failed"])
+    def test_an_end_listed_by_a_live_minion_clears_the_task(self, state, end):
+        crash(state, 1)
+        start(state, 2)
+        command = RecordRuns(ends=[(DEADLY_JOB, "0.0.0", 2, end, "")])
+        apply_command(state, state.applied_index + 1, command)
+        assert state.workload.jobs[DEADLY_JOB].tasks["0.0.0"].crashes == 0
+
+    def test_only_the_run_at_work_clears_its_task(self, state):
+        crash(state, 1)
+        start(state, 2)
+        task = state.workload.jobs[DEADLY_JOB].tasks["0.0.0"]
+        for run, crashes in ((1, 1), (2, 0)):
+            command = RecordRuns(cleared=[(DEADLY_JOB, "0.0.0", run)])
+            apply_command(state, state.applied_index + 1, command)
+            assert task.crashes == crashes
+
+    def test_a_cancelled_job_stays_cancelled(self, state):
+        job = state.workload.jobs[DEADLY_JOB]
+        crash(state, 1)
+        start(state, 2)
+        job.state = StepJobState.CANCELLED
+        crash(state, 2)
+        assert (job.state, job.failure_reason) == (StepJobState.CANCELLED, "")
+
+
+class TestStoredForms:
+    def test_a_snapshot_without_the_fields_of_crashes_decodes(self, state):
+        plain = cbor2.loads(encode_state(state))
+        job = plain["state"]["workload"]["jobs"][DEADLY_JOB]
+        del job["failure_reason"]
+        for name in ("crashes", "crashed_run", "vm", "started_ms"):
+            del job["tasks"]["0.0.0"][name]
+        decoded = decode_state(cbor2.dumps(plain)).workload.jobs[DEADLY_JOB]
+        assert decoded.tasks["0.0.0"] == TaskRecord(run=1, minion="i-1", born_ms=1)
+
+    def test_a_log_entry_without_the_fields_of_crashes_decodes(self):
+        entry = cbor2.loads(encode(RecordRuns(starts=[("a", "0.0.0", 1, "i-1", 1)])))
+        for name in ("crashes", "cleared", "vms"):
+            del entry[1][name]
+        assert decode(cbor2.dumps(entry)) == RecordRuns(starts=[("a", "0.0.0", 1, "i-1", 1)])
+
+    def test_a_log_entry_with_crashes_survives_encoding(self):
+        command = RecordRuns(crashes=[("a", "0.0.0", 1, True)], cleared=[("a", "0.0.1", 2)])
+        assert decode(encode(command)) == command
+
+
+@pytest.mark.parametrize("new_ids", [False, True])
+class TestDeadlyTask:
+    """Minions come back under the same id, or under a new one at the same address."""
+
+    def run(self, scenario, *, new_ids: bool, **options) -> StepFleet:
+        async def prepared(fleet: StepFleet) -> None:
+            if new_ids:
+                fleet.return_under_new_ids()
+            fleet.minions.deadly_tasks.add(DEADLY_TASK)
+            await scenario(fleet)
+
+        fleet = run_scenario(prepared, **options)
+        assert 2 <= len(starts(fleet)) <= MAX_STARTS
+        return fleet
+
+    # Between 3.7 and 4.3 s the lease may lapse before the next incarnation is heard.
+    @pytest.mark.parametrize("downtime_ms", [50, 3_000, 3_700, 4_200, 6_000])
+    def test_it_is_given_up_and_its_job_fails(self, new_ids, downtime_ms):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.minions.crash_downtime_ms = downtime_ms
+            await fleet.submit(DEADLY_JOB, step_job(step(), step(2, after=(0,))))
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            job = (await workload(fleet)).jobs[DEADLY_JOB]
+            assert job.failure_reason.startswith("task 0.0.0 crashed ")
+            await trio.sleep(10)
+
+        fleet = self.run(scenario, new_ids=new_ids)
+        assert len(fleet.minions.history) == len(starts(fleet))
+
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("crash_number", [1, 2])
+    def test_a_crash_is_not_lost_with_the_leader(self, new_ids, seed, crash_number):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job())
+            await wait_for_starts(fleet, crash_number)
+            await trio.sleep(fleet.rng.uniform(0, 3))
+            leader = await fleet.wait_for_leader()
+            fleet.kill_control(leader)
+            await trio.sleep(1)
+            fleet.start_control(leader)
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            await trio.sleep(10)
+
+        self.run(scenario, new_ids=new_ids, seed=seed)
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_it_is_given_up_while_the_leader_is_cut_off_from_the_others(self, new_ids, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job())
+            await wait_for_starts(fleet, 1)
+            leader = await fleet.wait_for_leader()
+            fleet.network.cut_off({leader})
+            fleet.minions.partitions |= {(leader, name) for name in fleet.minions.minions}
+            await trio.sleep(5)
+            fleet.network.heal()
+            fleet.minions.partitions.clear()
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            await trio.sleep(10)
+
+        self.run(scenario, new_ids=new_ids, seed=seed)
+
+    def test_a_long_running_one_is_given_up(self, new_ids):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job(step(lasting=True)))
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            await trio.sleep(10)
+
+        self.run(scenario, new_ids=new_ids)
+
+    def test_one_member_of_a_gang_fails_the_job(self, new_ids):
+        async def scenario(fleet: StepFleet) -> None:
+            assert fleet.nursery is not None
+            fleet.nursery.start_soon(break_gang, fleet)
+            spec = step_job(step(3, gang=True, max_per_minion=1))
+            await fleet.submit(DEADLY_JOB, spec, work_ms=30_000)
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            await trio.sleep(10)
+            assert set(await counted(fleet)) == {DEADLY_TASK}
+            assert not any(minion.running for minion in fleet.minions.minions.values())
+
+        self.run(scenario, new_ids=new_ids)
+
+    def test_a_cancelled_job_stays_cancelled_after_a_crash(self, new_ids):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job())
+            await wait_for_starts(fleet, 2)
+            await fleet.call(QueueAction.CANCEL, DEADLY_JOB)
+            await trio.sleep(10)
+            assert await fleet.job_state(DEADLY_JOB) == "cancelled"
+
+        self.run(scenario, new_ids=new_ids)
+
+
+class TestOccurrences:
+    def test_a_deadly_occurrence_fails_its_job(self):
+        task = f"{DEADLY_JOB}.1.0.0"
+
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.minions.deadly_tasks.add(task)
+            due_ms = fleet.clock.wall_ms() + 500
+            spec = step_job(step(), repetitions=3, first_due_ms=due_ms, interval_ms=1_500)
+            await fleet.submit(DEADLY_JOB, spec)
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            job = (await workload(fleet)).jobs[DEADLY_JOB]
+            assert job.failure_reason == "task 1.0.0 crashed 2 minions"
+            await trio.sleep(10)
+
+        fleet = run_scenario(scenario)
+        assert len(starts(fleet, task)) <= MAX_STARTS
+        assert [run.end for run in starts(fleet)] == [RunEnd.DONE]
+
+
+class TestNeighbours:
+    def test_crashes_in_company_alone_fail_no_job(self):
+        # Both jobs fit on the only minion, so no crash can tell which of them causes it.
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.minions.deadly_tasks.add(DEADLY_TASK)
+            await fleet.submit(job_id(2), step_job(step(2, lasting=True)))
+            await fleet.submit(DEADLY_JOB, step_job())
+            await wait_for_starts(fleet, 6)
+            await trio.sleep(6)
+            for number in (1, 2):
+                assert await fleet.job_state(job_id(number)) == "running"
+            await fleet.call(QueueAction.CANCEL, job_id(2))
+            # Alone, the deadly task is given up after its next crash.
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+
+        run_scenario(scenario, minion_count=1)
+
+    @pytest.mark.usefixtures("isolation")
+    @pytest.mark.parametrize("seed", range(3))
+    def test_jobs_beside_a_deadly_task_complete(self, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.minions.deadly_tasks.add(DEADLY_TASK)
+            await fleet.submit(DEADLY_JOB, step_job())
+            for number in range(2, 8):
+                await fleet.submit(job_id(number), step_job(step(8)), work_ms=1_500)
+            for number in range(2, 8):
+                await fleet.wait_for_state(job_id(number), "completed")
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+
+        assert len(starts(run_scenario(scenario, seed=seed))) <= MAX_STARTS
+
+    @pytest.mark.usefixtures("isolation")
+    @pytest.mark.parametrize("seed", range(3))
+    def test_no_job_without_a_deadly_task_fails(self, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            for number in (1, 2):
+                for index in range(2):
+                    fleet.minions.deadly_tasks.add(f"{job_id(number)}.0.0.{index}")
+                await fleet.submit(job_id(number), step_job(step(3)))
+            for number in range(3, 9):
+                await fleet.submit(job_id(number), step_job(step(6)), work_ms=1_500)
+            for number in range(3, 9):
+                await fleet.wait_for_state(job_id(number), "completed")
+            for number in (1, 2):
+                await fleet.wait_for_state(job_id(number), "failed")
+
+        fleet = run_scenario(scenario, seed=seed)
+        for task in fleet.minions.deadly_tasks:
+            assert len(starts(fleet, task)) <= MAX_STARTS
+
+    def test_a_long_running_neighbour_long_at_work_is_no_suspect(self):
+        lasting = f"{job_id(2)}.0.0"
+
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(2), step_job(step(6, lasting=True, max_per_minion=1)))
+            await trio.sleep(SETTLED_MS / 1_000 + 3)
+            fleet.minions.deadly_tasks.add(DEADLY_TASK)
+            await fleet.submit(DEADLY_JOB, step_job())
+            await wait_for_starts(fleet, 1)
+            await trio.sleep(4)
+            assert any(run.end is RunEnd.LOST for run in starts(fleet, f"{lasting}.0"))
+            assert set(await counted(fleet)) == {DEADLY_TASK}
+
+        run_scenario(scenario, minion_count=1)
+
+    def test_it_is_no_suspect_after_a_change_of_the_leader_either(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(2), step_job(step(1, lasting=True)))
+            await trio.sleep(30)
+            fleet.minions.crash("i-1")
+            fleet.kill_control(await fleet.wait_for_leader())
+            await trio.sleep(2)
+            fleet.minions.restart("i-1")
+            await trio.sleep(8)
+            assert len(fleet.minions.history) == 2
+            assert await counted(fleet) == {}
+
+        run_scenario(scenario, minion_count=1)
+
+    def test_a_long_running_suspect_at_work_is_cleared(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(2), step_job(step(1, lasting=True)))
+            await trio.sleep(2)
+            fleet.minions.restart("i-1")
+            await trio.sleep(3)
+            task = (await workload(fleet)).jobs[job_id(2)].tasks["0.0.0"]
+            run = (await fleet.wait_for_scheduler()).fleet.find_run(job_id(2), "0.0.0")
+            assert run is not None
+            assert (task.crashes, run.suspect) == (1, True)
+            await trio.sleep(4)
+            assert (task.crashes, run.suspect) == (0, False)
+
+        run_scenario(scenario, minion_count=1)
+
+
+class TestNoEvidence:
+    """None of these is a crash, so none is counted."""
+
+    def check(self, disturb, **options) -> None:
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(1), step_job(step(6, lasting=True)))
+            await fleet.submit(job_id(2), step_job(step(12)), work_ms=30_000)
+            await trio.sleep(0.8)
+            await disturb(fleet)
+            await trio.sleep(8)
+            assert await counted(fleet) == {}
+
+        run_scenario(scenario, **options)
+
+    # Beyond 4.3 s the leases lapse.
+    @pytest.mark.parametrize("length_s", [2, 7])
+    def test_a_partition_from_the_minions(self, length_s):
+        async def disturb(fleet: StepFleet) -> None:
+            pairs = {(a, f"i-{n}") for a in fleet.addresses for n in range(1, 4)}
+            fleet.minions.partitions |= pairs
+            await trio.sleep(length_s)
+            fleet.minions.partitions -= pairs
+
+        self.check(disturb)
+
+    def test_a_partition_across_a_change_of_the_leader(self):
+        async def disturb(fleet: StepFleet) -> None:
+            pairs = {(a, f"i-{n}") for a in fleet.addresses for n in range(1, 4)}
+            fleet.minions.partitions |= pairs
+            fleet.kill_control(await fleet.wait_for_leader())
+            await trio.sleep(9)
+            fleet.minions.partitions -= pairs
+
+        self.check(disturb)
+
+    def test_a_drained_minion(self):
+        async def disturb(fleet: StepFleet) -> None:
+            fleet.minions.minions["i-1"].draining = True
+            await trio.sleep(2)
+            fleet.minions.restart("i-1")
+
+        self.check(disturb)
+
+    def test_lost_answers_to_starts(self):
+        async def disturb(fleet: StepFleet) -> None:
+            fleet.minions.lost_response_fraction = 0.3
+            await fleet.submit(job_id(3), step_job(step(20)))
+            await trio.sleep(5)
+            fleet.minions.lost_response_fraction = 0
+
+        self.check(disturb)
+
+    @pytest.mark.parametrize("known", [True, False])
+    def test_a_move_ordered_here(self, known):
+        # The next incarnation may be heard before the platform's answer to the order.
+        async def disturb(fleet: StepFleet) -> None:
+            fleet.return_under_new_ids()
+            scheduler = await fleet.wait_for_scheduler()
+            name = fleet.minions.history[0].minion
+            await scheduler.commit(
+                NoteMachineOrders(machines=[f"m-{name}"], at_ms=fleet.clock.wall_ms())
+            )
+            if known:
+                scheduler.mark_minion_gone(scheduler.fleet.minions[name], "moved")
+            fleet.minions.crash(name)
+            await trio.sleep(1)
+            fleet.minions.replace(name)
+
+        self.check(disturb)
+
+    def test_a_start_rejected_by_the_next_incarnation(self):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.return_under_new_ids()
+            await trio.sleep(2)
+            fleet.minions.crash("i-1")
+            fleet.minions.replace("i-1")
+            await fleet.submit(DEADLY_JOB, step_job())
+            await fleet.wait_for_state(DEADLY_JOB, "completed")
+            assert await counted(fleet) == {}
+
+        run_scenario(scenario, minion_count=1)
+
+
+class TestLateEvidence:
+    @pytest.mark.parametrize("new_ids", [False, True])
+    @pytest.mark.parametrize("silence_s", [1, 3.7, 7, 20])
+    def test_a_minion_heard_again_long_after_its_leases_lapsed_counts_one_crash(
+        self, new_ids, silence_s
+    ):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job(step(1, lasting=True)))
+            await trio.sleep(2)
+            if new_ids:
+                fleet.return_under_new_ids()
+            name = fleet.minions.history[0].minion
+            fleet.minions.crash(name)
+            await trio.sleep(silence_s)
+            if new_ids:
+                fleet.minions.replace(name)
+            else:
+                fleet.minions.restart(name)
+            await trio.sleep(3)
+            assert await counted(fleet) == {DEADLY_TASK: 1}
+
+        run_scenario(scenario)
