Count a crash after a lapsed lease across a change of the leader

Cause: when the leases lapse before the next incarnation is heard, the run's end is recorded before there is evidence of a crash. The scheduler kept such runs in memory only, so a change of the leader in between lost the crash and the task was started once more than needed. Evidence: test_it_is_counted_after_a_change_of_the_leader_too fails (both ids) with the take-over of lapses left out. Change: the record of a task keeps its latest lapsed run (TaskRecord.lapsed); a new scheduler takes over lapses of the last 15 s. Which other runs were there is not known any more, so such a crash never counts as solo. Before and after: that test fails, passes. tests/test_crashing_tasks.py passes.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -12,6 +12,7 @@
 from hornbeamreach.tables.control_state import ControlState, KeyRow
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.workload import (
+    LapsedRun,
     MaintenanceWave,
     RunEnd,
     StepJob,
@@ -210,6 +211,7 @@
     if task is None or task.done or not task.crashed_run < run <= task.run:
         return
     task.crashed_run = run
+    task.lapsed = None
     task.crashes += 1
     history = CrashHistory(crashes=task.crashes, latest_solo=solo)
     if not job.ended and giving_up_policies.get(GIVING_UP_POLICY)(history):
@@ -229,12 +231,22 @@
     task = job.tasks.get(task_key)
     if task is None or task.run != run or not task.minion:
         return
+    if end is RunEnd.LEASE_LAPSED:
+        task.lapsed = LapsedRun(
+            run=run,
+            minion=task.minion,
+            born_ms=task.born_ms,
+            vm=task.vm,
+            started_ms=task.started_ms,
+            at_ms=at_ms,
+        )
     task.minion = ""
     if checkpoint:
         task.checkpoint = checkpoint
     if end in (RunEnd.DONE, RunEnd.FAILED):
         # Only a live minion lists these ends, so the run didn't crash it.
         task.crashes = 0
+        task.lapsed = None
     if end is RunEnd.DONE:
         _record_done(job, task_key, task)
     elif end is RunEnd.FAILED:
--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -7,9 +7,17 @@
 
 from attrs import define
 
+from hornbeamreach.fleet.fleet_state import build_run
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.crash_evidence import is_cleared, is_settled
-from hornbeamreach.tables.minions import CrashMark, Minion, MinionReport, ReservedRun
+from hornbeamreach.tables.minions import (
+    CrashMark,
+    Minion,
+    MinionReport,
+    ReservedRun,
+    RunPhase,
+)
+from hornbeamreach.tables.workload import LapsedRun, StepJob
 
 if TYPE_CHECKING:
     from hornbeamreach.fleet.step_scheduler import StepScheduler
@@ -24,6 +32,9 @@
 ORDER_EFFECT_MS = 120_000
 # An earlier scheduler ended the runs of a minion that it could not reach after less than this.
 MAX_UNHEARD_MS = 10_000
+# Lapses that an earlier scheduler recorded are of use for this long: a minion that crashed is
+# back within seconds of the lapse.
+LAPSED_RECOVERY_MS = 15_000
 MAX_LOGGED_RUNS = 20
 
 
@@ -35,6 +46,8 @@
     born_ms: int
     lapsed_ms: int
     runs: list[ReservedRun]
+    # An earlier scheduler recorded the lapses; other runs of the incarnation may be missing.
+    recovered: bool = False
 
 
 class CrashRecorder:
@@ -51,16 +64,35 @@
         # VM -> the latest incarnation that reported from it.
         self.latest_by_vm: dict[str, MinionReport] = {}
 
-    def recover_ages(self) -> None:
-        """Set the minimum time at work of recovered runs, from their recorded starts."""
+    def recover(self) -> None:
+        """Take over what the records say about the runs of earlier schedulers."""
+        fleet = self.scheduler.fleet
         wall_ms = self.scheduler.clock.wall_ms()
-        for job_id, runs in self.scheduler.fleet.runs_by_job.items():
-            job = self.scheduler.fleet.job(job_id)
-            for key, run in runs.items():
-                task = job.tasks.get(key) if job is not None else None
-                if task is not None and task.started_ms:
-                    # The minion may have been down already.
-                    run.earlier_ms = max(0, wall_ms - task.started_ms - MAX_UNHEARD_MS)
+        for job in self.scheduler.proposed.workload.jobs.values():
+            if job.ended:
+                continue
+            for key, task in job.tasks.items():
+                run = fleet.find_run(job.job_id, key)
+                if run is not None and task.started_ms:
+                    run.earlier_ms = _min_time_at_work_ms(task.started_ms, wall_ms)
+                lapsed = task.lapsed
+                if lapsed is not None and wall_ms - lapsed.at_ms < LAPSED_RECOVERY_MS:
+                    self._recover_lapsed(job, key, lapsed)
+
+    def _recover_lapsed(self, job: StepJob, key: str, lapsed: LapsedRun) -> None:
+        run = build_run(
+            job,
+            key,
+            lapsed.run,
+            minion=lapsed.minion,
+            born_ms=lapsed.born_ms,
+            phase=RunPhase.UNKNOWN,
+            now_ms=self.scheduler.clock.now_ms(),
+        )
+        run.ordered, run.vm = True, lapsed.vm
+        run.earlier_ms = _min_time_at_work_ms(lapsed.started_ms, lapsed.at_ms)
+        self.on_lapse(lapsed.minion, [run])
+        self.lapsed[lapsed.minion].recovered = True
 
     # Evidence
 
@@ -125,7 +157,8 @@
             return
         known = self.lapsed.get(minion_id)
         if known is not None and known.born_ms == kept[0].born_ms:
-            kept = known.runs + kept
+            known.runs += kept
+            return
         self.lapsed[minion_id] = LapsedRuns(
             vm=kept[0].vm,
             born_ms=kept[0].born_ms,
@@ -152,16 +185,19 @@
         age_ms = self.scheduler.clock.wall_ms() - ordered_ms
         return ordered_ms > born_ms and age_ms < ORDER_EFFECT_MS
 
-    def _mark(self, runs: Collection[ReservedRun], report: MinionReport) -> list[ReservedRun]:
+    def _mark(
+        self, runs: Collection[ReservedRun], report: MinionReport, *, complete: bool = True
+    ) -> list[ReservedRun]:
         """Mark runs that were on a crashed minion, and return those that are suspects.
 
-        `report` is the latest of the minion or of its successor on the VM.
+        `report` is the latest of the minion or of its successor on the VM; `complete` says whether
+        `runs` are all runs that were there.
         """
         present = [run for run in runs if run.ordered]
         if not present or self._is_explained(report, present[0].born_ms):
             return []
         now_ms = self.scheduler.clock.now_ms()
-        solo = len({run.job_id for run in present}) == 1
+        solo = complete and len({run.job_id for run in present}) == 1
         marked = []
         for run in present:
             if run.crash is None and not is_settled(run):
@@ -189,7 +225,7 @@
         if lapsed is None:
             return
         fleet = self.scheduler.fleet
-        for run in self._mark(lapsed.runs, report):
+        for run in self._mark(lapsed.runs, report, complete=not lapsed.recovered):
             fleet.unrecorded_crashes.append(run)
             current = fleet.find_run(run.job_id, run.key)
             if current is not None:
@@ -244,3 +280,8 @@
             job = fleet.job(job_id)
             if job is not None and job.failure_reason and job.ended_ms == wall_ms:
                 self.scheduler.metrics.event("job_given_up")
+
+
+def _min_time_at_work_ms(started_ms: int, known_ms: int) -> int:
+    """Return how long a run was at work at least; its minion may have been down at the end."""
+    return max(0, known_ms - started_ms - MAX_UNHEARD_MS) if started_ms else 0
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -73,7 +73,7 @@
         self.fleet = FleetState(proposed=self.proposed)
         self.fleet.recover_runs(self.began_ms)
         self.crashes = CrashRecorder(self)
-        self.crashes.recover_ages()
+        self.crashes.recover()
         self.planner = Planner(fleet=self.fleet)
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -123,6 +123,19 @@
     return f"{occurrence}.{step}"
 
 
+@define(frozen=True, kw_only=True)
+class LapsedRun:
+    """Record the latest run of a task whose lease lapsed; its minion may have crashed."""
+
+    run: int
+    minion: str
+    born_ms: int
+    vm: str
+    # Wall times of the start and of the recorded lapse.
+    started_ms: int
+    at_ms: int
+
+
 @define(kw_only=True)
 class TaskRecord:
     """Record the durable state of a task that was started at least once."""
@@ -139,6 +152,7 @@
     # VM of the minion and wall time of the start of the latest run.
     vm: str = ""
     started_ms: int = 0
+    lapsed: LapsedRun | None = None
     done: bool = False
     checkpoint: str = ""
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -24,7 +24,9 @@
     is_settled,
 )
 from hornbeamreach.tables.control_state import ControlState
-from hornbeamreach.tables.workload import RunEnd, StepJobState, TaskRecord
+from hornbeamreach.tables.minions import CrashMark, RunPhase
+from hornbeamreach.tables.resources import Resources
+from hornbeamreach.tables.workload import LapsedRun, RunEnd, StepJobState, TaskRecord
 
 from . import builders
 from .builders import step, step_job
@@ -63,6 +65,12 @@
     return starts(fleet, task)[count - 1]
 
 
+async def wait_for_starts_begun(fleet: StepFleet, count: int) -> None:
+    with trio.fail_after(60):
+        while len(starts(fleet)) < count:
+            await trio.sleep(0.005)
+
+
 async def break_gang(fleet: StepFleet) -> None:
     """End the other members of the gang whenever the deadly member has crashed its minion."""
     while True:
@@ -219,11 +227,21 @@
         plain = cbor2.loads(encode_state(state))
         job = plain["state"]["workload"]["jobs"][DEADLY_JOB]
         del job["failure_reason"]
-        for name in ("crashes", "crashed_run", "vm", "started_ms"):
+        for name in ("crashes", "crashed_run", "vm", "started_ms", "lapsed"):
             del job["tasks"]["0.0.0"][name]
         decoded = decode_state(cbor2.dumps(plain)).workload.jobs[DEADLY_JOB]
         assert decoded.tasks["0.0.0"] == TaskRecord(run=1, minion="i-1", born_ms=1)
 
+    def test_a_snapshot_keeps_lapses_and_crashes(self, state):
+        apply_command(state, 3, RecordRuns(ends=[(DEADLY_JOB, "0.0.0", 1, "lapsed", "")], at_ms=5))
+        task = state.workload.jobs[DEADLY_JOB].tasks["0.0.0"]
+        assert task.lapsed == LapsedRun(
+            run=1, minion="i-1", born_ms=1, vm="m-1", started_ms=100, at_ms=5
+        )
+        assert decode_state(encode_state(state)) == state
+        crash(state, 1)
+        assert task.lapsed is None
+
     def test_a_log_entry_without_the_fields_of_crashes_decodes(self):
         entry = cbor2.loads(encode(RecordRuns(starts=[("a", "0.0.0", 1, "i-1", 1)])))
         for name in ("crashes", "cleared", "vms"):
@@ -479,9 +497,12 @@
 
     def test_a_drained_minion(self):
         async def disturb(fleet: StepFleet) -> None:
-            fleet.minions.minions["i-1"].draining = True
+            name = fleet.minions.history[0].minion
+            minion = fleet.minions.minions[name]
+            minion.draining = True
             await trio.sleep(2)
-            fleet.minions.restart("i-1")
+            assert minion.running
+            fleet.minions.restart(name)
 
         self.check(disturb)
 
@@ -512,6 +533,23 @@
 
         self.check(disturb)
 
+    def test_a_restart_long_after_the_minion_answered_again(self):
+        # The leases lapsed in a partition; the runs have long been elsewhere.
+        async def disturb(fleet: StepFleet) -> None:
+            name = fleet.minions.history[0].minion
+            pairs = {(address, name) for address in fleet.addresses}
+            fleet.minions.partitions |= pairs
+            await trio.sleep(7)
+            assert any(run.end is RunEnd.LEASE_LAPSED for run in fleet.minions.history)
+            minion = fleet.minions.minions[name]
+            minion.capacity = Resources()
+            fleet.minions.partitions -= pairs
+            await trio.sleep(3)
+            assert not minion.running
+            fleet.minions.restart(name)
+
+        self.check(disturb)
+
     def test_a_start_rejected_by_the_next_incarnation(self):
         async def scenario(fleet: StepFleet) -> None:
             fleet.return_under_new_ids()
@@ -524,6 +562,39 @@
 
         run_scenario(scenario, minion_count=1)
 
+    def test_the_report_of_an_incarnation_whose_leases_lapsed(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            recorder = (await fleet.wait_for_scheduler()).crashes
+            recorder.on_lapse("i-9", [builders.run(minion="i-9", born_ms=2, ordered=True)])
+            crashed = recorder.scheduler.fleet.unrecorded_crashes
+            report = builders.minion("i-9", born_ms=2).report
+            recorder.on_report(report, is_first=True)
+            assert crashed == []
+            recorder.on_report(attrs.evolve(report, born_ms=3), is_first=True)
+            assert [run.minion for run in crashed] == ["i-9"]
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("listed", ["running", "ended"])
+    def test_a_run_that_the_next_incarnation_lists(self, listed):
+        # Its order arrived there late.
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job(step(1, lasting=True)))
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
+            assert run is not None
+            run.crash = CrashMark(born_ms=1, phase=RunPhase.SENT, solo=True, age_ms=0)
+            if listed == "ended":
+                minion = fleet.minions.minions[run.minion]
+                fleet.minions.end(minion, minion.running[run.name], RunEnd.LEASE_LAPSED)
+            await trio.sleep(2)
+            assert run.crash is None
+            assert await counted(fleet) == {}
+
+        run_scenario(scenario)
+
 
 class TestLateEvidence:
     @pytest.mark.parametrize("new_ids", [False, True])
@@ -547,3 +618,25 @@
             assert await counted(fleet) == {DEADLY_TASK: 1}
 
         run_scenario(scenario)
+
+    @pytest.mark.parametrize("new_ids", [False, True])
+    def test_it_is_counted_after_a_change_of_the_leader_too(self, new_ids):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job(step(1, lasting=True)))
+            await fleet.submit(job_id(2), step_job(step(1)), work_ms=100)
+            await trio.sleep(2)
+            if new_ids:
+                fleet.return_under_new_ids()
+            name = fleet.minions.history[0].minion
+            fleet.minions.crash(name)
+            await wait_for_starts_begun(fleet, 2)
+            fleet.kill_control(await fleet.wait_for_leader())
+            await trio.sleep(3)
+            if new_ids:
+                fleet.minions.replace(name)
+            else:
+                fleet.minions.restart(name)
+            await trio.sleep(3)
+            assert await counted(fleet) == {DEADLY_TASK: 1}
+
+        run_scenario(scenario)
