--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -123,6 +123,19 @@
     return f"{occurrence}.{step}"
 
 
+@define(frozen=True, kw_only=True)
+class LapsedRun:
+    """Record the latest run of a task whose lease lapsed; its minion may have crashed."""
+
+    run: int
+    minion: str
+    born_ms: int
+    vm: str
+    # Wall times of the start and of the recorded lapse.
+    started_ms: int
+    at_ms: int
+
+
 @define(kw_only=True)
 class TaskRecord:
     """Record the durable state of a task that was started at least once."""
@@ -134,6 +147,12 @@
     failures: int = 0
     # Minions that crashed under the task since it was last cleared of having caused a crash.
     crashes: int = 0
+    # Latest run under which a crash was counted; each run counts at most once.
+    crashed_run: int = 0
+    # VM of the minion and wall time of the start of the latest run.
+    vm: str = ""
+    started_ms: int = 0
+    lapsed: LapsedRun | None = None
     done: bool = False
     checkpoint: str = ""
 
@@ -150,6 +169,8 @@
     accepted_ms: int
     state: StepJobState = StepJobState.QUEUED
     ended_ms: int = 0
+    # Why the scheduler gave the job up; empty otherwise.
+    failure_reason: str = ""
     # task key -> record, for tasks that were started at least once
     tasks: dict[str, TaskRecord] = field(factory=dict)
     # step key -> number of tasks done
