Run the suspects of a crash on minions without other jobs

Cause: a task that crashes its minion was started again beside whatever fitted, and what crashed with it was started beside it once more; nothing kept it from other jobs. Callers saw jobs restarted that had nothing to do with it, and would see them failed once crashes are counted. Ruled out: waiting for a minion to become empty by itself, as none does at a peak; suspects beside suspects of other jobs, as such a crash convicts nobody; planning holds in stored state, which would outlive the suspect. Change: a suspect shares its minion with runs of its own job only, from its reservation to its end; Minion keeps the counts of runs by job and the names of suspects, so `fits` loops over nothing. Suspects are planned first, on at most a quarter of the pool's usable minions; where none is empty, the one that empties soonest without long-running tasks of others is held, decided anew in each pass. After 4 s of waiting half of the pool may be used; idle minions up to half are used at once. A suspect that no minion can become empty for is placed beside the fewest runs of other jobs after 8 s, one that waits for its turn after 20 s. For 3 s a suspect waits for a minion other than those that crashed under it. A gang is suspect as a whole. Exclusive and held minions count as taken for the pool's demand, held ones are not offered to other pools, and a suspect that waits asks for one more VM.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -9,6 +9,7 @@
 from hornbeamreach.systems.job_progress import ReadyStep, ready_steps, work_core_ms
 from hornbeamreach.systems.run_times import RunTimeHistory
 from hornbeamreach.systems.stragglers import record_run_failure
+from hornbeamreach.systems.suspect_isolation import is_suspect, suspect_tasks
 from hornbeamreach.systems.team_limits import TeamResourceUse
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.resources import Resources
@@ -48,8 +49,12 @@
     # Jobs whose ready steps must be computed again.
     stale_jobs: set[str] = field(factory=set)
     unrecorded_ends: list[UnrecordedEnd] = field(factory=list)
-    # Minions where a run failed or was a straggler, by task name.
+    # Minions where a run failed, crashed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
+    # Keys of waiting suspects, by job; of a gang, only the members under which minions crashed.
+    suspect_tasks: dict[str, frozenset[str]] = field(factory=dict)
+    # Job for whose suspects a minion is held, by minion; each planning pass decides it anew.
+    held_minions: dict[str, str] = field(factory=dict)
     # Arrivals of jobs in this term.
     arrivals: ArrivalHistory = field(factory=ArrivalHistory)
     # Run times of tasks that ended in this term.
@@ -121,6 +126,8 @@
         elif end is RunEnd.FAILED and not run.lasting:
             record_run_failure(minion, run.job_id, now_ms)
             self.failed_on.setdefault(run.name, set()).add(run.minion)
+        elif end is RunEnd.CRASHED:
+            self.failed_on.setdefault(run.name, set()).add(run.minion)
 
     def _record_run_time(self, run: ReservedRun, now_ms: int) -> None:
         job = self.job(run.job_id)
@@ -159,6 +166,11 @@
         for job_id in self.stale_jobs:
             job = self.job(job_id)
             steps = ready_steps(job, wall_ms) if job else []
+            suspects = suspect_tasks(job) if job and steps else None
+            if suspects:
+                self.suspect_tasks[job_id] = suspects
+            else:
+                self.suspect_tasks.pop(job_id, None)
             if steps:
                 self.ready[job_id] = steps
             else:
@@ -216,6 +228,7 @@
         ),
         lasting=step.lasting,
         filler=step.filler,
+        suspect=is_suspect(job, key),
         latency_target_ms=step.latency_target_ms,
         phase=phase,
         outcome_known_ms=now_ms,
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+import attrs
 from attrs import define, field
 
 from hornbeamreach.fleet.fleet_state import FleetState, build_run
+from hornbeamreach.fleet.suspect_turns import SuspectTurns
+from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.job_progress import (
     USEFUL_DURATION_FACTOR,
     ReadyStep,
@@ -23,6 +28,8 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, task_key
 
+QueuedStep = tuple[tuple, ReadyStep, StepJob]
+
 # Limits one log append to about 100 KB of entries.
 MAX_STARTS_PER_PLAN = 400
 
@@ -34,6 +41,8 @@
     minions: list[Minion]
     # Needs that fit on no minion of the pool; further starts only reduce the free capacity.
     too_large: list[Resources] = field(factory=list)
+    # Jobs with suspects in the pool: they may find room that other jobs don't.
+    suspect_jobs: set[str] = field(factory=set)
 
     def is_known_not_to_fit(self, needs: Resources) -> bool:
         """Return whether needs that are no larger already failed to fit."""
@@ -47,15 +56,21 @@
     fleet: FleetState
     ordering: OrderingPolicy = field(factory=lambda: ordering_policies.get("useful_first"))
     placement: PlacementPolicy = field(factory=lambda: placement_policies.get("best_fit"))
+    metrics: Metrics | None = None
+    turns: SuspectTurns = field(init=False)
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
     missing_tickets: set[tuple[str, int, int]] = field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        self.turns = SuspectTurns(fleet=self.fleet, policy=self.placement, metrics=self.metrics)
+
     def plan(self, now_ms: int, wall_ms: int) -> list[ReservedRun]:
         """Reserve the runs that can start now and return them."""
         fleet = self.fleet
         fleet.refresh_ready(wall_ms)
-        by_pool: dict[str, list[tuple[tuple, ReadyStep, StepJob]]] = {}
+        self.turns.begin_pass()
+        by_pool: dict[str, list[QueuedStep]] = {}
         for job_id, steps in fleet.ready.items():
             job = fleet.job(job_id)
             if job is None:
@@ -71,15 +86,70 @@
         starts: list[ReservedRun] = []
         for pool, queued in by_pool.items():
             plan = PoolPlan(minions=usable_minions(members[pool], now_ms))
-            if not plan.minions:
-                continue
-            queued.sort(key=lambda item: item[0])
-            for _, step, job in queued:
-                if len(starts) >= MAX_STARTS_PER_PLAN:
-                    break
-                starts += self._start_step(plan, job, step, now_ms)
+            if plan.minions:
+                queued.sort(key=lambda item: item[0])
+                self._plan_pool(plan, queued, starts, now_ms)
         return starts
 
+    def _plan_pool(
+        self, plan: PoolPlan, queued: list[QueuedStep], starts: list[ReservedRun], now_ms: int
+    ) -> None:
+        """Start suspects first, within their limit, then all else, then more suspects."""
+        usable = plan.minions
+        suspects, others = self._split_suspects(queued, usable)
+        self._start_suspects(plan, suspects, starts, now_ms)
+        held = self.fleet.held_minions
+        plan.minions = [m for m in usable if m.minion_id not in held] if held else usable
+        plan.suspect_jobs = {job_id for minion in usable for job_id in minion.suspects}
+        for _, step, job in others:
+            if len(starts) >= MAX_STARTS_PER_PLAN:
+                break
+            starts += self._start_step(plan, job, step, now_ms, self.placement)
+        plan.minions = usable
+        self._start_suspects(plan, suspects, starts, now_ms, idle=True)
+
+    def _split_suspects(
+        self, queued: list[QueuedStep], usable: list[Minion]
+    ) -> tuple[list[QueuedStep], list[QueuedStep]]:
+        """Split the queue into suspect tasks and others, jobs without an own minion first."""
+        if not self.fleet.suspect_tasks:
+            return [], queued
+        suspects, others = [], []
+        for sort_key, step, job in queued:
+            keys = self.fleet.suspect_tasks.get(job.job_id, ())
+            found = [
+                index
+                for index in step.indexes
+                if task_key(step.occurrence, step.step, index) in keys
+            ]
+            if found and job.spec.steps[step.step].gang:
+                found = list(step.indexes)
+            if found:
+                suspects.append((sort_key, attrs.evolve(step, indexes=tuple(found)), job))
+            if len(found) < len(step.indexes):
+                left = tuple(index for index in step.indexes if index not in found)
+                others.append((sort_key, attrs.evolve(step, indexes=left), job))
+        served = {job_id for minion in usable for job_id in minion.suspects}
+        suspects.sort(key=lambda item: item[2].job_id in served)
+        return suspects, others
+
+    def _start_suspects(
+        self,
+        plan: PoolPlan,
+        suspects: list[QueuedStep],
+        starts: list[ReservedRun],
+        now_ms: int,
+        *,
+        idle: bool = False,
+    ) -> None:
+        for _, step, job in suspects:
+            if len(starts) >= MAX_STARTS_PER_PLAN:
+                break
+            turn = self.turns.turn(job, step, now_ms, idle=idle)
+            found = self._start_step(plan, job, step, now_ms, turn, suspect=True)
+            self.turns.finish(turn, job, step, found, plan.minions, now_ms)
+            starts += found
+
     def describe_step(self, job: StepJob, step: ReadyStep, wall_ms: int) -> PendingStep:
         """Describe a ready step for the ordering policy."""
         spec = job.spec.steps[step.step]
@@ -99,11 +169,19 @@
         )
 
     def _start_step(
-        self, plan: PoolPlan, job: StepJob, step: ReadyStep, now_ms: int
+        self,
+        plan: PoolPlan,
+        job: StepJob,
+        step: ReadyStep,
+        now_ms: int,
+        placement: PlacementPolicy,
+        *,
+        suspect: bool = False,
     ) -> list[ReservedRun]:
         spec = job.spec.steps[step.step]
         needs = spec.needs
-        if plan.is_known_not_to_fit(needs):
+        may_share = suspect or job.job_id in plan.suspect_jobs
+        if not may_share and plan.is_known_not_to_fit(needs):
             return []
         admitted = self._admitted_minions(job, step)
         if admitted is not None and not admitted:
@@ -114,15 +192,20 @@
             key = task_key(step.occurrence, step.step, index)
             if self.fleet.find_run(job.job_id, key) is not None:
                 continue
+            avoided = frozenset(self.fleet.failed_on.get(f"{job.job_id}.{key}", ()))
             request = PlacementRequest(
                 step=spec,
                 needs=needs,
                 siblings=siblings,
                 racks=self._racks_of(siblings),
                 admitted=admitted,
-                avoided=frozenset(self.fleet.failed_on.get(f"{job.job_id}.{key}", ())),
+                avoided=avoided,
+                avoided_racks=self._racks_of(avoided) if suspect else frozenset(),
+                job_id=job.job_id,
+                key=key,
+                suspect=suspect,
             )
-            run = self._start_task(plan, job, key, request, now_ms)
+            run = self._start_task(plan, job, request, now_ms, placement)
             if run is None:
                 # The step's other tasks have the same needs.
                 break
@@ -147,10 +230,15 @@
         return frozenset(self.tickets.get(step_name, {}))
 
     def _start_task(
-        self, plan: PoolPlan, job: StepJob, key: str, request: PlacementRequest, now_ms: int
+        self,
+        plan: PoolPlan,
+        job: StepJob,
+        request: PlacementRequest,
+        now_ms: int,
+        placement: PlacementPolicy,
     ) -> ReservedRun | None:
-        fleet = self.fleet
-        minion = self.placement(request, plan.minions)
+        fleet, key = self.fleet, request.key
+        minion = placement(request, plan.minions)
         if minion is None:
             if not request.constrained:
                 plan.too_large.append(request.needs)
@@ -172,9 +260,9 @@
         fleet.reserve(run)
         return run
 
-    def _racks_of(self, siblings: dict[str, int]) -> frozenset[str]:
+    def _racks_of(self, minion_ids: Iterable[str]) -> frozenset[str]:
         minions = self.fleet.minions
-        return frozenset(minions[m].report.rack for m in siblings if m in minions)
+        return frozenset(minions[m].report.rack for m in minion_ids if m in minions)
 
     def _release(self, runs: list[ReservedRun]) -> None:
         fleet = self.fleet
--- a/src/hornbeamreach/fleet/pool_needs.py
+++ b/src/hornbeamreach/fleet/pool_needs.py
@@ -18,11 +18,13 @@
 
 
 def running_cpu(fleet: FleetState) -> dict[str, int]:
-    """Sum the CPU of reserved runs by pool, in 1/1000 cores."""
+    """Sum the CPU that is not free for other jobs by pool, in 1/1000 cores."""
     running: dict[str, int] = {}
     for minion in fleet.minions.values():
         pool = minion.report.pool
-        running[pool] = running.get(pool, 0) + minion.used.cpu_millis
+        is_closed = minion.suspects or minion.minion_id in fleet.held_minions
+        taken = minion.report.capacity if is_closed else minion.used
+        running[pool] = running.get(pool, 0) + taken.cpu_millis
     return running
 
 
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -71,7 +71,7 @@
         self.proposed = ProposedState.of(replica.state)
         self.fleet = FleetState(proposed=self.proposed)
         self.fleet.recover_runs(self.began_ms)
-        self.planner = Planner(fleet=self.fleet)
+        self.planner = Planner(fleet=self.fleet, metrics=metrics)
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
--- /dev/null
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -0,0 +1,211 @@
+"""Turns of a pool's suspects of a crash, on minions that are empty or held until they are."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.logs import part_logger
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.job_progress import ReadyStep
+from hornbeamreach.systems.suspect_isolation import (
+    AVOID_CRASHED_MS,
+    SUSPECT_MAX_TURN_WAIT_MS,
+    SUSPECT_MAX_WAIT_MS,
+    WIDEN_AFTER_MS,
+    HoldPolicy,
+    HoldRequest,
+    becomes_empty,
+    hold_policies,
+    least_company,
+    max_held,
+    max_idle,
+    minions_needed,
+)
+from hornbeamreach.systems.task_placement import PlacementPolicy, PlacementRequest
+from hornbeamreach.tables.minions import Minion, ReservedRun
+from hornbeamreach.tables.workload import StepJob, StepSpec
+
+log = part_logger("suspects")
+
+StepName = tuple[str, int, int]
+
+
+@define(kw_only=True)
+class SuspectTurn:
+    """Place the suspect tasks of one step; it is a placement policy."""
+
+    turns: SuspectTurns
+    policy: PlacementPolicy
+    step: StepSpec
+    waited_ms: int
+    # Once other work is placed, suspects may take more of the empty minions.
+    idle: bool = False
+    # The request that found no minion, and the ids of minions shared with other jobs.
+    refused: PlacementRequest | None = None
+    shared: set[str] = field(factory=set)
+
+    def __call__(self, request: PlacementRequest, minions: list[Minion]) -> Minion | None:
+        """Choose a minion without other jobs; after a long wait, one with few of their runs."""
+        minion = self.policy(request, self._open_minions(request, minions))
+        if minion is None and self.waited_ms >= self._max_wait_ms(request, minions):
+            minion = least_company(request, self.turns.not_held_for_others(request, minions))
+            if minion is not None:
+                self.shared.add(minion.minion_id)
+        if minion is None:
+            self.refused = request
+        return minion
+
+    def _max_wait_ms(self, request: PlacementRequest, minions: list[Minion]) -> int:
+        has_prospect = self.needed(minions) <= max_idle(len(minions)) and any(
+            becomes_empty(request, minion) for minion in minions
+        )
+        return SUSPECT_MAX_TURN_WAIT_MS if has_prospect else SUSPECT_MAX_WAIT_MS
+
+    def _open_minions(self, request: PlacementRequest, minions: list[Minion]) -> list[Minion]:
+        """List the minions that the job's suspects may take within the pool's limit."""
+        if self.turns.count_exclusive(request, minions) >= self.limit(minions):
+            found = [m for m in minions if request.job_id in m.suspects]
+        else:
+            found = self.turns.not_held_for_others(request, minions)
+        if self.avoids_crashed(request, minions):
+            found = [m for m in found if m.minion_id not in request.avoided]
+        return found
+
+    def avoids_crashed(self, request: PlacementRequest, minions: list[Minion]) -> bool:
+        """Return whether the suspect still waits for a minion that did not crash under it."""
+        return self.waited_ms < AVOID_CRASHED_MS and any(
+            m.minion_id not in request.avoided and becomes_empty(request, m) for m in minions
+        )
+
+    def limit(self, minions: list[Minion]) -> int:
+        """Return how many of the minions may be held or exclusive at once."""
+        most = max_idle(len(minions))
+        if self.idle or self.waited_ms >= WIDEN_AFTER_MS:
+            return most
+        return max(max_held(len(minions)), min(most, self.needed(minions)))
+
+    def needed(self, minions: list[Minion]) -> int:
+        """Return how many empty minions the step needs at once."""
+        return minions_needed(self.step, minions)
+
+
+@define(kw_only=True)
+class SuspectTurns:
+    """Let suspects run where no other job is harmed, and hold minions for those that wait."""
+
+    fleet: FleetState
+    policy: PlacementPolicy
+    hold: HoldPolicy = field(factory=lambda: hold_policies.get("soonest_empty"))
+    metrics: Metrics | None = None
+    # Since when the suspects of a step have found no minion.
+    waiting_since_ms: dict[StepName, int] = field(factory=dict)
+    # Both as they were before the present pass.
+    waiting_before: dict[StepName, int] = field(factory=dict)
+    held_before: dict[str, str] = field(factory=dict)
+
+    def begin_pass(self) -> None:
+        """Forget what is held and who waits, unless this pass finds the same again."""
+        self.held_before, self.fleet.held_minions = self.fleet.held_minions, {}
+        self.waiting_before, self.waiting_since_ms = self.waiting_since_ms, {}
+
+    def turn(self, job: StepJob, step: ReadyStep, now_ms: int, *, idle: bool) -> SuspectTurn:
+        """Return the placement of a step's suspect tasks in this pass."""
+        since_ms = self.waiting_before.get((job.job_id, step.occurrence, step.step), now_ms)
+        return SuspectTurn(
+            turns=self,
+            policy=self.policy,
+            step=job.spec.steps[step.step],
+            waited_ms=now_ms - since_ms,
+            idle=idle,
+        )
+
+    def finish(
+        self,
+        turn: SuspectTurn,
+        job: StepJob,
+        step: ReadyStep,
+        starts: list[ReservedRun],
+        minions: list[Minion],
+        now_ms: int,
+    ) -> None:
+        """Note what a step's suspects found, and hold minions for those that wait."""
+        for run in starts:
+            if run.minion in turn.shared:
+                self._log_shared(turn, run)
+        name = (job.job_id, step.occurrence, step.step)
+        if turn.refused is None:
+            self.waiting_since_ms.pop(name, None)
+            return
+        if turn.idle:
+            return
+        since_ms = now_ms if starts else self.waiting_before.get(name, now_ms)
+        self.waiting_since_ms[name] = since_ms
+        self._hold(turn, turn.refused, minions, now_ms)
+
+    def not_held_for_others(self, request: PlacementRequest, minions: list[Minion]) -> list[Minion]:
+        """List the minions that are not held for another job."""
+        held = self.fleet.held_minions
+        return [m for m in minions if held.get(m.minion_id, request.job_id) == request.job_id]
+
+    def count_exclusive(self, request: PlacementRequest, minions: list[Minion]) -> int:
+        """Count the minions with suspects, and those held for suspects of other jobs."""
+        held = self.fleet.held_minions
+        return sum(
+            1
+            for m in minions
+            if m.suspects or held.get(m.minion_id, request.job_id) != request.job_id
+        )
+
+    def _hold(
+        self, turn: SuspectTurn, request: PlacementRequest, minions: list[Minion], now_ms: int
+    ) -> None:
+        """Hold the minions that the suspect needs, or none if it needs more than the limit."""
+        job_id, held = request.job_id, self.fleet.held_minions
+        needed = turn.needed(minions)
+        already = sum(1 for holder in held.values() if holder == job_id)
+        room = turn.limit(minions) - self.count_exclusive(request, minions)
+        count = needed - already
+        if count <= 0 or needed > room:
+            return
+        hold_request = HoldRequest(
+            placement=request, now_ms=now_ms, held_before=frozenset(self.held_before)
+        )
+        candidates = [m for m in minions if m.minion_id not in held and not m.suspects]
+        if turn.avoids_crashed(request, minions):
+            candidates = [m for m in candidates if m.minion_id not in request.avoided]
+        for minion in self.hold(hold_request, candidates)[:count]:
+            held[minion.minion_id] = job_id
+            if self.held_before.get(minion.minion_id) != job_id:
+                self._log_held(turn, request, minion)
+
+    def _log_held(self, turn: SuspectTurn, request: PlacementRequest, minion: Minion) -> None:
+        log.bind(
+            request=request.job_id,
+            task=request.key,
+            minion=minion.minion_id,
+            runs=len(minion.runs),
+            crashes=self._crashes(request.job_id, request.key),
+            waited_ms=turn.waited_ms,
+        ).info("minion is held for a suspect of a crash")
+        self._event("suspect_minion_held")
+
+    def _log_shared(self, turn: SuspectTurn, run: ReservedRun) -> None:
+        log.bind(
+            request=run.job_id,
+            task=run.key,
+            minion=run.minion,
+            runs=len(self.fleet.minions[run.minion].runs),
+            crashes=self._crashes(run.job_id, run.key),
+            waited_ms=turn.waited_ms,
+        ).warning("suspect of a crash waited too long and is placed beside other jobs")
+        self._event("suspect_shares_minion")
+
+    def _crashes(self, job_id: str, key: str) -> int:
+        job = self.fleet.job(job_id)
+        task = job.tasks.get(key) if job else None
+        return task.crashes if task else 0
+
+    def _event(self, name: str) -> None:
+        if self.metrics is not None:
+            self.metrics.event(name)
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -31,8 +31,8 @@
 # An order with an unknown outcome may take effect this much later; until then nothing new runs
 # on the VM.
 LATE_ORDER_MS = 13_000
-# A long-running task that is queued this long is taken to have no minion in its pool: a start takes
-# tens of ms, and 3 s without a run are too long.
+# A long-running task or a suspect of a crash that is queued this long is taken to have no minion in
+# its pool: a start takes tens of ms, and 3 s without a run are too long.
 SHORTFALL_MS = 600
 # A new scheduler hears from every minion within two heartbeats. Until then VMs in the platform's
 # list count for their pools.
@@ -52,7 +52,7 @@
     # Target pool of VMs that are being moved, by VM.
     arriving: dict[str, str] = field(factory=dict)
     idle_since_ms: dict[str, int] = field(factory=dict)
-    # Since when a long-running task is queued, by pool.
+    # Since when a long-running task or a suspect of a crash is queued, by pool.
     shortfall_since_ms: dict[str, int] = field(factory=dict)
 
     async def run(self) -> None:
@@ -170,7 +170,8 @@
         found = []
         for vm, minion in members:
             is_unavailable = vm in self.inventory.pending_orders or not self.inventory.may_order(vm)
-            if minion.runs or minion.cordoned or is_unavailable:
+            is_held = minion.minion_id in self.scheduler.fleet.held_minions
+            if minion.runs or minion.cordoned or is_unavailable or is_held:
                 self.idle_since_ms.pop(vm, None)
             else:
                 since_ms = self.idle_since_ms.setdefault(vm, now_ms)
@@ -178,12 +179,16 @@
         return tuple(sorted(found, key=lambda item: -item[1]))
 
     def _pools_with_shortfall(self, now_ms: int) -> set[str]:
-        """Return the pools with a long-running task queued for at least `SHORTFALL_MS`."""
+        """Return the pools with a long-running task or a suspect queued for `SHORTFALL_MS`."""
         fleet = self.scheduler.fleet
         queued = set()
         for job_id, steps in fleet.ready.items():
             job = fleet.job(job_id)
-            if job is not None and any(job.spec.steps[step.step].lasting for step in steps):
+            if job is None:
+                continue
+            is_lasting = any(job.spec.steps[step.step].lasting for step in steps)
+            # A suspect needs a minion without other jobs, which its pool may not have.
+            if is_lasting or job_id in fleet.suspect_tasks:
                 queued.add(fleet.pool_of(job))
         self.shortfall_since_ms = {
             pool: self.shortfall_since_ms.get(pool, now_ms) for pool in queued
--- /dev/null
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -0,0 +1,160 @@
+"""Choose the minions on which the suspects of a crash run without harm to other jobs.
+
+Load pattern: a task crashes each minion that starts it, about 10 ms after its start, and the minion
+is back 4 s later. About 15 runs of two to four other jobs were beside it, and any of them may have
+caused the crash. At a queue's peak no minion of the pool becomes empty by itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from attrs import define
+
+from hornbeamreach.registry import Registry
+from hornbeamreach.systems.task_placement import PlacementRequest, allows, fits
+from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
+from hornbeamreach.tables.resources import Resources
+from hornbeamreach.tables.workload import StepJob, StepSpec, parse_task_key, step_key
+
+# A suspect for which no minion can become empty is placed beside runs of other jobs after this:
+# twice the time in which a pool gets another VM.
+SUSPECT_MAX_WAIT_MS = 8_000
+# The same while other suspects take their turns before it.
+SUSPECT_MAX_TURN_WAIT_MS = 20_000
+# A step that waited this long may hold as many minions as there are for suspects in an idle pool.
+WIDEN_AFTER_MS = 4_000
+# For this long a suspect waits for another minion than those that crashed under it.
+AVOID_CRASHED_MS = 3_000
+# Divisors of a pool's usable minions: how many are held or exclusive for suspects while other work
+# waits, and how many suspects take of those that other work leaves empty.
+HELD_DIVISOR = 4
+IDLE_DIVISOR = 2
+# A minion that was held in the last pass is held again unless another is empty this much sooner.
+HOLD_AGAIN_MS = 300
+FULL_PERCENT = 100
+MIN_MEASURED_PERCENT = 3
+
+
+def is_suspect(job: StepJob, key: str) -> bool:
+    """Return whether a minion crashed under a task, or under a member of its gang."""
+    occurrence, step, _ = parse_task_key(key)
+    if job.spec.steps[step].gang:
+        prefix = f"{step_key(occurrence, step)}."
+        return any(t.crashes for k, t in job.tasks.items() if k.startswith(prefix))
+    task = job.tasks.get(key)
+    return task is not None and task.crashes > 0
+
+
+def suspect_tasks(job: StepJob) -> frozenset[str]:
+    """Return the keys of a job's waiting tasks under which minions crashed."""
+    return frozenset(
+        key for key, task in job.tasks.items() if task.crashes and not task.done and not task.minion
+    )
+
+
+def max_held(usable: int) -> int:
+    """Return how many of a pool's usable minions may be held or exclusive for suspects."""
+    return max(1, usable // HELD_DIVISOR)
+
+
+def max_idle(usable: int) -> int:
+    """Return how many minions may be exclusive once all other work is placed."""
+    return max(1, usable // IDLE_DIVISOR)
+
+
+def minions_needed(step: StepSpec, minions: Iterable[Minion]) -> int:
+    """Return how many empty minions a whole gang fills; one for other steps."""
+    if not step.gang:
+        return 1
+    per_minion = max((_tasks_per_minion(step, m.report.capacity) for m in minions), default=1)
+    return -(-step.count // max(1, per_minion))
+
+
+def _tasks_per_minion(step: StepSpec, capacity: Resources) -> int:
+    needs = step.needs
+    pairs = (
+        (needs.cpu_millis, capacity.cpu_millis),
+        (needs.memory_mb, capacity.memory_mb),
+        (needs.accelerators, capacity.accelerators),
+    )
+    fitting = min((whole // amount for amount, whole in pairs if amount), default=step.count)
+    return min(fitting, step.max_per_minion) if step.max_per_minion else fitting
+
+
+@define(frozen=True, kw_only=True)
+class HoldRequest:
+    """Describe the suspect that finds no minion."""
+
+    placement: PlacementRequest
+    now_ms: int
+    # Minions that were held in the last pass.
+    held_before: frozenset[str] = frozenset()
+
+
+HoldPolicy = Callable[[HoldRequest, list[Minion]], list[Minion]]
+hold_policies: Registry[HoldPolicy] = Registry("minion hold")
+
+
+@hold_policies.register("hold_none")
+def hold_none(request: HoldRequest, minions: list[Minion]) -> list[Minion]:
+    """Hold no minion, as a baseline: a suspect waits until one becomes empty by itself."""
+    return []
+
+
+@hold_policies.register("soonest_empty")
+def soonest_empty(request: HoldRequest, minions: list[Minion]) -> list[Minion]:
+    """Order the minions that become empty by how soon they do."""
+    held = [m for m in minions if becomes_empty(request.placement, m)]
+
+    def cost(minion: Minion) -> tuple:
+        left_ms = empty_in_ms(request.placement.job_id, minion, request.now_ms)
+        if minion.minion_id in request.held_before:
+            left_ms -= HOLD_AGAIN_MS
+        return (left_ms, len(minion.runs), minion.minion_id)
+
+    return sorted(held, key=cost)
+
+
+def becomes_empty(request: PlacementRequest, minion: Minion) -> bool:
+    """Return whether a suspect fits on the minion once the runs of other jobs have ended."""
+    job_id = request.job_id
+    if not allows(request, minion):
+        return False
+    own = Resources()
+    for run in minion.runs.values():
+        if run.job_id == job_id:
+            own = own.plus(run.needs)
+        elif run.lasting:
+            return False
+    return request.needs.fits_in(minion.report.capacity.minus(own))
+
+
+def empty_in_ms(job_id: str, minion: Minion, now_ms: int) -> int:
+    """Estimate when the last run of another job ends, in ms from now."""
+    others = (run for run in minion.runs.values() if run.job_id != job_id)
+    return max((_remaining_ms(run, now_ms) for run in others), default=0)
+
+
+def _remaining_ms(run: ReservedRun, now_ms: int) -> int:
+    elapsed_ms = now_ms - run.started_ms
+    if run.phase is RunPhase.RUNNING and run.percent >= MIN_MEASURED_PERCENT:
+        length_ms = (run.last_listed_ms - run.started_ms) * FULL_PERCENT // run.percent
+        return max(0, length_ms - elapsed_ms)
+    return max(0, run.expected_ms - elapsed_ms)
+
+
+def least_company(request: PlacementRequest, minions: list[Minion]) -> Minion | None:
+    """Choose the minion with the fewest runs of other jobs, without long-running ones if any."""
+    suitable = [m for m in minions if fits(request, m, alone=False)]
+    return min(suitable, key=lambda minion: _harm(request, minion), default=None)
+
+
+def _harm(request: PlacementRequest, minion: Minion) -> tuple:
+    others = [run for run in minion.runs.values() if run.job_id != request.job_id]
+    return (
+        any(run.lasting for run in others),
+        len(others),
+        minion.minion_id in request.avoided,
+        minion.minion_id,
+    )
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -30,31 +30,46 @@
     racks: frozenset[str] = frozenset()
     # Minions that the admission service allows; None if it is not used.
     admitted: frozenset[str] | None = None
-    # Minions where the task failed before.
+    # Minions where the task failed or crashed before, and the racks of those that crashed.
     avoided: frozenset[str] = frozenset()
+    avoided_racks: frozenset[str] = frozenset()
+    job_id: str = ""
+    key: str = ""
+    # Minions have crashed under the task: it may share a minion with its own job only.
+    suspect: bool = False
 
     @property
     def constrained(self) -> bool:
         """Return whether the task needs more of a minion than free capacity."""
         step = self.step
         bound = step.required_label or step.max_per_minion or step.gang
-        return bool(bound) or self.admitted is not None
+        return bool(bound) or self.admitted is not None or self.suspect
 
 
 PlacementPolicy = Callable[[PlacementRequest, list[Minion]], "Minion | None"]
 placement_policies: Registry[PlacementPolicy] = Registry("task placement")
 
 
-def fits(request: PlacementRequest, minion: Minion) -> bool:
-    """Return whether the minion is allowed for the task and has enough room now."""
+def allows(request: PlacementRequest, minion: Minion) -> bool:
+    """Return whether the minion is allowed for the task, whatever else runs there."""
     step = request.step
     if step.required_label and step.required_label not in minion.report.labels:
         return False
     if step.max_per_minion and request.siblings.get(minion.minion_id, 0) >= step.max_per_minion:
         return False
-    if request.admitted is not None and minion.minion_id not in request.admitted:
+    return request.admitted is None or minion.minion_id in request.admitted
+
+
+def fits(request: PlacementRequest, minion: Minion, *, alone: bool = True) -> bool:
+    """Return whether the minion is allowed for the task and has enough room now.
+
+    Without `alone` a suspect may join runs of other jobs, but no other suspects.
+    """
+    if minion.suspects and minion.has_other_suspects(request.job_id):
+        return False
+    if alone and request.suspect and minion.has_other_jobs(request.job_id):
         return False
-    return minion.can_fit(request.needs)
+    return minion.can_fit(request.needs) and allows(request, minion)
 
 
 @placement_policies.register("first_fit")
@@ -76,6 +91,7 @@
     split = step.same_rack and bool(request.racks) and minion.report.rack not in request.racks
     return (
         int(minion.minion_id in request.avoided),
+        int(minion.report.rack in request.avoided_racks),
         int(remote) + int(split),
         int(step.lasting and minion.awaits_maintenance),
         int(_would_disturb_serving_task(step, minion)),
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -108,6 +108,9 @@
     # Runs by task name.
     runs: dict[str, ReservedRun] = field(factory=dict)
     used: Resources = Resources()
+    # Number of runs by job, and names of the runs of suspects by job.
+    run_counts: dict[str, int] = field(factory=dict)
+    suspects: dict[str, set[str]] = field(factory=dict)
     # When the latest answered poll was sent; -1 before the first one of this term.
     polled_ms: int = -1
     # Ends up to this number are in the log, so the minion may forget them; `listed_end` is the
@@ -164,14 +167,42 @@
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def has_other_jobs(self, job_id: str) -> bool:
+        """Return whether runs of other jobs are reserved."""
+        return len(self.run_counts) > (job_id in self.run_counts)
+
+    def has_other_suspects(self, job_id: str) -> bool:
+        """Return whether runs of other jobs' suspects are reserved."""
+        return len(self.suspects) > (job_id in self.suspects)
+
     def reserve(self, run: ReservedRun) -> None:
         """Reserve the capacity that a run needs."""
+        if run.name not in self.runs:
+            self.run_counts[run.job_id] = self.run_counts.get(run.job_id, 0) + 1
         self.runs[run.name] = run
         self.used = self.used.plus(run.needs)
+        if run.suspect:
+            self.suspects.setdefault(run.job_id, set()).add(run.name)
 
     def release(self, name: str) -> ReservedRun | None:
         """Release the capacity of a run, and return the run."""
         run = self.runs.pop(name, None)
         if run is not None:
             self.used = self.used.minus(run.needs)
+            self.run_counts[run.job_id] -= 1
+            if not self.run_counts[run.job_id]:
+                del self.run_counts[run.job_id]
+            self._drop_suspect(run)
         return run
+
+    def clear_suspect(self, run: ReservedRun) -> None:
+        """Clear a run of suspicion, so that other jobs may share the minion again."""
+        run.suspect = False
+        self._drop_suspect(run)
+
+    def _drop_suspect(self, run: ReservedRun) -> None:
+        names = self.suspects.get(run.job_id)
+        if names is not None:
+            names.discard(run.name)
+            if not names:
+                del self.suspects[run.job_id]
