Keep holds and waits of suspects over renewed tickets, and measure the room

Cause: found while reading the isolation of suspects again. A pass without tickets dropped the wait and the hold of its step, so that in a queue with an admission service the bound on the wait could begin anew for ever. A gang that did not fit left its own members in the request, so that the empty minions chosen for them were not held. A task that crashed counted as one that fails or is slow elsewhere, and was not restarted from a slow minion. Minions held for one job changed in nearly each pass with 100 suspects, with a log line each (1,254 lines in 6 s). Change: waits are kept until the step's suspects start or are suspects no more; holds are renewed while tickets are missing; crashes have their own record of minions to avoid; a job prefers the minions that were held for it, and one line is logged for each hold of a job.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -49,8 +49,10 @@
     # Jobs whose ready steps must be computed again.
     stale_jobs: set[str] = field(factory=set)
     unrecorded_ends: list[UnrecordedEnd] = field(factory=list)
-    # Minions where a run failed, crashed or was a straggler, by task name.
+    # Minions where a run failed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
+    # Minions that crashed under a task, by job and task key.
+    crashed_on: dict[str, dict[str, set[str]]] = field(factory=dict)
     # Keys of waiting suspects, by job; of a gang, only the members under which minions crashed.
     suspect_tasks: dict[str, frozenset[str]] = field(factory=dict)
     # Job for whose suspects a minion is held, by minion; each planning pass decides it anew.
@@ -119,6 +121,8 @@
         )
 
     def _record_outcome(self, minion: Minion, run: ReservedRun, end: RunEnd, now_ms: int) -> None:
+        if end in (RunEnd.DONE, RunEnd.FAILED):
+            self.crashed_on.get(run.job_id, {}).pop(run.key, None)
         if end is RunEnd.DONE:
             minion.failing_jobs.clear()
             self.failed_on.pop(run.name, None)
@@ -127,7 +131,8 @@
             record_run_failure(minion, run.job_id, now_ms)
             self.failed_on.setdefault(run.name, set()).add(run.minion)
         elif end is RunEnd.CRASHED:
-            self.failed_on.setdefault(run.name, set()).add(run.minion)
+            crashed_on = self.crashed_on.setdefault(run.job_id, {})
+            crashed_on.setdefault(run.key, set()).add(run.minion)
 
     def _record_run_time(self, run: ReservedRun, now_ms: int) -> None:
         job = self.job(run.job_id)
@@ -165,6 +170,8 @@
         """Recompute the ready steps of stale jobs."""
         for job_id in self.stale_jobs:
             job = self.job(job_id)
+            if job is None or job.ended:
+                self.crashed_on.pop(job_id, None)
             steps = ready_steps(job, wall_ms) if job else []
             suspects = suspect_tasks(job) if job and steps else None
             if suspects:
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -97,7 +97,9 @@
         """Start suspects first, within their limit, then all else, then more suspects."""
         usable = plan.minions
         suspects, others = self._split_suspects(queued, usable)
-        self._start_suspects(plan, suspects, starts, now_ms)
+        if suspects:
+            self.turns.begin_pool(usable)
+            self._start_suspects(plan, suspects, starts, now_ms)
         held = self.fleet.held_minions
         plan.minions = [m for m in usable if m.minion_id not in held] if held else usable
         plan.suspect_jobs = {job_id for minion in usable for job_id in minion.suspects}
@@ -106,7 +108,8 @@
                 break
             starts += self._start_step(plan, job, step, now_ms, self.placement)
         plan.minions = usable
-        self._start_suspects(plan, suspects, starts, now_ms, idle=True)
+        if suspects and not all(minion.runs for minion in usable):
+            self._start_suspects(plan, suspects, starts, now_ms, idle=True)
 
     def _split_suspects(
         self, queued: list[QueuedStep], usable: list[Minion]
@@ -146,6 +149,7 @@
             if len(starts) >= MAX_STARTS_PER_PLAN:
                 break
             turn = self.turns.turn(job, step, now_ms, idle=idle)
+            turn.lacks_tickets = self._admitted_minions(job, step) == frozenset()
             found = self._start_step(plan, job, step, now_ms, turn, suspect=True)
             self.turns.finish(turn, job, step, found, plan.minions, now_ms)
             starts += found
@@ -192,15 +196,16 @@
             key = task_key(step.occurrence, step.step, index)
             if self.fleet.find_run(job.job_id, key) is not None:
                 continue
-            avoided = frozenset(self.fleet.failed_on.get(f"{job.job_id}.{key}", ()))
+            failed_on = self.fleet.failed_on.get(f"{job.job_id}.{key}", ())
+            crashed_on = self.fleet.crashed_on.get(job.job_id, {}).get(key, ())
             request = PlacementRequest(
                 step=spec,
                 needs=needs,
                 siblings=siblings,
                 racks=self._racks_of(siblings),
                 admitted=admitted,
-                avoided=avoided,
-                avoided_racks=self._racks_of(avoided) if suspect else frozenset(),
+                avoided=frozenset((*failed_on, *crashed_on)),
+                avoided_racks=self._racks_of(crashed_on),
                 job_id=job.job_id,
                 key=key,
                 suspect=suspect,
--- a/src/hornbeamreach/fleet/suspect_turns.py
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.fleet.fleet_state import FleetState
@@ -24,7 +25,7 @@
 )
 from hornbeamreach.systems.task_placement import PlacementPolicy, PlacementRequest
 from hornbeamreach.tables.minions import Minion, ReservedRun
-from hornbeamreach.tables.workload import StepJob, StepSpec
+from hornbeamreach.tables.workload import StepJob, StepSpec, parse_task_key
 
 log = part_logger("suspects")
 
@@ -41,6 +42,8 @@
     waited_ms: int
     # Once other work is placed, suspects may take more of the empty minions.
     idle: bool = False
+    # Its tickets are requested, so its minion is not known yet.
+    lacks_tickets: bool = False
     # The request that found no minion, and the ids of minions shared with other jobs.
     refused: PlacementRequest | None = None
     shared: set[str] = field(factory=set)
@@ -53,10 +56,19 @@
             if minion is not None:
                 self.shared.add(minion.minion_id)
         if minion is None:
-            self.refused = request
+            self.refused = self._without_members(request)
+        else:
+            self.turns.exclusive.add(minion.minion_id)
         return minion
 
+    def _without_members(self, request: PlacementRequest) -> PlacementRequest:
+        """Return the request as it is once a gang's members chosen so far are released."""
+        if not self.step.gang:
+            return request
+        return attrs.evolve(request, siblings={}, racks=frozenset())
+
     def _max_wait_ms(self, request: PlacementRequest, minions: list[Minion]) -> int:
+        request = self._without_members(request)
         has_prospect = self.needed(minions) <= max_idle(len(minions)) and any(
             becomes_empty(request, minion) for minion in minions
         )
@@ -64,7 +76,7 @@
 
     def _open_minions(self, request: PlacementRequest, minions: list[Minion]) -> list[Minion]:
         """List the minions that the job's suspects may take within the pool's limit."""
-        if self.turns.count_exclusive(request, minions) >= self.limit(minions):
+        if self.turns.count_exclusive(request) >= self.limit(minions):
             found = [m for m in minions if request.job_id in m.suspects]
         else:
             found = self.turns.not_held_for_others(request, minions)
@@ -74,6 +86,7 @@
 
     def avoids_crashed(self, request: PlacementRequest, minions: list[Minion]) -> bool:
         """Return whether the suspect still waits for a minion that did not crash under it."""
+        request = self._without_members(request)
         return self.waited_ms < AVOID_CRASHED_MS and any(
             m.minion_id not in request.avoided and becomes_empty(request, m) for m in minions
         )
@@ -100,18 +113,32 @@
     metrics: Metrics | None = None
     # Since when the suspects of a step have found no minion.
     waiting_since_ms: dict[StepName, int] = field(factory=dict)
-    # Both as they were before the present pass.
-    waiting_before: dict[StepName, int] = field(factory=dict)
+    # What was held before the present pass.
     held_before: dict[str, str] = field(factory=dict)
+    # Minions with suspects in the present pool, and when minions become empty, in this pass.
+    exclusive: set[str] = field(factory=set)
+    empty_in: dict[str, int] = field(factory=dict)
 
     def begin_pass(self) -> None:
-        """Forget what is held and who waits, unless this pass finds the same again."""
+        """Release what is held, and forget the waits of steps without suspects."""
         self.held_before, self.fleet.held_minions = self.fleet.held_minions, {}
-        self.waiting_before, self.waiting_since_ms = self.waiting_since_ms, {}
+        self.empty_in.clear()
+        if self.waiting_since_ms:
+            waiting = {
+                (job_id, *parse_task_key(key)[:2])
+                for job_id, keys in self.fleet.suspect_tasks.items()
+                for key in keys
+            }
+            for name in self.waiting_since_ms.keys() - waiting:
+                del self.waiting_since_ms[name]
+
+    def begin_pool(self, minions: list[Minion]) -> None:
+        """Note which of a pool's minions have suspects."""
+        self.exclusive = {m.minion_id for m in minions if m.suspects}
 
     def turn(self, job: StepJob, step: ReadyStep, now_ms: int, *, idle: bool) -> SuspectTurn:
         """Return the placement of a step's suspect tasks in this pass."""
-        since_ms = self.waiting_before.get((job.job_id, step.occurrence, step.step), now_ms)
+        since_ms = self.waiting_since_ms.get((job.job_id, step.occurrence, step.step), now_ms)
         return SuspectTurn(
             turns=self,
             policy=self.policy,
@@ -134,28 +161,29 @@
             if run.minion in turn.shared:
                 self._log_shared(turn, run)
         name = (job.job_id, step.occurrence, step.step)
-        if turn.refused is None:
+        if starts:
             self.waiting_since_ms.pop(name, None)
-            return
+        else:
+            # What was chosen is released again for a gang that did not fit, or by a team's limit.
+            self.begin_pool(minions)
         if turn.idle:
             return
-        since_ms = now_ms if starts else self.waiting_before.get(name, now_ms)
-        self.waiting_since_ms[name] = since_ms
-        self._hold(turn, turn.refused, minions, now_ms)
+        if turn.refused is not None:
+            self.waiting_since_ms.setdefault(name, now_ms)
+            self._hold(turn, turn.refused, minions, now_ms)
+        elif turn.lacks_tickets:
+            self._hold_again(turn, job.job_id, minions)
 
     def not_held_for_others(self, request: PlacementRequest, minions: list[Minion]) -> list[Minion]:
         """List the minions that are not held for another job."""
         held = self.fleet.held_minions
         return [m for m in minions if held.get(m.minion_id, request.job_id) == request.job_id]
 
-    def count_exclusive(self, request: PlacementRequest, minions: list[Minion]) -> int:
+    def count_exclusive(self, request: PlacementRequest) -> int:
         """Count the minions with suspects, and those held for suspects of other jobs."""
         held = self.fleet.held_minions
-        return sum(
-            1
-            for m in minions
-            if m.suspects or held.get(m.minion_id, request.job_id) != request.job_id
-        )
+        others = (minion for minion, job_id in held.items() if job_id != request.job_id)
+        return len(self.exclusive) + sum(1 for minion in others if minion not in self.exclusive)
 
     def _hold(
         self, turn: SuspectTurn, request: PlacementRequest, minions: list[Minion], now_ms: int
@@ -164,21 +192,30 @@
         job_id, held = request.job_id, self.fleet.held_minions
         needed = turn.needed(minions)
         already = sum(1 for holder in held.values() if holder == job_id)
-        room = turn.limit(minions) - self.count_exclusive(request, minions)
+        room = turn.limit(minions) - self.count_exclusive(request)
         count = needed - already
         if count <= 0 or needed > room:
             return
+        before = frozenset(m for m, holder in self.held_before.items() if holder == job_id)
         hold_request = HoldRequest(
-            placement=request, now_ms=now_ms, held_before=frozenset(self.held_before)
+            placement=request, now_ms=now_ms, held_before=before, empty_in=self.empty_in
         )
         candidates = [m for m in minions if m.minion_id not in held and not m.suspects]
         if turn.avoids_crashed(request, minions):
             candidates = [m for m in candidates if m.minion_id not in request.avoided]
         for minion in self.hold(hold_request, candidates)[:count]:
             held[minion.minion_id] = job_id
-            if self.held_before.get(minion.minion_id) != job_id:
+            if not before:
                 self._log_held(turn, request, minion)
 
+    def _hold_again(self, turn: SuspectTurn, job_id: str, minions: list[Minion]) -> None:
+        """Hold what was held for a job whose tickets are renewed."""
+        held = self.fleet.held_minions
+        for minion in minions:
+            name = minion.minion_id
+            if self.held_before.get(name) == job_id and len(held) < turn.limit(minions):
+                held.setdefault(name, job_id)
+
     def _log_held(self, turn: SuspectTurn, request: PlacementRequest, minion: Minion) -> None:
         log.bind(
             request=request.job_id,
--- a/src/hornbeamreach/systems/suspect_isolation.py
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import define
+from attrs import define, field
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.systems.task_placement import PlacementRequest, allows, fits
@@ -88,8 +88,10 @@
 
     placement: PlacementRequest
     now_ms: int
-    # Minions that were held in the last pass.
+    # Minions that were held for the job in the last pass.
     held_before: frozenset[str] = frozenset()
+    # Known results of `empty_in_ms` at this time, by minion.
+    empty_in: dict[str, int] = field(factory=dict)
 
 
 HoldPolicy = Callable[[HoldRequest, list[Minion]], list[Minion]]
@@ -105,15 +107,18 @@
 @hold_policies.register("soonest_empty")
 def soonest_empty(request: HoldRequest, minions: list[Minion]) -> list[Minion]:
     """Order the minions that become empty by how soon they do."""
-    held = [m for m in minions if becomes_empty(request.placement, m)]
+    suitable = [m for m in minions if becomes_empty(request.placement, m)]
 
     def cost(minion: Minion) -> tuple:
-        left_ms = empty_in_ms(request.placement.job_id, minion, request.now_ms)
-        if minion.minion_id in request.held_before:
+        name = minion.minion_id
+        left_ms = request.empty_in.get(name)
+        if left_ms is None:
+            left_ms = request.empty_in[name] = empty_in_ms(minion, request.now_ms)
+        if name in request.held_before:
             left_ms -= HOLD_AGAIN_MS
-        return (left_ms, len(minion.runs), minion.minion_id)
+        return (left_ms, len(minion.runs), name)
 
-    return sorted(held, key=cost)
+    return sorted(suitable, key=cost)
 
 
 def becomes_empty(request: PlacementRequest, minion: Minion) -> bool:
@@ -121,19 +126,22 @@
     job_id = request.job_id
     if not allows(request, minion):
         return False
-    own = Resources()
-    for run in minion.runs.values():
-        if run.job_id == job_id:
-            own = own.plus(run.needs)
-        elif run.lasting:
-            return False
-    return request.needs.fits_in(minion.report.capacity.minus(own))
-
-
-def empty_in_ms(job_id: str, minion: Minion, now_ms: int) -> int:
-    """Estimate when the last run of another job ends, in ms from now."""
-    others = (run for run in minion.runs.values() if run.job_id != job_id)
-    return max((_remaining_ms(run, now_ms) for run in others), default=0)
+    others_last = any(run.lasting and run.job_id != job_id for run in minion.runs.values())
+    return not others_last and request.needs.fits_in(_room_without_others(job_id, minion))
+
+
+def _room_without_others(job_id: str, minion: Minion) -> Resources:
+    room = minion.report.capacity
+    if job_id in minion.run_counts:
+        for run in minion.runs.values():
+            if run.job_id == job_id:
+                room = room.minus(run.needs)
+    return room
+
+
+def empty_in_ms(minion: Minion, now_ms: int) -> int:
+    """Estimate when the last of the minion's runs ends, in ms from now."""
+    return max((_remaining_ms(run, now_ms) for run in minion.runs.values()), default=0)
 
 
 def _remaining_ms(run: ReservedRun, now_ms: int) -> int:
--- a/tests/suspect_load.py
+++ b/tests/suspect_load.py
@@ -49,6 +49,8 @@
     counts_crashes: bool = True
     checks_isolation: bool = True
     measures_room: bool = False
+    # Whether the conviction of a job clears the tasks that crashed beside it only.
+    clears_neighbours: bool = False
     # A job is given up after a crash that only its own runs were in, or after this many.
     max_crashes: int = 40
     deadly_jobs: set[str] = field(factory=set)
@@ -64,7 +66,7 @@
     started: int = 0
     done_runs: int = 0
     accepted: int = 0
-    # How long each suspect waited between the return of its minion and its next start.
+    # How long each task that crashed waited from the return of its minion to its next start.
     waits_ms: list[int] = field(factory=list)
     crashed_ms: dict[str, int] = field(factory=dict)
     failed_ms: dict[str, int] = field(factory=dict)
@@ -202,8 +204,7 @@
             if self.fleet.find_run(run.job_id, run.key) is not run:
                 continue
             self._record(run, RunEnd.CRASHED)
-            if self.counts_crashes:
-                self.crashed_ms[run.name] = self.now_ms
+            self.crashed_ms[run.name] = self.now_ms
         self._give_up(name)
         self._add_minion(name)
 
@@ -230,6 +231,21 @@
         if is_solo or len(of_job) >= self.max_crashes:
             self.failed_ms[crash.deadly_job] = self.now_ms
             self.end_job(crash.deadly_job, StepJobState.FAILED)
+            if self.clears_neighbours:
+                self._clear_neighbours()
+
+    def _clear_neighbours(self) -> None:
+        """Clear the tasks of jobs that crashed only beside jobs that are given up."""
+        open_crashes = [c for c in self.crashes if not self.failed_ms.keys() & set(c.job_ids)]
+        suspects = {job_id for crash in open_crashes for job_id in crash.job_ids}
+        for job in self.fleet.proposed.workload.jobs.values():
+            if job.job_id not in suspects and not job.ended:
+                for key, task in job.tasks.items():
+                    task.crashes = 0
+                    run = self.fleet.find_run(job.job_id, key)
+                    if run is not None:
+                        self.fleet.minions[run.minion].clear_suspect(run)
+                self.fleet.stale_jobs.add(job.job_id)
 
     def end_job(self, job_id: str, state: StepJobState) -> None:
         """End a job and its runs."""
--- a/tests/test_suspect_isolation.py
+++ b/tests/test_suspect_isolation.py
@@ -78,7 +78,7 @@
         busy = next(m.minion_id for m in load.fleet.minions.values() if m.runs)
         empty = next(m.minion_id for m in load.fleet.minions.values() if not m.runs)
         load.make_suspect(suspect, minion=empty)
-        load.fleet.failed_on[f"{suspect}.0.0.0"] = {empty}
+        load.fleet.crashed_on[suspect] = {"0.0.0": {empty}}
         while not load.minions_of(suspect):
             load.step()
         assert load.minions_of(suspect) == {busy}
@@ -91,7 +91,7 @@
         load.counts_crashes = False
         load.run(START_DELAY_MS + CRASH_DELAY_MS + DOWNTIME_MS + 2 * PASS_MS, keep_full=False)
         crashed_on = load.crashes[0].minion
-        assert crashed_on in load.fleet.failed_on[f"{deadly}.0.0.0"]
+        assert crashed_on in load.fleet.crashed_on[deadly]["0.0.0"]
 
     def test_a_new_scheduler_isolates_a_suspect_that_an_earlier_one_started(self):
         load = SuspectLoad(minion_count=1)
@@ -315,3 +315,39 @@
         moves.pool_demands(minions, load.now_ms)
         demands = moves.pool_demands(minions, load.now_ms + SHORTFALL_MS)
         assert demands.by_pool["pool-a"].minimum == 4
+
+    def test_an_empty_minion_that_is_held_is_not_offered_to_other_pools(self):
+        load = SuspectLoad(minion_count=4)
+        load.accept(builders.step(3, cpu_millis=16_000, estimate_ms=2_000))
+        load.step()
+        gang = load.accept(builders.step(2, gang=True, max_per_minion=1))
+        load.make_suspect(gang)
+        load.step()
+        empty = next(m.minion_id for m in load.fleet.minions.values() if not m.runs)
+        assert load.held().get(empty) == gang
+        moves = self.vm_moves(load)
+        moves.inventory.may_order = lambda vm: True
+        demands = moves.pool_demands(load.fleet.minions, load.now_ms)
+        assert empty not in [vm for vm, _ in demands.by_pool["pool-a"].idle]
+
+
+class TestTickets:
+    def test_the_wait_and_the_hold_outlast_the_renewal_of_tickets(self):
+        load = SuspectLoad(minion_count=2, checks_isolation=False)
+        load.fleet.proposed.state.table = builders.step_table(advice_valid_ms=1_000)
+        load.planner.tickets.update(
+            {(f"{number:016x}", 0, 0): {"i-0": "t", "i-1": "t"} for number in range(1, 400)}
+        )
+        load.run(2_000)
+        suspect = load.accept(builders.step(cpu_millis=16_000))
+        load.make_suspect(suspect)
+        load.step()
+        held = dict(load.held())
+        assert list(held.values()) == [suspect]
+        tickets = load.planner.tickets.pop((suspect, 0, 0))
+        waiting = dict(load.planner.turns.waiting_since_ms)
+        load.step()
+        assert load.held() == held
+        load.planner.tickets[(suspect, 0, 0)] = tickets
+        load.step()
+        assert load.planner.turns.waiting_since_ms == waiting
