--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -81,7 +81,7 @@
         self.fleet.recover_runs(self.began_ms)
         self.crashes = CrashRecorder(self)
         self.crashes.recover()
-        self.planner = Planner(fleet=self.fleet)
+        self.planner = Planner(fleet=self.fleet, metrics=metrics)
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
