--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -229,7 +229,6 @@
 ) -> ReservedRun:
     """Build the reservation of a run from its job's specification."""
     step = job.spec.steps[parse_task_key(key)[1]]
-    task = job.tasks.get(key)
     return ReservedRun(
         job_id=job.job_id,
         key=key,
