Simulate minions whose capacity changes and that start whatever they are told to

Cause: the simulated minions have one capacity for good and reject what doesn't fit, so no test can tell whether the scheduler itself stays within a capacity that shrinks while it runs.

--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -31,6 +31,9 @@
 LATE_DELAY_MIN_MS = 2_000
 LATE_DELAY_MAX_MS = 12_000
 FULL_PERCENT = 100
+# A capacity that has shrunk is known to the scheduler after this: the longest time without contact,
+# 3 s, and one heartbeat.
+SHRINK_GRACE_MS = 3_000 + 1_500
 # A deadly task crashes its minion this long after its start.
 DEADLY_DELAY_MS = 10
 # Work of this length or more represents a long-running task.
@@ -72,6 +75,10 @@
     data_center: str = "dc1"
     rack: str = "r1-1"
     capacity: Resources = Resources(cpu_millis=16_000, memory_mb=32_768)
+    # Whether a start that does not fit is rejected.
+    rejects_overload: bool = True
+    # Earlier capacities of this incarnation, with the time of the simulation until which they held.
+    earlier_capacities: list[tuple[float, Resources]] = field(factory=list)
     born_ms: int = 1
     up: bool = True
     draining: bool = False
@@ -116,8 +123,18 @@
             machine=f"m-{self.minion}",
         )
 
+    def resize(self, capacity: Resources) -> None:
+        """Change the capacity, which the next report shows."""
+        self.earlier_capacities.append((trio.current_time() * 1_000, self.capacity))
+        self.capacity = capacity
+
+    def allowed_capacities(self, *, since_ms: float) -> list[Resources]:
+        """Return the capacities that held at any time since the given one."""
+        earlier = [held for until_ms, held in self.earlier_capacities if until_ms > since_ms]
+        return [*earlier, self.capacity]
+
     def used(self) -> Resources:
-        """Return the resources that the running tasks use."""
+        """Return the resources that the running tasks use, those being stopped included."""
         total = Resources()
         for run in self.running.values():
             total = total.plus(run.needs)
@@ -134,6 +151,8 @@
     work_ms_of: Callable[[str], float]
     minions: dict[str, SimulatedMinion] = field(factory=dict)
     history: list[SimulatedRun] = field(factory=list)
+    # Starts that brought a minion over its capacity.
+    overloads: list[str] = field(factory=list)
     nursery: trio.Nursery | None = None
     # Fraction of orders that get no response and take effect seconds later.
     late_order_fraction: float = 0.0
@@ -142,6 +161,8 @@
     # Tasks that crash each minion that starts them, which is back after `crash_downtime_ms`.
     deadly_tasks: set[str] = field(factory=set)
     crash_downtime_ms: int = 3_000
+    # Bounds of the time that a minion takes to stop a run.
+    stop_duration_ms: tuple[int, int] = (0, STOP_MAX_MS)
     # (caller, minion) pairs without a connection.
     partitions: set[tuple[str, str]] = field(factory=set)
     poll_count: int = 0
@@ -178,15 +199,19 @@
         minion.highest_closed_runs.clear()
         minion.sequence = 0
         minion.draining = False
+        minion.earlier_capacities.clear()
 
     # Behaviour of the minions
 
-    def start(self, minion: SimulatedMinion, order: StartOrder) -> StartReply:
-        """Start a run as ordered and return the minion's reply."""
+    def start(
+        self, minion: SimulatedMinion, order: StartOrder, *, late: bool = False
+    ) -> StartReply:
+        """Start a run as ordered and return the minion's reply; `late` orders were delayed."""
         answer = self._check_order(minion, order)
         known = minion.running.get(order.task)
         if answer is StartAnswer.STARTED and (known is None or known.run != order.run):
             self._start_run(minion, order)
+            self._check_capacity(minion, order, late=late)
         if answer in (StartAnswer.STARTED, StartAnswer.OUTDATED, StartAnswer.NO_ROOM):
             self.extend_lease(minion, order.lease_until_ms)
         return StartReply(answer=answer, clock_ms=int(minion.clock_ms()), born_ms=minion.born_ms)
@@ -202,10 +227,22 @@
             return StartAnswer.OUTDATED
         if order.lease_until_ms <= minion.clock_ms():
             return StartAnswer.LATE
-        if not self.needs_of(order.task).fits_in(minion.capacity.minus(minion.used())):
+        fits = self.needs_of(order.task).fits_in(minion.capacity.minus(minion.used()))
+        if minion.rejects_overload and not fits:
             return StartAnswer.NO_ROOM
         return StartAnswer.STARTED
 
+    def _check_capacity(self, minion: SimulatedMinion, order: StartOrder, *, late: bool) -> None:
+        """Record a start that exceeds each capacity that its sender may still have relied on."""
+        now_ms, used = trio.current_time() * 1_000, minion.used()
+        grace_ms = SHRINK_GRACE_MS + (LATE_DELAY_MAX_MS if late else 0)
+        allowed = minion.allowed_capacities(since_ms=now_ms - grace_ms)
+        if not any(used.fits_in(capacity) for capacity in allowed):
+            self.overloads.append(
+                f"{order.task}: run {order.run} brought {minion.minion} over its capacity at "
+                f"{now_ms:.0f} ms: {used} of {minion.capacity}"
+            )
+
     def _start_run(self, minion: SimulatedMinion, order: StartOrder) -> None:
         run = SimulatedRun(
             task=order.task,
@@ -358,7 +395,9 @@
     async def start(self, report: MinionReport, order: StartOrder) -> StartReply:
         """Start a run."""
         minion = await self._connect(report)
-        await self._maybe_delay_order(lambda: minion.up and self.fleet.start(minion, order))
+        await self._maybe_delay_order(
+            lambda: minion.up and self.fleet.start(minion, order, late=True)
+        )
         reply = self.fleet.start(minion, order)
         await self._deliver_response()
         return reply
@@ -377,7 +416,7 @@
         await self._deliver_response()
 
     async def _stop_later(self, minion: SimulatedMinion, run: SimulatedRun) -> None:
-        await trio.sleep(seconds(self.fleet.rng.uniform(0, STOP_MAX_MS)))
+        await trio.sleep(seconds(self.fleet.rng.uniform(*self.fleet.stop_duration_ms)))
         self.fleet.end(minion, run, RunEnd.STOPPED)
 
     async def pace(
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -104,6 +104,10 @@
             clock=self.clock,
             replicas=list(self.addresses),
         )
+        # Bounds of the delay of each report, which may overtake one another.
+        self.report_delay_ms = (0, 0)
+        # Minions whose reports reach no replica.
+        self.silenced: set[str] = set()
         self.nursery: trio.Nursery | None = None
 
     def _step_spec(self, task: str) -> StepSpec:
@@ -246,19 +250,28 @@
                 await trio.sleep(0.01)
 
     async def _send_reports(self, minion: SimulatedMinion) -> None:
+        assert self.nursery is not None
         finder = LeaderFinder(
             link=MemoryLink(self.network, CLIENT_ADDRESS),
             clock=self.clock,
             replicas=list(self.addresses),
         )
         while True:
-            if minion.up:
-                with contextlib.suppress(NoLeaderError, RefusedError):
-                    await finder.send_request(
-                        ForwardedReport(report=minion.report()), timeout_ms=900
-                    )
+            if minion.up and minion.minion in self.silenced:
+                minion.report()
+            elif minion.up and self.report_delay_ms[1]:
+                delay_ms = self.rng.uniform(*self.report_delay_ms)
+                self.nursery.start_soon(self._send_report, finder, minion.report(), delay_ms)
+            elif minion.up:
+                await self._send_report(finder, minion.report(), 0)
             await trio.sleep(seconds(REPORT_INTERVAL_MS if minion.up else 100))
 
+    async def _send_report(self, finder: LeaderFinder, report: Any, delay_ms: float) -> None:
+        if delay_ms:
+            await trio.sleep(seconds(delay_ms))
+        with contextlib.suppress(NoLeaderError, RefusedError):
+            await finder.send_request(ForwardedReport(report=report), timeout_ms=900)
+
     # Callers
 
     async def declare(self, version: int, table: DeclaredTable | None = None) -> None:
@@ -315,7 +328,7 @@
 
     def find_violations(self) -> list[str]:
         """Return the scheduling rules that the minions' history violates."""
-        violations = []
+        violations = list(self.minions.overloads)
         runs_by_task: dict[str, list[SimulatedRun]] = {}
         for run in self.minions.history:
             runs_by_task.setdefault(run.task, []).append(run)
