Refuse a minion's report that has no capacity

Cause: a heartbeat without `capacity`, or without its `cpu` or `mem-mb`, was decoded as a minion with none. One from another writer so replaced the minion's own report until the next heartbeat, 1.5 s, and nothing started there; with a higher `sequence` the minion's own reports were taken for older ones from then on. Change: both amounts are required; the earlier report holds. `gpu` may be missing and then counts as none, which can't let a start exceed the capacity.

--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -210,8 +210,9 @@
         remaining_ms=fields.integer(data, "remaining-ms", 0),
         cold_ms=fields.integer(data, "cold-remaining-ms", 0),
         capacity=Resources(
-            cpu_millis=fields.integer(capacity, "cpu", 0),
-            memory_mb=fields.integer(capacity, "mem-mb", 0),
+            # A report of another writer may lack them; the earlier report of the minion holds.
+            cpu_millis=fields.integer(capacity, "cpu"),
+            memory_mb=fields.integer(capacity, "mem-mb"),
             accelerators=fields.integer(capacity, "gpu", 0),
         ),
         kind=labels[0] if labels else "",
