Give an incarnation that a poll shows first no capacity until it reports

Cause: a poll that shows a later `born` made the scheduler continue with the earlier incarnation's report, capacity included. A new incarnation may be of a smaller kind, also at the same address; starts by the earlier one's capacity bring a minion that rejects nothing over its own. The test now waits until the poll has shown the incarnation: the simulated minion, unlike a real one, does not check which incarnation a start is meant for. Change: the capacity of such an incarnation is none until its own first report, at most a heartbeat later.

--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -29,6 +29,7 @@
     typical_run_ms,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
+from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import RunEnd
 
 if TYPE_CHECKING:
@@ -176,6 +177,8 @@
                         minion.report,
                         born_ms=result.born_ms,
                         sequence=0,
+                        # It may be of a smaller kind.
+                        capacity=Resources(),
                         clock_ms=result.clock_ms,
                     )
                 )
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -128,6 +128,7 @@
             fleet.silenced.add("i-1")
             only_minion(fleet).capacity = cores(2)
             fleet.minions.restart("i-1")
+            await trio.sleep(2)
             await submit_long(fleet, 2, count=10)
             await trio.sleep(3)
             fleet.silenced.clear()
