Check the capacity again when a start that was committed is sent

Cause: a start is planned by the capacity of that moment and sent once it is committed, seconds later with a slow follower or disk. The order went out whatever the minion had reported meanwhile, so a minion that rejects nothing was brought over its capacity. Evidence: test_starts_that_no_longer_fit_are_given_back_before_they_are_sent (commits delayed, 16 cores shrink to 3): 10 runs of one core began before, 3 now. The test now delays the orders alone, since a delay of all proposals also held up its own submission until the limit of the scenario. Ruled out: a second limit at planning. What is sent counts whatever its phase: sent, unknown, running, stopping. Change: Minion.can_send, looked at by send_start; what doesn't fit ends as LOST, which is no attempt of the task, and is planned again. Starts that are reserved but not sent count only in their own turn, so those planned first go first. One log line `start given back` with needs, use, capacity and the report's sequence, and an event of that name.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -56,12 +56,30 @@
         if stopped or minion is None or minion.report.draining or minion.report.leaving:
             self._drop_unsent_run(run)
             return
+        if not minion.can_send([run]):
+            # It has shrunk since the start was planned.
+            self._log_given_back(run, minion)
+            self._drop_unsent_run(run)
+            return
         if scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
             # The run may begin from now on, so its lease must be valid from now on.
             scheduler.extend_lease(minion)
             scheduler.nursery.start_soon(self._start, run, minion)
 
+    def _log_given_back(self, run: ReservedRun, minion: Minion) -> None:
+        self.scheduler.metrics.event("start_given_back")
+        log.bind(
+            request=run.job_id,
+            task=run.key,
+            run=run.run,
+            minion=run.minion,
+            needs=run.needs.amounts(),
+            used=minion.used.amounts(),
+            capacity=minion.report.capacity.amounts(),
+            sequence=minion.report.sequence,
+        ).info("start given back: the minion's capacity no longer holds it")
+
     def _drop_unsent_run(self, run: ReservedRun) -> None:
         self.scheduler.fleet.end_run(run, RunEnd.LOST)
         self.scheduler.notify()
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -164,6 +164,15 @@
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def can_send(self, runs: list[ReservedRun]) -> bool:
+        """Return whether starts that are reserved here but not sent fit beside what was sent."""
+        taken = self.used
+        for run in self.runs.values():
+            # A start that is not sent either takes nothing yet and is checked when it is sent.
+            if run.phase is RunPhase.RESERVED and run not in runs:
+                taken = taken.minus(run.needs)
+        return taken.fits_in(self.report.capacity)
+
     def reserve(self, run: ReservedRun) -> None:
         """Reserve the capacity that a run needs."""
         self.runs[run.name] = run
--- a/src/hornbeamreach/tables/resources.py
+++ b/src/hornbeamreach/tables/resources.py
@@ -29,6 +29,10 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def amounts(self) -> tuple[int, int, int]:
+        """Return 1/1000 cores, MB and accelerators, as logs show them."""
+        return self.cpu_millis, self.memory_mb, self.accelerators
+
     def fits_in(self, free: Resources) -> bool:
         """Return whether these amounts fit into the free ones."""
         return (
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -64,16 +64,15 @@
     await fleet.submit(job_id(number), spec, work_ms=LONG_WORK_MS)
 
 
-def delay_commits(scheduler: StepScheduler, delay_s: float) -> None:
-    """Delay what the scheduler does once its proposals are committed."""
-    wait_for_outcome = scheduler.replica.wait_for_outcome
+def delay_starts(scheduler: StepScheduler, delay_s: float) -> None:
+    """Delay the start orders of a scheduler, as a slow commit does."""
+    after_commit = scheduler._after_commit
 
-    async def wait_longer(proposal):
-        outcome = await wait_for_outcome(proposal)
+    async def after_slow_commit(*arguments) -> None:
         await trio.sleep(delay_s)
-        return outcome
+        await after_commit(*arguments)
 
-    scheduler.replica.wait_for_outcome = wait_longer
+    scheduler._after_commit = after_slow_commit
 
 
 def start_foreign_run(fleet: StepFleet, task: str, **fields) -> None:
@@ -190,7 +189,7 @@
     def test_starts_that_no_longer_fit_are_given_back_before_they_are_sent(self):
         async def scenario(fleet: StepFleet) -> None:
             scheduler = await fleet.wait_for_scheduler()
-            delay_commits(scheduler, GRACE_S + 2)
+            delay_starts(scheduler, GRACE_S + 2)
             await submit_long(fleet, 1, count=10)
             await trio.sleep(1)
             only_minion(fleet).resize(cores(3))
@@ -202,7 +201,7 @@
 
     def test_starts_wait_for_a_report_if_the_last_one_is_too_old_at_sending(self):
         async def scenario(fleet: StepFleet) -> None:
-            delay_commits(await fleet.wait_for_scheduler(), GRACE_S + 2)
+            delay_starts(await fleet.wait_for_scheduler(), GRACE_S + 2)
             await submit_long(fleet, 1, count=10)
             await trio.sleep(1)
             fleet.silenced.add("i-1")
@@ -214,7 +213,7 @@
     def test_a_gang_that_fits_only_in_part_is_given_back_whole(self):
         # Members that start without the others end alone.
         async def scenario(fleet: StepFleet) -> None:
-            delay_commits(await fleet.wait_for_scheduler(), GRACE_S)
+            delay_starts(await fleet.wait_for_scheduler(), GRACE_S)
             await submit_long(fleet, 1, count=4, cpu_millis=6_000, gang=True)
             await trio.sleep(1)
             only_minion(fleet).resize(cores(6))
