Send the starts of a gang together or give all of them back

Cause: each committed start was looked at by itself when it was sent. If a minion had shrunk, begun to drain or was gone, its members of a gang were given back and the others still started, waited for them and ended `alone`. Change: send_starts groups runs by gang, looks at all members first, with all that go to one minion summed up, and sends or gives back all of them. A run outside of a gang is a group of one, as before.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -45,23 +45,45 @@
 
     # Starts
 
-    def send_start(self, run: ReservedRun) -> None:
-        """Send the start order of a run whose start is committed."""
+    def send_starts(self, runs: list[ReservedRun]) -> None:
+        """Send the orders of runs whose starts are committed; those of a gang all or none."""
+        for members in self._split_by_gang(runs):
+            unsendable = [run for run in members if not self._can_send(run, members)]
+            for run in members:
+                if unsendable:
+                    self._drop_unsent_run(run)
+                else:
+                    self._send_start(run)
+
+    def _split_by_gang(self, runs: list[ReservedRun]) -> list[list[ReservedRun]]:
+        groups: dict[tuple, list[ReservedRun]] = {}
+        for run in runs:
+            step = self.scheduler.fleet.step_of(run)
+            occurrence, number, index = parse_task_key(run.key)
+            member = None if step is not None and step.gang else index
+            groups.setdefault((run.job_id, occurrence, number, member), []).append(run)
+        return list(groups.values())
+
+    def _can_send(self, run: ReservedRun, members: list[ReservedRun]) -> bool:
+        """Return whether a run may still start, together with the other members of its gang."""
+        fleet = self.scheduler.fleet
+        minion = self._current_minion(run)
+        job = fleet.job(run.job_id)
+        reserved = fleet.find_run(run.job_id, run.key) is run and run.phase is RunPhase.RESERVED
+        if not reserved or job is None or job.ended or minion is None:
+            return False
+        if minion.report.draining or minion.report.leaving:
+            return False
+        if minion.can_send([other for other in members if other.minion == run.minion]):
+            return True
+        # It has shrunk since the start was planned.
+        self._log_given_back(run, minion)
+        return False
+
+    def _send_start(self, run: ReservedRun) -> None:
         scheduler = self.scheduler
-        if scheduler.fleet.find_run(run.job_id, run.key) is not run:
-            return
         minion = self._current_minion(run)
-        job = scheduler.fleet.job(run.job_id)
-        stopped = run.phase is not RunPhase.RESERVED or job is None or job.ended
-        if stopped or minion is None or minion.report.draining or minion.report.leaving:
-            self._drop_unsent_run(run)
-            return
-        if not minion.can_send([run]):
-            # It has shrunk since the start was planned.
-            self._log_given_back(run, minion)
-            self._drop_unsent_run(run)
-            return
-        if scheduler.is_current() and scheduler.nursery is not None:
+        if minion is not None and scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
             # The run may begin from now on, so its lease must be valid from now on.
             scheduler.extend_lease(minion)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -208,8 +208,7 @@
         finally:
             self.uncommitted_proposals -= 1
         self._mark_ends_recorded(listed_ends)
-        for run in starts:
-            self.orders.send_start(run)
+        self.orders.send_starts(starts)
 
     def _mark_ends_recorded(self, listed_ends: list[tuple[Minion, int]]) -> None:
         for minion, number in listed_ends:
