Start nothing by a capacity that was reported too long ago

Cause: a minion counted as heard if it answered polls, so where its reports reached no replica starts went on by the last capacity it had reported, for any time; a minion that rejects nothing was brought over the one it had shrunk to. After a change of the leader the first report of the term was taken as of now, though it may have been on its way for seconds: the sequences of the term before aren't known. Ruled out: taking the capacity from polls, which carry none. Change: Minion.capacity_age_ms is the time since the latest report, or, if more, what the minion's clock in its poll results is ahead of the clock in the report. Pools whose minions reject nothing get starts only up to 3.4 s: 3 s without contact and one heartbeat of 1.5 s, less the 1.1 s that an order may take. One lost heartbeat doesn't matter. It is looked at when a start is planned and again when it is sent. Open: the clock of an idle minion is read only at its first poll, so a late report looks up to 2 % of that time newer.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -18,6 +18,7 @@
 )
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.filler_pacing import PacingInput, pacers, worst_latency_ratio
+from hornbeamreach.systems.task_placement import may_rely_on_capacity
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.workload import RunEnd, parse_task_key
 
@@ -74,9 +75,12 @@
             return False
         if minion.report.draining or minion.report.leaving:
             return False
-        if minion.can_send([other for other in members if other.minion == run.minion]):
+        here = [other for other in members if other.minion == run.minion]
+        pool = fleet.proposed.state.table.pools.get(minion.report.pool)
+        now_ms = self.scheduler.clock.now_ms()
+        if minion.can_send(here) and may_rely_on_capacity(minion, pool, now_ms):
             return True
-        # It has shrunk since the start was planned.
+        # It has shrunk, or may have, since the start was planned.
         self._log_given_back(run, minion)
         return False
 
@@ -100,7 +104,8 @@
             used=minion.used.amounts(),
             capacity=minion.report.capacity.amounts(),
             sequence=minion.report.sequence,
-        ).info("start given back: the minion's capacity no longer holds it")
+            age_ms=minion.capacity_age_ms(self.scheduler.clock.now_ms()),
+        ).info("start given back: the minion's capacity doesn't surely hold it")
 
     def _drop_unsent_run(self, run: ReservedRun) -> None:
         self.scheduler.fleet.end_run(run, RunEnd.LOST)
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -16,6 +16,7 @@
 from hornbeamreach.systems.task_placement import (
     PlacementPolicy,
     PlacementRequest,
+    may_rely_on_capacity,
     placement_policies,
     usable_minions,
 )
@@ -70,7 +71,13 @@
                 members[minion.report.pool].append(minion)
         starts: list[ReservedRun] = []
         for pool, queued in by_pool.items():
-            plan = PoolPlan(minions=usable_minions(members[pool], now_ms))
+            row = fleet.proposed.state.table.pools.get(pool)
+            usable = [
+                minion
+                for minion in usable_minions(members[pool], now_ms)
+                if may_rely_on_capacity(minion, row, now_ms)
+            ]
+            plan = PoolPlan(minions=usable)
             if not plan.minions:
                 continue
             queued.sort(key=lambda item: item[0])
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -13,7 +13,8 @@
 from attrs import define, field
 
 from hornbeamreach.registry import Registry
-from hornbeamreach.tables.minions import Minion
+from hornbeamreach.tables.declared import PoolRow
+from hornbeamreach.tables.minions import MAX_CAPACITY_AGE_MS, Minion
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepSpec
 
@@ -103,3 +104,9 @@
         and not minion.is_silent(now_ms)
         and minion.suspect_until_ms <= now_ms
     ]
+
+
+def may_rely_on_capacity(minion: Minion, pool: PoolRow | None, now_ms: int) -> bool:
+    """Return whether a minion's capacity was reported lately or the minion itself enforces it."""
+    rejects_overload = pool is not None and pool.rejects_overload
+    return rejects_overload or minion.capacity_age_ms(now_ms) <= MAX_CAPACITY_AGE_MS
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -14,6 +14,12 @@
 # tasks and does not count as available, but its runs are kept until their leases lapse.
 SILENT_AFTER_MS = 4_500
 SILENT_AFTER_FAILED_CALLS = 2
+# A start relies on a reported capacity for this long. A capacity that has shrunk must be respected
+# after 3 s without contact and one heartbeat of 1.5 s; an order may take 700 ms, and 400 ms more
+# through another replica.
+MAX_CAPACITY_AGE_MS = 3_000 + 1_500 - 700 - 400
+# A clock reading that is further behind is not that of a delayed report.
+MAX_REPORT_DELAY_MS = 60_000
 
 
 @define(frozen=True, kw_only=True)
@@ -156,6 +162,15 @@
             now_ms - max(self.last_report_ms, self.clock_received_ms) > SILENT_AFTER_MS
         )
 
+    def capacity_age_ms(self, now_ms: int) -> int:
+        """Return how long ago the latest report was sent, as far as its clock reading shows."""
+        age_ms = now_ms - self.last_report_ms
+        if self.report.clock_ms and self.clock_received_ms:
+            age_by_clock_ms = self.min_clock_ms(now_ms) - self.report.clock_ms
+            if age_by_clock_ms <= MAX_REPORT_DELAY_MS:
+                age_ms = max(age_ms, age_by_clock_ms)
+        return age_ms
+
     def free(self) -> Resources:
         """Return the capacity not taken by reserved and foreign runs."""
         return self.report.capacity.minus(self.used)
@@ -188,7 +203,7 @@
         self.used = self.used.plus(run.needs)
 
     def set_foreign_runs(self, listed: dict[tuple[str, int], Resources | None]) -> None:
-        """Count the listed runs that are not reserved here, until a later poll lists them no more."""
+        """Count the runs that the latest poll listed and that are not reserved here."""
         for needs in self.foreign_runs.values():
             self.used = self.used.minus(needs or NO_RESOURCES)
         for needs in listed.values():
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -4,7 +4,6 @@
 
 import random
 
-import attrs
 import orjson
 import pytest
 import trio
