Count no negative free capacity of a minion that has shrunk

Cause: a minion that has shrunk below what runs there had a negative free capacity. The sum over a pool, by which a maintenance wave orders its VMs, took that off the other minions': a pool with 16 idle cores counted as full. Ruled out: can_fit compares capacity and use itself and refuses everything there, needs of zero included (held before, has a test). Demand and moves use capacity and use apart, the request for tickets only sorts by free(). Change: free() is none at least, each amount by itself.

--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -172,8 +172,16 @@
         return age_ms
 
     def free(self) -> Resources:
-        """Return the capacity not taken by reserved and foreign runs."""
-        return self.report.capacity.minus(self.used)
+        """Return the capacity not taken, which is never negative.
+
+        A minion that has shrunk below what runs there has none free.
+        """
+        free = self.report.capacity.minus(self.used)
+        return Resources(
+            cpu_millis=max(0, free.cpu_millis),
+            memory_mb=max(0, free.memory_mb),
+            accelerators=max(0, free.accelerators),
+        )
 
     def can_fit(self, needs: Resources) -> bool:
         """Return whether the needs fit into the free capacity."""
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -9,6 +9,7 @@
 import trio
 
 from hornbeamreach.exceptions import InvalidInputError
+from hornbeamreach.fleet.maintenance_waves import MaintenanceWaves
 from hornbeamreach.fleet.messages import QueueAction
 from hornbeamreach.fleet.ports import StartOrder
 from hornbeamreach.fleet.step_scheduler import StepScheduler
@@ -282,6 +283,18 @@
         minion.reserve(builders.run(needs=Resources(cpu_millis=3_000)))
         assert minion.free() == Resources(memory_mb=32_768)
 
+    def test_an_overfull_minion_hides_no_free_capacity_of_its_pool(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await submit_long(fleet, 1, count=16)
+            await trio.sleep(1)
+            next(m for m in fleet.minions.minions.values() if m.running).resize(cores(0))
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            waves = MaintenanceWaves(scheduler=scheduler, inventory=None)
+            assert waves._free_shares() == {"pool-a": 1.0}
+
+        run_unguarded(scenario, minion_count=2)
+
     def test_a_filler_starts_only_once_the_minion_is_no_longer_overfull(self):
         async def scenario(fleet: StepFleet) -> None:
             await submit_long(fleet, 1, count=8)
