--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -267,6 +267,8 @@
             minion = self._add_incarnation(report, minion, now_ms)
         elif report.draining and not minion.report.draining:
             log.bind(minion=report.minion, left_ms=report.remaining_ms).info("minion is draining")
+        if report.capacity != minion.report.capacity:
+            _log_capacity(minion, report)
         minion.report = report
         minion.last_report_ms = now_ms
         if not minion.clock_received_ms and report.clock_ms:
@@ -436,5 +438,15 @@
     return minion.gone or report.sequence < known.sequence
 
 
+def _log_capacity(minion: Minion, report: MinionReport) -> None:
+    log.bind(
+        minion=report.minion,
+        before=minion.report.capacity.amounts(),
+        after=report.capacity.amounts(),
+        used=minion.used.amounts(),
+        sequence=report.sequence,
+    ).info("minion's capacity has changed")
+
+
 def _as_leaving(report: MinionReport) -> MinionReport:
     return attrs.evolve(report, leaving=True)
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 import trio
+from loguru import logger
 
 from hornbeamreach.exceptions import InvalidInputError
 from hornbeamreach.fleet.maintenance_waves import MaintenanceWaves
@@ -104,6 +105,23 @@
 
         run_unguarded(scenario)
 
+    def test_a_changed_capacity_is_logged_once(self):
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record), level="INFO")
+
+        async def scenario(fleet: StepFleet) -> None:
+            only_minion(fleet).resize(cores(2))
+            await trio.sleep(5)
+
+        try:
+            run_unguarded(scenario)
+        finally:
+            logger.remove(sink)
+        logged = [line["extra"] for line in lines if "capacity has changed" in line["message"]]
+        assert [line["minion"] for line in logged] == ["i-1"]
+        assert logged[0]["before"] == (16_000, 32_768, 0)
+        assert logged[0]["after"] == (2_000, 32_768, 0)
+
     @pytest.mark.parametrize("name", ["capacity", "cpu", "mem-mb"])
     def test_a_report_without_a_capacity_replaces_none(self, name):
         heartbeat = builders.platform_heartbeat()
