--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -18,6 +18,7 @@
 )
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.filler_pacing import PacingInput, pacers, worst_latency_ratio
+from hornbeamreach.systems.task_placement import may_rely_on_capacity
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.workload import RunEnd, parse_task_key
 
@@ -45,24 +46,68 @@
 
     # Starts
 
-    def send_start(self, run: ReservedRun) -> None:
-        """Send the start order of a run whose start is committed."""
+    def send_starts(self, runs: list[ReservedRun]) -> None:
+        """Send the orders of runs whose starts are committed; those of a gang all or none."""
+        for members in self._split_by_gang(runs):
+            unsendable = [run for run in members if not self._can_send(run, members)]
+            for run in members:
+                if unsendable:
+                    self._drop_unsent_run(run)
+                else:
+                    self._send_start(run)
+
+    def _split_by_gang(self, runs: list[ReservedRun]) -> list[list[ReservedRun]]:
+        groups: dict[tuple, list[ReservedRun]] = {}
+        for run in runs:
+            step = self.scheduler.fleet.step_of(run)
+            occurrence, number, index = parse_task_key(run.key)
+            member = None if step is not None and step.gang else index
+            groups.setdefault((run.job_id, occurrence, number, member), []).append(run)
+        return list(groups.values())
+
+    def _can_send(self, run: ReservedRun, members: list[ReservedRun]) -> bool:
+        """Return whether a run may still start, together with the other members of its gang."""
+        fleet = self.scheduler.fleet
+        minion = self._current_minion(run)
+        job = fleet.job(run.job_id)
+        reserved = fleet.find_run(run.job_id, run.key) is run and run.phase is RunPhase.RESERVED
+        if not reserved or job is None or job.ended or minion is None:
+            return False
+        if minion.report.draining or minion.report.leaving:
+            return False
+        here = [other for other in members if other.minion == run.minion]
+        pool = fleet.proposed.state.table.pools.get(minion.report.pool)
+        now_ms = self.scheduler.clock.now_ms()
+        if minion.can_send(here) and may_rely_on_capacity(minion, pool, now_ms):
+            return True
+        # It has shrunk, or may have, since the start was planned.
+        self._log_given_back(run, minion)
+        return False
+
+    def _send_start(self, run: ReservedRun) -> None:
         scheduler = self.scheduler
-        if scheduler.fleet.find_run(run.job_id, run.key) is not run:
-            return
         minion = self._current_minion(run)
-        job = scheduler.fleet.job(run.job_id)
-        stopped = run.phase is not RunPhase.RESERVED or job is None or job.ended
-        if stopped or minion is None or minion.report.draining or minion.report.leaving:
-            self._drop_unsent_run(run)
-            return
-        if scheduler.is_current() and scheduler.nursery is not None:
+        if minion is not None and scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
             run.ordered = True
             # The run may begin from now on, so its lease must be valid from now on.
             scheduler.extend_lease(minion)
             scheduler.nursery.start_soon(self._start, run, minion)
 
+    def _log_given_back(self, run: ReservedRun, minion: Minion) -> None:
+        self.scheduler.metrics.event("start_given_back")
+        log.bind(
+            request=run.job_id,
+            task=run.key,
+            run=run.run,
+            minion=run.minion,
+            needs=run.needs.amounts(),
+            used=minion.used.amounts(),
+            capacity=minion.report.capacity.amounts(),
+            sequence=minion.report.sequence,
+            age_ms=minion.capacity_age_ms(self.scheduler.clock.now_ms()),
+        ).info("start given back: the minion's capacity doesn't surely hold it")
+
     def _drop_unsent_run(self, run: ReservedRun) -> None:
         self.scheduler.fleet.end_run(run, RunEnd.LOST)
         self.scheduler.notify()
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -29,6 +29,7 @@
     typical_run_ms,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
+from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import RunEnd
 
 if TYPE_CHECKING:
@@ -94,9 +95,8 @@
         if minion.report.leaving and not minion.runs:
             return False
         unacknowledged = minion.acknowledged_end < minion.recorded_end
-        return (
-            bool(minion.runs) or minion.polled_ms < 0 or minion.failed_calls > 0 or unacknowledged
-        )
+        has_runs = bool(minion.runs or minion.foreign_runs)
+        return has_runs or minion.polled_ms < 0 or minion.failed_calls > 0 or unacknowledged
 
     def _wait_ms(self, minion: Minion) -> int:
         if minion.polled_ms < 0 or minion.failed_calls:
@@ -176,6 +176,8 @@
                         minion.report,
                         born_ms=result.born_ms,
                         sequence=0,
+                        # It may be of a smaller kind.
+                        capacity=Resources(),
                         clock_ms=result.clock_ms,
                     )
                 )
@@ -221,9 +223,11 @@
     def _record_running(
         self, minion: Minion, running: dict[tuple[str, int], RunningTask], now_ms: int
     ) -> None:
+        foreign: dict[tuple[str, int], Resources | None] = {}
         for (name, number), task in running.items():
             run = minion.runs.get(name)
             if run is None or run.run != number:
+                foreign[name, number] = self.scheduler.fleet.task_needs(name)
                 self.scheduler.orders.stop_unknown_run(minion, name, number)
                 continue
             if run.phase in (RunPhase.SENT, RunPhase.UNKNOWN):
@@ -235,6 +239,7 @@
             run.crash = None
             if run.suspect and run.lasting:
                 self.scheduler.crashes.clear_if_at_work(run, now_ms)
+        minion.set_foreign_runs(foreign)
 
     def _mark_running(self, run: ReservedRun) -> None:
         job = self.scheduler.fleet.job(run.job_id)
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -21,6 +21,7 @@
 from hornbeamreach.systems.task_placement import (
     PlacementPolicy,
     PlacementRequest,
+    may_rely_on_capacity,
     placement_policies,
     usable_minions,
 )
@@ -85,10 +86,15 @@
                 members[minion.report.pool].append(minion)
         starts: list[ReservedRun] = []
         for pool, queued in by_pool.items():
-            plan = PoolPlan(minions=usable_minions(members[pool], now_ms))
-            if plan.minions:
+            row = fleet.proposed.state.table.pools.get(pool)
+            usable = [
+                minion
+                for minion in usable_minions(members[pool], now_ms)
+                if may_rely_on_capacity(minion, row, now_ms)
+            ]
+            if usable:
                 queued.sort(key=lambda item: item[0])
-                self._plan_pool(plan, queued, starts, now_ms)
+                self._plan_pool(PoolPlan(minions=usable), queued, starts, now_ms)
         return starts
 
     def _plan_pool(
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.tables.resources import Resources
+from hornbeamreach.tables.resources import NO_RESOURCES, Resources
 
 # Share by which a minion's clock may run slower than the local one.
 MAX_CLOCK_DRIFT = 0.02
@@ -14,6 +14,12 @@
 # tasks and does not count as available, but its runs are kept until their leases lapse.
 SILENT_AFTER_MS = 4_500
 SILENT_AFTER_FAILED_CALLS = 2
+# A start relies on a reported capacity for this long. A capacity that has shrunk must be respected
+# after 3 s without contact and one heartbeat of 1.5 s; an order may take 700 ms, and 400 ms more
+# through another replica.
+MAX_CAPACITY_AGE_MS = 3_000 + 1_500 - 700 - 400
+# A clock reading that is further behind is not that of a delayed report.
+MAX_REPORT_DELAY_MS = 60_000
 
 
 @define(frozen=True, kw_only=True)
@@ -128,10 +134,16 @@
     token_step: int = 0
     # Runs by task name.
     runs: dict[str, ReservedRun] = field(factory=dict)
+    # Runs, by task name and number, that the latest poll listed and that are not reserved here,
+    # with their needs; None if the needs are not known.
+    foreign_runs: dict[tuple[str, int], Resources | None] = field(factory=dict)
+    # What reserved and foreign runs take.
     used: Resources = Resources()
     # Number of runs by job, and names of the runs of suspects by job.
     run_counts: dict[str, int] = field(factory=dict)
     suspects: dict[str, set[str]] = field(factory=dict)
+    # A foreign run's needs are not known, so nothing else may start.
+    has_unknown_use: bool = False
     # When the latest answered poll was sent; -1 before the first one of this term.
     polled_ms: int = -1
     # Ends up to this number are in the log, so the minion may forget them; `listed_end` is the
@@ -174,16 +186,34 @@
             now_ms - max(self.last_report_ms, self.clock_received_ms) > SILENT_AFTER_MS
         )
 
+    def capacity_age_ms(self, now_ms: int) -> int:
+        """Return how long ago the latest report was sent, as far as its clock reading shows."""
+        age_ms = now_ms - self.last_report_ms
+        if self.report.clock_ms and self.clock_received_ms:
+            age_by_clock_ms = self.min_clock_ms(now_ms) - self.report.clock_ms
+            if age_by_clock_ms <= MAX_REPORT_DELAY_MS:
+                age_ms = max(age_ms, age_by_clock_ms)
+        return age_ms
+
     def free(self) -> Resources:
-        """Return the capacity not taken by reserved runs."""
-        return self.report.capacity.minus(self.used)
+        """Return the capacity not taken, which is never negative.
+
+        A minion that has shrunk below what runs there has none free.
+        """
+        free = self.report.capacity.minus(self.used)
+        return Resources(
+            cpu_millis=max(0, free.cpu_millis),
+            memory_mb=max(0, free.memory_mb),
+            accelerators=max(0, free.accelerators),
+        )
 
     def can_fit(self, needs: Resources) -> bool:
         """Return whether the needs fit into the free capacity."""
         # Called for every pair of minion and queued task, so it builds no object.
         capacity, used = self.report.capacity, self.used
         return (
-            needs.cpu_millis <= capacity.cpu_millis - used.cpu_millis
+            not self.has_unknown_use
+            and needs.cpu_millis <= capacity.cpu_millis - used.cpu_millis
             and needs.memory_mb <= capacity.memory_mb - used.memory_mb
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
@@ -196,6 +226,17 @@
         """Return whether runs of other jobs' suspects are reserved."""
         return len(self.suspects) > (job_id in self.suspects)
 
+    def can_send(self, runs: list[ReservedRun]) -> bool:
+        """Return whether starts that are reserved here but not sent fit beside what was sent."""
+        if self.has_unknown_use:
+            return False
+        taken = self.used
+        for run in self.runs.values():
+            # A start that is not sent either takes nothing yet and is checked when it is sent.
+            if run.phase is RunPhase.RESERVED and run not in runs:
+                taken = taken.minus(run.needs)
+        return taken.fits_in(self.report.capacity)
+
     def reserve(self, run: ReservedRun) -> None:
         """Reserve the capacity that a run needs."""
         if run.name not in self.runs:
@@ -205,6 +246,15 @@
         if run.suspect:
             self.suspects.setdefault(run.job_id, set()).add(run.name)
 
+    def set_foreign_runs(self, listed: dict[tuple[str, int], Resources | None]) -> None:
+        """Count the runs that the latest poll listed and that are not reserved here."""
+        for needs in self.foreign_runs.values():
+            self.used = self.used.minus(needs or NO_RESOURCES)
+        for needs in listed.values():
+            self.used = self.used.plus(needs or NO_RESOURCES)
+        self.foreign_runs = listed
+        self.has_unknown_use = None in listed.values()
+
     def release(self, name: str) -> ReservedRun | None:
         """Release the capacity of a run, and return the run."""
         run = self.runs.pop(name, None)
