See the age of a late report also on a minion that has been idle

Cause: the age of a report was taken from the minion's clock in poll results alone. An idle minion is polled only once, and the lower bound of its clock falls behind by 2 % of the time since: after two minutes a report that was on its way for 5 s looked like one of 2.6 s, and starts relied on it. Ruled out: taking the clock of a report for leases. A wrong one would let them lapse early, and a report, unlike a poll, may be of another writer. Change: Minion keeps the latest clock reading of a report that was not delayed, for the age alone. One that is more than a minute off is replaced by the next report (test_a_wrong_clock_in_a_report_does_not_age_the_next_ones).

--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -271,6 +271,7 @@
             _log_capacity(minion, report)
         minion.report = report
         minion.last_report_ms = now_ms
+        minion.note_report_clock(report.clock_ms, now_ms)
         if not minion.clock_received_ms and report.clock_ms:
             minion.minion_clock_ms, minion.clock_received_ms = report.clock_ms, now_ms
         self.notify()
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -131,6 +131,10 @@
     # Latest reading of the minion's clock, and the local time when it was received.
     minion_clock_ms: int = 0
     clock_received_ms: int = 0
+    # Latest clock reading in a report that was not delayed, and when it arrived. Leases do not rely
+    # on it, since only a poll is surely answered by the minion itself.
+    report_clock_ms: int = 0
+    report_clock_received_ms: int = 0
     # End of the latest lease granted, on the minion's clock.
     lease_until_ms: int = 0
     suspect_until_ms: int = 0
@@ -165,12 +169,27 @@
     def capacity_age_ms(self, now_ms: int) -> int:
         """Return how long ago the latest report was sent, as far as its clock reading shows."""
         age_ms = now_ms - self.last_report_ms
-        if self.report.clock_ms and self.clock_received_ms:
-            age_by_clock_ms = self.min_clock_ms(now_ms) - self.report.clock_ms
-            if age_by_clock_ms <= MAX_REPORT_DELAY_MS:
-                age_ms = max(age_ms, age_by_clock_ms)
+        clock_ms = self.report.clock_ms
+        bounds = [self._min_clock_by_reports(now_ms)]
+        if self.clock_received_ms:
+            bounds.append(self.min_clock_ms(now_ms))
+        for bound_ms in bounds if clock_ms else []:
+            if bound_ms - clock_ms <= MAX_REPORT_DELAY_MS:
+                age_ms = max(age_ms, bound_ms - clock_ms)
         return age_ms
 
+    def note_report_clock(self, clock_ms: int, now_ms: int) -> None:
+        """Keep a report's clock reading unless the report was delayed."""
+        behind_ms = self._min_clock_by_reports(now_ms) - clock_ms
+        if clock_ms and (behind_ms <= 0 or behind_ms > MAX_REPORT_DELAY_MS):
+            self.report_clock_ms, self.report_clock_received_ms = clock_ms, now_ms
+
+    def _min_clock_by_reports(self, now_ms: int) -> int:
+        if not self.report_clock_ms:
+            return 0
+        elapsed_ms = now_ms - self.report_clock_received_ms
+        return self.report_clock_ms + int(elapsed_ms * (1 - MAX_CLOCK_DRIFT))
+
     def free(self) -> Resources:
         """Return the capacity not taken, which is never negative.
 
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -203,6 +203,32 @@
 
         run_unguarded(scenario)
 
+    def test_a_late_report_of_an_idle_minion_is_not_relied_on(self):
+        # An idle minion isn't polled, and 2 % of the time since its last poll is longer than the
+        # report was on its way.
+        async def scenario(fleet: StepFleet) -> None:
+            only_minion(fleet).clock_rate = 1.0
+            await trio.sleep(120)
+            fleet.silenced.add("i-1")
+            late = only_minion(fleet).report()
+            only_minion(fleet).resize(cores(2))
+            await trio.sleep(GRACE_S)
+            (await fleet.wait_for_scheduler()).on_report(late)
+            await submit_long(fleet, 1, count=10)
+            await trio.sleep(2)
+            fleet.silenced.clear()
+            await trio.sleep(4)
+            assert len(only_minion(fleet).running) == 2
+
+        run_unguarded(scenario)
+
+    def test_a_wrong_clock_in_a_report_does_not_age_the_next_ones(self):
+        minion = builders.minion(clock_ms=1_000)
+        minion.note_report_clock(1 << 50, 500)
+        minion.note_report_clock(1_000, 2_000)
+        minion.last_report_ms = 2_000
+        assert minion.capacity_age_ms(2_100) == 100
+
 
 class TestCommittedStarts:
     def test_starts_that_no_longer_fit_are_given_back_before_they_are_sent(self):
