Give no job up after two crashes if its latest run may never have begun

Cause: an order to a minion that is down already looks like a run that crashes its minion before it answers the start. Two such orders, alone on their minions, would have answered `failed` for a job of which nothing had run. Evidence: test_an_order_to_a_minion_that_was_down_already_is_not_known_to_have_begun: the crash is counted, solo, for a run whose order came after the crash. Ruled out: not counting it at all; a task that crashes its minions before the answer would be started without end. Change: the record of a crash says whether the run was known to have begun (its start was answered or a poll listed it); if not, a third crash is needed. Recovered runs that no poll listed are not known to have begun.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -67,14 +67,15 @@
 
     `ends` holds (job, task key, run, end, checkpoint); `starts` holds (job, task key, run,
     minion, born_ms); `crashes` holds (job, task key, run, whether only runs of the job were on
-    the minion); `cleared` holds (job, task key, run). `vms` maps the minions of the starts to
-    their VMs. Items that no longer match the state are skipped.
+    the minion, whether the run was known to have begun); `cleared` holds (job, task key, run).
+    `vms` maps the minions of the starts to their VMs. Items that no longer match the state are
+    skipped.
     """
 
     ends: list[tuple[str, str, int, str, str]] = field(factory=list)
     starts: list[tuple[str, str, int, str, int]] = field(factory=list)
     at_ms: int = 0
-    crashes: list[tuple[str, str, int, bool]] = field(factory=list)
+    crashes: list[tuple[str, str, int, bool, bool]] = field(factory=list)
     cleared: list[tuple[str, str, int]] = field(factory=list)
     vms: dict[str, str] = field(factory=dict)
 
@@ -178,10 +179,10 @@
         job = jobs.get(job_id)
         if job is not None:
             _end_run(state, job, task_key, run, RunEnd(end), checkpoint, command.at_ms)
-    for job_id, task_key, run, solo in command.crashes:
+    for job_id, task_key, run, solo, begun in command.crashes:
         job = jobs.get(job_id)
         if job is not None:
-            _count_crash(job, task_key, run, solo, command.at_ms)
+            _count_crash(job, task_key, run, command.at_ms, solo=solo, begun=begun)
     for job_id, task_key, run in command.cleared:
         job = jobs.get(job_id)
         task = job.tasks.get(task_key) if job is not None else None
@@ -205,7 +206,9 @@
     return task
 
 
-def _count_crash(job: StepJob, task_key: str, run: int, solo: bool, at_ms: int) -> None:
+def _count_crash(
+    job: StepJob, task_key: str, run: int, at_ms: int, *, solo: bool, begun: bool
+) -> None:
     """Count a crash under a task's run, and fail the job if the task is given up."""
     task = job.tasks.get(task_key)
     if task is None or task.done or not task.crashed_run < run <= task.run:
@@ -213,7 +216,7 @@
     task.crashed_run = run
     task.lapsed = None
     task.crashes += 1
-    history = CrashHistory(crashes=task.crashes, latest_solo=solo)
+    history = CrashHistory(crashes=task.crashes, latest_solo=solo, latest_begun=begun)
     if not job.ended and giving_up_policies.get(GIVING_UP_POLICY)(history):
         _end_job(job, StepJobState.FAILED, at_ms)
         job.failure_reason = f"task {task_key} crashed {task.crashes} minions"
--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -203,7 +203,11 @@
             if run.crash is None and not is_settled(run):
                 age_ms = run.earlier_ms + now_ms - run.started_ms
                 run.crash = CrashMark(
-                    born_ms=run.born_ms, phase=run.phase, solo=solo, age_ms=age_ms
+                    born_ms=run.born_ms,
+                    phase=run.phase,
+                    solo=solo,
+                    begun=run.phase is RunPhase.RUNNING or run.last_listed_ms > 0,
+                    age_ms=age_ms,
                 )
                 marked.append(run)
         if marked:
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -179,7 +179,11 @@
         clearings, fleet.unrecorded_clearings = fleet.unrecorded_clearings, []
         changes = RecordRuns(
             ends=[(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended],
-            crashes=[(r.job_id, r.key, r.run, bool(r.crash and r.crash.solo)) for r in crashed],
+            crashes=[
+                (r.job_id, r.key, r.run, r.crash.solo, r.crash.begun)
+                for r in crashed
+                if r.crash is not None
+            ],
             cleared=[(r.job_id, r.key, r.run) for r in clearings],
             at_ms=wall_ms,
         )
--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -17,6 +17,8 @@
 
 # A task may be given up once this many minions have crashed under it.
 CRASHES_TO_GIVE_UP = 2
+# The same if it is not known that the latest run had begun: its minion may have been down before.
+UNKNOWN_CRASHES_TO_GIVE_UP = 3
 # A long-running task that was at work for this long before the crash did not cause it.
 SETTLED_MS = 5_000
 # A long-running suspect is cleared after this time at work, doubled for each earlier crash.
@@ -32,6 +34,8 @@
     crashes: int
     # Whether only runs of the task's own job were on the minion of the latest crash.
     latest_solo: bool
+    # Whether the latest run was known to have begun.
+    latest_begun: bool = True
 
 
 GivingUpPolicy = Callable[[CrashHistory], bool]
@@ -52,9 +56,11 @@
 def is_given_up_after_solo_crash(history: CrashHistory) -> bool:
     """Return whether enough minions crashed, the latest one with runs of the job alone.
 
-    Load pattern: a task that crashes its minions shares them with tasks that must not be given up.
+    Load pattern: a task that crashes its minions shares them with tasks that must not be given up,
+    and other tasks are ordered to minions that are down already.
     """
-    return history.crashes >= CRASHES_TO_GIVE_UP and history.latest_solo
+    needed = CRASHES_TO_GIVE_UP if history.latest_begun else UNKNOWN_CRASHES_TO_GIVE_UP
+    return history.crashes >= needed and history.latest_solo
 
 
 def is_settled(run: ReservedRun) -> bool:
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -64,6 +64,8 @@
     phase: RunPhase
     # Whether only runs of the same job were there.
     solo: bool
+    # Whether the run was known to have begun.
+    begun: bool
     # Time since the start.
     age_ms: int
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -115,6 +115,11 @@
         assert not is_given_up(history(1, solo=True))
         assert not is_given_up(history(9, solo=False))
 
+    def test_a_run_not_known_to_have_begun_needs_one_more_crash(self):
+        is_given_up = giving_up_policies.get("solo")
+        assert not is_given_up(CrashHistory(crashes=2, latest_solo=True, latest_begun=False))
+        assert is_given_up(CrashHistory(crashes=3, latest_solo=True, latest_begun=False))
+
     def test_the_baseline_gives_up_neighbours_too(self):
         assert giving_up_policies.get("count")(history(2, solo=False))
 
@@ -160,10 +165,10 @@
     apply_command(state, state.applied_index + 1, command)
 
 
-def crash(state: ControlState, run: int, *, solo: bool = True, end: str = "crashed") -> None:
+def crash(state: ControlState, run: int, *, solo: bool = True, begun: bool = True) -> None:
     command = RecordRuns(
-        ends=[(DEADLY_JOB, "0.0.0", run, end, "saved-1")],
-        crashes=[(DEADLY_JOB, "0.0.0", run, solo)],
+        ends=[(DEADLY_JOB, "0.0.0", run, "crashed", "saved-1")],
+        crashes=[(DEADLY_JOB, "0.0.0", run, solo, begun)],
         at_ms=9_000,
     )
     apply_command(state, state.applied_index + 1, command)
@@ -180,6 +185,14 @@
         assert (job.state, job.ended_ms) == (StepJobState.FAILED, 9_000)
         assert job.failure_reason == "task 0.0.0 crashed 2 minions"
 
+    def test_a_job_whose_starts_were_not_answered_is_not_failed_after_two(self, state):
+        # Orders to minions that were down already look alike.
+        job = state.workload.jobs[DEADLY_JOB]
+        for run, expected in ((1, "running"), (2, "running"), (3, "failed")):
+            start(state, run)
+            crash(state, run, begun=False)
+            assert job.state.value == expected
+
     def test_crashes_in_company_never_fail_the_job(self, state):
         for run in range(1, 10):
             start(state, run)
@@ -249,7 +262,7 @@
         assert decode(cbor2.dumps(entry)) == RecordRuns(starts=[("a", "0.0.0", 1, "i-1", 1)])
 
     def test_a_log_entry_with_crashes_survives_encoding(self):
-        command = RecordRuns(crashes=[("a", "0.0.0", 1, True)], cleared=[("a", "0.0.1", 2)])
+        command = RecordRuns(crashes=[("a", "0.0.0", 1, True, False)], cleared=[("a", "0.0.1", 2)])
         assert decode(encode(command)) == command
 
 
@@ -314,6 +327,16 @@
 
         self.run(scenario, new_ids=new_ids, seed=seed)
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_it_is_given_up_while_answers_are_lost(self, new_ids, seed):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.minions.lost_response_fraction = 0.5
+            await fleet.submit(DEADLY_JOB, step_job())
+            await fleet.wait_for_state(DEADLY_JOB, "failed")
+            await trio.sleep(10)
+
+        self.run(scenario, new_ids=new_ids, seed=seed)
+
     def test_a_long_running_one_is_given_up(self, new_ids):
         async def scenario(fleet: StepFleet) -> None:
             await fleet.submit(DEADLY_JOB, step_job(step(lasting=True)))
@@ -585,7 +608,7 @@
             scheduler = await fleet.wait_for_scheduler()
             run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
             assert run is not None
-            run.crash = CrashMark(born_ms=1, phase=RunPhase.SENT, solo=True, age_ms=0)
+            run.crash = CrashMark(born_ms=1, phase=RunPhase.SENT, solo=True, begun=True, age_ms=0)
             if listed == "ended":
                 minion = fleet.minions.minions[run.minion]
                 fleet.minions.end(minion, minion.running[run.name], RunEnd.LEASE_LAPSED)
@@ -596,6 +619,25 @@
         run_scenario(scenario)
 
 
+class TestUnansweredStarts:
+    def test_an_order_to_a_minion_that_was_down_already_is_not_known_to_have_begun(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            fleet.minions.crash("i-1")
+            await fleet.submit(DEADLY_JOB, step_job(), work_ms=5_000)
+            await trio.sleep(1)
+            run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
+            assert run is not None
+            fleet.minions.restart("i-1")
+            await trio.sleep(2)
+            assert run.crash is not None
+            assert (run.crash.solo, run.crash.begun) == (True, False)
+            await fleet.wait_for_state(DEADLY_JOB, "completed")
+
+        run_scenario(scenario, minion_count=1)
+
+
 class TestLateEvidence:
     @pytest.mark.parametrize("new_ids", [False, True])
     @pytest.mark.parametrize("silence_s", [1, 3.7, 7, 20])
