--- a/tests/test_suspect_isolation.py
+++ b/tests/test_suspect_isolation.py
@@ -326,9 +326,14 @@
         empty = next(m.minion_id for m in load.fleet.minions.values() if not m.runs)
         assert load.held().get(empty) == gang
         moves = self.vm_moves(load)
-        moves.inventory.may_order = lambda vm: True
-        demands = moves.pool_demands(load.fleet.minions, load.now_ms)
-        assert empty not in [vm for vm, _ in demands.by_pool["pool-a"].idle]
+
+        def offered() -> list[str]:
+            demands = moves.pool_demands(load.fleet.minions, load.now_ms)
+            return [vm for vm, _ in demands.by_pool["pool-a"].idle]
+
+        assert empty not in offered()
+        load.held().clear()
+        assert empty in offered()
 
 
 class TestTickets:
