Treat an unreadable response of the platform as a failed call, not as the end of the entry

Cause: a successful response that is no JSON raised an error that no caller of the platform catches. It ended the entry that schedules the data centre's jobs; the next holder of the lease asks the same platform, and ended too. A report that is a list was taken for an empty report. Evidence: six of the new cases raised JSONDecodeError or nothing. Change: such a response is a PlatformError: for a report as if it had not come, for an order one that may have run. Before and after: 6 of 7 tests failed on the code before; all pass.

--- a/src/hornbeamreach/web/http_platform.py
+++ b/src/hornbeamreach/web/http_platform.py
@@ -59,6 +59,8 @@
     async def report(self) -> PlatformReport:
         """Return the platform's report on the VMs and tasks."""
         data = await self._send("GET", "/platform/v1/report", None)
+        if not isinstance(data, dict):
+            raise PlatformError("the platform report is no object", verdict=Verdict.RAN)
         try:
             return wire_converter.structure(data, PlatformReport)
         except Exception as exc:
@@ -91,4 +93,8 @@
         if response.status >= MIN_ERROR_STATUS:
             detail = f"the platform refused {path} with status {response.status}"
             raise PlatformError(detail, verdict=Verdict.NOT_RUN)
-        return orjson.loads(response.content) if response.content else None
+        try:
+            return orjson.loads(response.content) if response.content else None
+        except orjson.JSONDecodeError as exc:
+            detail = f"unreadable response of the platform: {exc}"
+            raise PlatformError(detail, verdict=Verdict.MAY_HAVE_RUN) from exc
--- /dev/null
+++ b/tests/test_foreign_http.py
@@ -0,0 +1,41 @@
+"""One answer of a platform or endpoint ends no entry, and so not entry after entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httpcore
+import pytest
+import trio
+
+from hornbeamreach.exceptions import PlatformError
+from hornbeamreach.verdict import Verdict
+from hornbeamreach.web.http_platform import HttpPlatform
+
+
+class FixedPool:
+    """Answer each request with the same bytes."""
+
+    def __init__(self, content: bytes) -> None:
+        self.content = content
+
+    async def request(self, *arguments: Any, **options: Any) -> httpcore.Response:
+        response = httpcore.Response(200, content=self.content)
+        await response.aread()
+        return response
+
+
+class TestPlatform:
+    @pytest.mark.parametrize("content", [b"<html>", b"{", b"[" * 5_000, b"\xff", b"5", b"[]"])
+    def test_an_unreadable_report_is_a_failed_call(self, content):
+        platform = HttpPlatform("http://127.0.0.1:1")
+        platform.pool = FixedPool(content)
+        with pytest.raises(PlatformError):
+            trio.run(platform.report)
+
+    def test_an_order_answered_unreadably_may_have_run(self):
+        platform = HttpPlatform("http://127.0.0.1:1")
+        platform.pool = FixedPool(b"<html>")
+        with pytest.raises(PlatformError) as caught:
+            trio.run(platform.reboot, "vm-1", "operation")
+        assert caught.value.verdict is not Verdict.NOT_RUN
