Treat an endpoint address that no URL can hold as a failed attempt, not as the end of the entry

Cause: an address that can't be part of a URL raised ValueError or TypeError in the attempt, which ended the entry; the caller resends through the next one. Addresses are checked when an endpoint announces itself, not when a peer passes the announcement on, so this needs a peer of another version or a fault: not seen, found by trial. Change: such an attempt fails as a connection that could not be opened (not_run), and another endpoint is tried.

--- a/src/hornbeamreach/entry/endpoint_client.py
+++ b/src/hornbeamreach/entry/endpoint_client.py
@@ -81,10 +81,15 @@
             "write": seconds(io_timeout_ms),
             "read": seconds(io_timeout_ms),
         }
+        try:
+            url = httpcore.URL(f"http://{self.address}/services/{service}")
+        except (ValueError, TypeError) as exc:
+            detail = f"{self.address!r} is no usable address: {exc!r}"
+            raise _attempt_error(Reason.CONNECT_FAILED, Verdict.NOT_RUN, detail) from exc
         try:
             async with self.pool.stream(
                 "POST",
-                f"http://{self.address}/services/{service}",
+                url,
                 headers=headers,
                 content=body,
                 extensions={"timeout": timeout},
--- a/tests/test_foreign_http.py
+++ b/tests/test_foreign_http.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from hornbeamreach.entry.endpoint_client import AttemptError, EndpointClient
 from hornbeamreach.exceptions import PlatformError
 from hornbeamreach.verdict import Verdict
 from hornbeamreach.web.http_platform import HttpPlatform
@@ -39,3 +40,25 @@
         with pytest.raises(PlatformError) as caught:
             trio.run(platform.reboot, "vm-1", "operation")
         assert caught.value.verdict is not Verdict.NOT_RUN
+
+
+class TestEndpoint:
+    @pytest.mark.parametrize("address", ["", "nowhere:http", "127.0.0.1:70000", "\u00fc.example:1"])
+    def test_a_call_to_an_unusable_address_is_a_failed_attempt(self, address):
+        client = EndpointClient(address=address, connections=1)
+
+        async def send() -> None:
+            await client.send(
+                service="quotes",
+                request_id="r1",
+                team="red",
+                content_type="text/plain",
+                body=b"x",
+                deadline_ms=500,
+                io_timeout_ms=500,
+                max_answer_bytes=100,
+            )
+
+        with pytest.raises(AttemptError) as caught:
+            trio.run(send)
+        assert caught.value.failure.verdict is Verdict.NOT_RUN
