Answer a number that Python refuses to convert as any other malformed one

Cause: digits other than 0 to 9, and numbers of more than 4,300 digits, passed isdigit and made int raise ValueError. A caller or operator got 500 and a closed connection, and a client that moves on after a 5xx sent it to every node. No process ended. Evidence: Deadline-Ms and X-Deadline-Ms of 5,000 digits, /wave-get/ with a superscript or an Arabic digit. Change: only short ASCII numbers are converted: 400 for X-Deadline-Ms, 404 for a wave, the default for Deadline-Ms.

--- a/src/hornbeamreach/entry/http_api.py
+++ b/src/hornbeamreach/entry/http_api.py
@@ -44,6 +44,7 @@
 )
 
 REPLAYED_HEADER = "Hornbeamreach-Replayed"
+MAX_DEADLINE_DIGITS = 15
 DEADLINE_HEADER = "x-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
 MAX_ANNOUNCEMENT_BYTES = 4_096
@@ -164,7 +165,8 @@
         if text is None:
             return service.deadline_ms
         max_ms = self.settings.limits.max_deadline_ms
-        if not text.isdigit() or not 1 <= int(text) <= max_ms:
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+        if not is_number or not 1 <= int(text) <= max_ms:
             detail = f"X-Deadline-Ms: give whole milliseconds from 1 to {max_ms}"
             raise RefusedError(Reason.MALFORMED, detail)
         return int(text)
--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -23,6 +23,7 @@
 JOB_ID_PATTERN = re.compile(r"^[0-9a-fA-F]{16}$")
 ID_LENGTH = 16
 DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_DIGITS = 15
 # Part of a caller's deadline reserved for the response's way back: leader, entry and client.
 RESPONSE_MARGIN_MS = 150
 # Longest wait for a leader. An election takes up to 2 s; a caller that is refused before its
@@ -143,7 +144,8 @@
 
 def _deadline_ms(headers: dict[bytes, bytes]) -> int:
     value = headers.get(b"deadline-ms", b"")
-    return int(value) if value.isdigit() else DEFAULT_DEADLINE_MS
+    is_number = value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS
+    return int(value) if is_number else DEFAULT_DEADLINE_MS
 
 
 def _decode_call(scope: asgi.Scope, headers: dict[bytes, bytes], body: bytes) -> QueueCall | None:
--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from attrs import define
@@ -31,6 +32,7 @@
 REPORT_TIMEOUT_MS = 800
 OPERATOR_TIMEOUT_MS = 900
 MS_PER_S = 1_000
+WAVE_NUMBER_PATTERN = re.compile("[0-9]{1,18}")
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_TOO_LARGE = 413
@@ -83,7 +85,7 @@
                 return (200, reply.text) if reply.version else (HTTP_UNAVAILABLE, {})
             case "POST", ["wave-start"]:
                 return await self._start_wave(body)
-            case "GET", ["wave-get", number] if number.isdigit():
+            case "GET", ["wave-get", number] if WAVE_NUMBER_PATTERN.fullmatch(number):
                 return await self._read_wave(int(number))
         return HTTP_NOT_FOUND, {"reason": Reason.UNKNOWN_PATH.value}
 
--- a/tests/test_foreign_http.py
+++ b/tests/test_foreign_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import httpcore
@@ -9,8 +10,9 @@
 import trio
 
 from hornbeamreach.entry.endpoint_client import AttemptError, EndpointClient
-from hornbeamreach.exceptions import PlatformError
-from hornbeamreach.verdict import Verdict
+from hornbeamreach.entry.http_api import DEADLINE_HEADER, EntryApi
+from hornbeamreach.exceptions import PlatformError, RefusedError
+from hornbeamreach.verdict import Reason, Verdict
 from hornbeamreach.web.http_platform import HttpPlatform
 
 
@@ -62,3 +64,14 @@
         with pytest.raises(AttemptError) as caught:
             trio.run(send)
         assert caught.value.failure.verdict is Verdict.NOT_RUN
+
+
+class TestDeadline:
+    @pytest.mark.parametrize("text", ["9" * 5_000, "\u00b2", "\u0663", "0", "-1", "1e3"])
+    def test_a_deadline_that_is_no_number_is_refused_as_malformed(self, text):
+        limits = SimpleNamespace(max_deadline_ms=60_000)
+        api = SimpleNamespace(settings=SimpleNamespace(limits=limits))
+        request = SimpleNamespace(headers={DEADLINE_HEADER: text})
+        with pytest.raises(RefusedError) as caught:
+            EntryApi._deadline_ms(api, request, None)
+        assert caught.value.reason is Reason.MALFORMED
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -102,6 +102,21 @@
     return QueueAnswer(served=QueueOutcome.REFUSED, reason=reason, retry_after_ms=retry_after_ms)
 
 
+class TestExtremeNumbers:
+    """A number that Python refuses to convert is answered as any other malformed one."""
+
+    @pytest.mark.parametrize("deadline", ["9" * 5_000, "9" * 16, "-1", "1e9", "\u00b2"])
+    def test_a_deadline_that_is_no_number_is_ignored(self, deadline):
+        app, _ = make_caller_app(QueueAnswer(served=QueueOutcome.COUNT, count=0))
+        assert send_request(app, "GET", "/jobs/", headers={"Deadline-Ms": deadline})[0] == 200
+
+    @pytest.mark.parametrize("number", ["9" * 5_000, "\u00b2", "\u0663", "-1", "1.0"])
+    def test_a_wave_that_is_no_number_is_unknown(self, number):
+        app, finder = make_operator_app()
+        assert send_request(app, "GET", f"/wave-get/{number}")[0] == 404
+        assert not finder.requests
+
+
 class TestCallers:
     def test_a_job_is_submitted_with_the_hash_of_its_key(self):
         app, finder = make_caller_app(QueueAnswer(served=QueueOutcome.ACCEPTED))
