--- a/tests/test_suspect_isolation.py
+++ b/tests/test_suspect_isolation.py
@@ -12,10 +12,12 @@
 from hornbeamreach.fleet.vm_inventory import VmInventory
 from hornbeamreach.fleet.vm_moves import SHORTFALL_MS, VmMoves
 from hornbeamreach.tables.resources import Resources
-from hornbeamreach.tables.workload import StepJobState
+from hornbeamreach.tables.workload import StepJobState, TaskRecord
 
 from . import builders
+from .step_fleet import StepFleet
 from .suspect_load import CRASH_DELAY_MS, DOWNTIME_MS, PASS_MS, START_DELAY_MS, SuspectLoad
+from .test_step_jobs import run_scenario
 
 # The longest run of the load, and the bounds on a suspect's wait that are promised.
 LONGEST_RUN_MS = 3_600
@@ -356,3 +358,37 @@
         load.planner.tickets[(suspect, 0, 0)] = tickets
         load.step()
         assert load.planner.turns.waiting_since_ms == waiting
+
+
+class TestScheduler:
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_run_of_another_job_is_beside_a_suspect_on_the_minions(self, seed):
+        names: list[str] = []
+
+        async def scenario(fleet: StepFleet) -> None:
+            for number in range(12):
+                await fleet.submit(f"{number:016x}", builders.step_job(builders.step(20)), 900)
+            scheduler = await fleet.wait_for_scheduler()
+            job = scheduler.fleet.job(f"{11:016x}")
+            for index in range(20):
+                key = f"0.0.{index}"
+                if key not in job.tasks:
+                    job.tasks[key] = TaskRecord(run=1, crashes=1)
+                    names.append(f"{job.job_id}.{key}")
+            scheduler.on_declaration()
+            for number in range(12):
+                await fleet.wait_for_state(f"{number:016x}", "completed")
+
+        fleet = run_scenario(scenario, seed=seed, minion_count=4)
+        assert names
+        for run in fleet.minions.history:
+            if run.task not in names:
+                continue
+            beside = {
+                other.task.partition(".")[0]
+                for other in fleet.minions.history
+                if other.minion == run.minion
+                and other.began_ms < run.ended_ms
+                and run.began_ms < other.ended_ms
+            }
+            assert beside == {run.task.partition(".")[0]}
