Show that a job that ends its workers is started no more often than its attempts

Cause: no test said how many workers one job may end. A lost task counts as an attempt, kept in the job's record. Change: a test only: after three workers the job fails with may_have_run (the default of max_attempts). Open: lost tasks do not count among the workers on which a job failed, so the quarantine after two does not apply; nothing tells a worker that crashed from one that all its jobs lost for another reason. Before and after: the test passes on the code before too; nothing was mended.

--- a/tests/test_fleet_jobs.py
+++ b/tests/test_fleet_jobs.py
@@ -196,6 +196,30 @@
         run_job_scenario(scenario)
 
 
+class TestDeadlyJobs:
+    def test_a_job_that_ends_its_workers_is_started_no_more_often_than_its_attempts(self):
+        async def scenario(fleet):
+            job_id = await submit(fleet, work_ms=60_000)
+
+            async def end_workers():
+                while True:
+                    for platform in fleet.platforms.values():
+                        platform.advance()
+                        for task in list(platform.tasks.values()):
+                            vm = platform.vms[task.request.worker]
+                            vm.down = task.state == "running"
+                    await trio.sleep(0.5)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(end_workers)
+                end = await wait_for_job(fleet, job_id)
+                nursery.cancel_scope.cancel()
+            assert (end.state, end.verdict) == ("failed", "may_have_run")
+            assert count_starts(fleet, job_id) == 3
+
+        run_job_scenario(scenario)
+
+
 class TestCancellation:
     def test_a_queued_job_is_cancelled_without_running(self):
         async def scenario(fleet):
