Open a minion again when its long-running suspect is cleared, and close it for one counted late

Cause: evidence and isolation were written apart: clearing a suspect, or counting a crash for a task that runs again, changed the run but not its minion's list of suspects. What callers saw: a minion stayed closed to other jobs for as long as a cleared long-running task ran there; a task counted late ran on in company.

--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -233,7 +233,7 @@
             fleet.unrecorded_crashes.append(run)
             current = fleet.find_run(run.job_id, run.key)
             if current is not None:
-                current.suspect = True
+                fleet.mark_suspect(current)
         self.scheduler.notify()
 
     # Clearing
@@ -253,7 +253,7 @@
             crashes=task.crashes,
             at_work_ms=now_ms - run.last_progress_ms,
         ).info("task is cleared: it is at work")
-        run.suspect = False
+        fleet.clear_suspect(run)
         fleet.unrecorded_clearings.append(run)
         self.scheduler.notify()
 
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -164,6 +164,22 @@
             taken_core_ms=cores * (now_ms - run.started_ms),
         )
 
+    def mark_suspect(self, run: ReservedRun) -> None:
+        """Keep further runs of other jobs from a reserved run's minion."""
+        minion = self.minions.get(run.minion)
+        if minion is not None and minion.runs.get(run.name) is run:
+            minion.mark_suspect(run)
+        else:
+            run.suspect = True
+
+    def clear_suspect(self, run: ReservedRun) -> None:
+        """Let runs of other jobs share a reserved run's minion again."""
+        minion = self.minions.get(run.minion)
+        if minion is not None and minion.runs.get(run.name) is run:
+            minion.clear_suspect(run)
+        else:
+            run.suspect = False
+
     def count_siblings(self, job: StepJob, occurrence: int, step: int) -> dict[str, int]:
         """Count the reserved runs of one occurrence of a step, by minion."""
         counts: dict[str, int] = {}
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -265,7 +265,7 @@
         self.runs[run.name] = run
         self.used = self.used.plus(run.needs)
         if run.suspect:
-            self.suspects.setdefault(run.job_id, set()).add(run.name)
+            self.mark_suspect(run)
 
     def set_foreign_runs(self, listed: dict[tuple[str, int], Resources | None]) -> None:
         """Count the runs that the latest poll listed and that are not reserved here."""
@@ -287,6 +287,11 @@
             self._drop_suspect(run)
         return run
 
+    def mark_suspect(self, run: ReservedRun) -> None:
+        """Mark a run here as a suspect of a crash, which keeps further jobs away."""
+        run.suspect = True
+        self.suspects.setdefault(run.job_id, set()).add(run.name)
+
     def clear_suspect(self, run: ReservedRun) -> None:
         """Clear a run of suspicion, so that other jobs may share the minion again."""
         run.suspect = False
