Don't expect an end to be respected whose lease lapsed before it was acknowledged

The platform's rule allows that: an end counts from its acknowledgement, unless the lease lapsed between the two.

--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -53,8 +53,10 @@
     needs: Resources
     end: RunEnd | None = None
     ended_ms: float | None = None
-    # Whether a poll has acknowledged the end.
+    # Whether a poll has acknowledged the end, and whether the lease had lapsed before: such an end
+    # need not be respected.
     acknowledged: bool = False
+    lapsed_before_acknowledged: bool = False
     scope: trio.CancelScope = field(factory=trio.CancelScope)
     stalled: bool = False
 
@@ -326,6 +328,9 @@
 
     def extend_lease(self, minion: SimulatedMinion, until_ms: int | None) -> None:
         """Renew the lease of all runs of a minion; never shorten it."""
+        if minion.clock_ms() > minion.lease_until_ms:
+            for _, run in minion.ends:
+                run.lapsed_before_acknowledged = not run.acknowledged
         if until_ms is None:
             return
         limit_ms = minion.clock_ms() + MAX_LEASE_MS
