Give suspects of a crash more minions rather than company when many of them wait

Cause: a suspect that had waited 20 s for its turn was placed beside other jobs. Change: after 8 s any minion of the pool may be held for a suspect; company only where no minion can become empty, or for a gang that needs more than half of the pool. tests/test_suspect_isolation.py passes before and after.

--- a/src/hornbeamreach/fleet/suspect_turns.py
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -11,7 +11,6 @@
 from hornbeamreach.systems.job_progress import ReadyStep
 from hornbeamreach.systems.suspect_isolation import (
     AVOID_CRASHED_MS,
-    SUSPECT_MAX_TURN_WAIT_MS,
     SUSPECT_MAX_WAIT_MS,
     WIDEN_AFTER_MS,
     HoldPolicy,
@@ -51,7 +50,7 @@
     def __call__(self, request: PlacementRequest, minions: list[Minion]) -> Minion | None:
         """Choose a minion without other jobs; after a long wait, one with few of their runs."""
         minion = self.policy(request, self._open_minions(request, minions))
-        if minion is None and self.waited_ms >= self._max_wait_ms(request, minions):
+        if minion is None and self._waited_in_vain(request, minions):
             minion = least_company(request, self.turns.not_held_for_others(request, minions))
             if minion is not None:
                 self.shared.add(minion.minion_id)
@@ -67,12 +66,13 @@
             return request
         return attrs.evolve(request, siblings={}, racks=frozenset())
 
-    def _max_wait_ms(self, request: PlacementRequest, minions: list[Minion]) -> int:
-        request = self._without_members(request)
-        has_prospect = self.needed(minions) <= max_idle(len(minions)) and any(
+    def _waited_in_vain(self, request: PlacementRequest, minions: list[Minion]) -> bool:
+        """Return whether the suspect has waited for long and can't expect a minion for itself."""
+        if self.waited_ms < SUSPECT_MAX_WAIT_MS:
+            return False
+        return self.needed(minions) > max_idle(len(minions)) or not any(
             becomes_empty(request, minion) for minion in minions
         )
-        return SUSPECT_MAX_TURN_WAIT_MS if has_prospect else SUSPECT_MAX_WAIT_MS
 
     def _open_minions(self, request: PlacementRequest, minions: list[Minion]) -> list[Minion]:
         """List the minions that the job's suspects may take within the pool's limit."""
@@ -94,6 +94,8 @@
     def limit(self, minions: list[Minion]) -> int:
         """Return how many of the minions may be held or exclusive at once."""
         most = max_idle(len(minions))
+        if self.waited_ms >= SUSPECT_MAX_WAIT_MS:
+            return len(minions)
         if self.idle or self.waited_ms >= WIDEN_AFTER_MS:
             return most
         return max(max_held(len(minions)), min(most, self.needed(minions)))
--- a/src/hornbeamreach/systems/suspect_isolation.py
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -17,11 +17,9 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, StepSpec, parse_task_key, step_key
 
-# A suspect for which no minion can become empty is placed beside runs of other jobs after this:
-# twice the time in which a pool gets another VM.
+# After this, twice the time in which a pool gets another VM, a suspect for which no minion can become
+# empty is placed beside runs of other jobs, and others may hold any minion of their pool.
 SUSPECT_MAX_WAIT_MS = 8_000
-# The same while other suspects take their turns before it.
-SUSPECT_MAX_TURN_WAIT_MS = 20_000
 # A step that waited this long may hold as many minions as there are for suspects in an idle pool.
 WIDEN_AFTER_MS = 4_000
 # For this long a suspect waits for another minion than those that crashed under it.
