Give up a job only after two crashes under runs that had begun

Cause: a crash counted under a start that was not answered, though its minion may have been down before it came. What callers saw: a job shown as failed after one crash of its own. The latest run alone had to be known to have begun. Change: TaskRecord.begun_crashes; two of them, or four crashes under ordered runs, and the latest solo. With four, a task whose every start is unanswered is started once after the third crash. Before and after: test_a_job_fails_only_after_two_crashes_of_runs_that_had_begun fails before for the first case. The test that asserted three unanswered starts is replaced by it.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -187,7 +187,7 @@
         job = jobs.get(job_id)
         task = job.tasks.get(task_key) if job is not None else None
         if task is not None and task.run == run and task.minion:
-            task.crashes = 0
+            task.crashes = task.begun_crashes = 0
     for job_id, task_key, run, minion, born_ms in command.starts:
         job = jobs.get(job_id)
         if job is not None and not job.ended:
@@ -216,7 +216,8 @@
     task.crashed_run = run
     task.lapsed = None
     task.crashes += 1
-    history = CrashHistory(crashes=task.crashes, latest_solo=solo, latest_begun=begun)
+    task.begun_crashes += begun
+    history = CrashHistory(crashes=task.crashes, begun_crashes=task.begun_crashes, latest_solo=solo)
     if not job.ended and giving_up_policies.get(GIVING_UP_POLICY)(history):
         _end_job(job, StepJobState.FAILED, at_ms)
         job.failure_reason = f"task {task_key} crashed {task.crashes} minions"
@@ -248,7 +249,7 @@
         task.checkpoint = checkpoint
     if end in (RunEnd.DONE, RunEnd.FAILED):
         # Only a live minion lists these ends, so the run didn't crash it.
-        task.crashes = 0
+        task.crashes = task.begun_crashes = 0
         task.lapsed = None
     if end is RunEnd.DONE:
         _record_done(job, task_key, task)
--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -15,10 +15,11 @@
 from hornbeamreach.registry import Registry
 from hornbeamreach.tables.minions import ReservedRun, RunPhase
 
-# A task may be given up once this many minions have crashed under it.
+# A task may be given up once this many minions have crashed under runs known to have begun.
 CRASHES_TO_GIVE_UP = 2
-# The same if it is not known that the latest run had begun: its minion may have been down before.
-UNKNOWN_CRASHES_TO_GIVE_UP = 3
+# The same for runs ordered there, some of which may not have begun: their minions may have been
+# down before.
+ORDERED_CRASHES_TO_GIVE_UP = 4
 # A long-running task that was at work for this long before the crash did not cause it.
 SETTLED_MS = 5_000
 # A long-running suspect is cleared after this time at work, doubled for each earlier crash.
@@ -32,10 +33,10 @@
     """Hold the crashes counted under a task."""
 
     crashes: int
+    # How many of them while the task's run was known to have begun.
+    begun_crashes: int
     # Whether only runs of the task's own job were on the minion of the latest crash.
     latest_solo: bool
-    # Whether the latest run was known to have begun.
-    latest_begun: bool = True
 
 
 GivingUpPolicy = Callable[[CrashHistory], bool]
@@ -59,8 +60,10 @@
     Load pattern: a task that crashes its minions shares them with tasks that must not be given up,
     and other tasks are ordered to minions that are down already.
     """
-    needed = CRASHES_TO_GIVE_UP if history.latest_begun else UNKNOWN_CRASHES_TO_GIVE_UP
-    return history.crashes >= needed and history.latest_solo
+    enough = (
+        history.begun_crashes >= CRASHES_TO_GIVE_UP or history.crashes >= ORDERED_CRASHES_TO_GIVE_UP
+    )
+    return enough and history.latest_solo
 
 
 def is_settled(run: ReservedRun) -> bool:
--- a/src/hornbeamreach/systems/suspect_isolation.py
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -17,8 +17,8 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, StepSpec, parse_task_key, step_key
 
-# After this, twice the time in which a pool gets another VM, a suspect for which no minion can become
-# empty is placed beside runs of other jobs, and others may hold any minion of their pool.
+# After this, twice the time in which a pool gets another VM, a suspect for which no minion can
+# become empty is placed beside runs of other jobs, and others may hold any minion of their pool.
 SUSPECT_MAX_WAIT_MS = 8_000
 # A step that waited this long may hold as many minions as there are for suspects in an idle pool.
 WIDEN_AFTER_MS = 4_000
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -147,6 +147,8 @@
     failures: int = 0
     # Minions that crashed under the task since it was last cleared of having caused a crash.
     crashes: int = 0
+    # How many of them while the run was known to have begun.
+    begun_crashes: int = 0
     # Latest run under which a crash was counted; each run counts at most once.
     crashed_run: int = 0
     # VM of the minion and wall time of the start of the latest run.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -82,7 +82,7 @@
 
 
 def history(crashes: int, *, solo: bool) -> CrashHistory:
-    return CrashHistory(crashes=crashes, latest_solo=solo)
+    return CrashHistory(crashes=crashes, begun_crashes=crashes, latest_solo=solo)
 
 
 class TestPolicies:
@@ -92,10 +92,13 @@
         assert not is_given_up(history(1, solo=True))
         assert not is_given_up(history(9, solo=False))
 
-    def test_a_run_not_known_to_have_begun_needs_one_more_crash(self):
+    @pytest.mark.parametrize(
+        ("crashes", "begun", "expected"), [(2, 1, False), (3, 1, False), (2, 2, True), (4, 0, True)]
+    )
+    def test_runs_not_known_to_have_begun_need_more_crashes(self, crashes, begun, expected):
         is_given_up = giving_up_policies.get("solo")
-        assert not is_given_up(CrashHistory(crashes=2, latest_solo=True, latest_begun=False))
-        assert is_given_up(CrashHistory(crashes=3, latest_solo=True, latest_begun=False))
+        crash_history = CrashHistory(crashes=crashes, begun_crashes=begun, latest_solo=True)
+        assert is_given_up(crash_history) is expected
 
     def test_the_baseline_gives_up_neighbours_too(self):
         assert giving_up_policies.get("count")(history(2, solo=False))
@@ -162,13 +165,15 @@
         assert (job.state, job.ended_ms) == (StepJobState.FAILED, 9_000)
         assert job.failure_reason == "task 0.0.0 crashed 2 minions"
 
-    def test_a_job_whose_starts_were_not_answered_is_not_failed_after_two(self, state):
-        # Orders to minions that were down already look alike.
+    @pytest.mark.parametrize("begun", [(False, True, True), (True, False, True), (False,) * 4])
+    def test_a_job_fails_only_after_two_crashes_of_runs_that_had_begun(self, state, begun):
+        # Orders to minions that were down already look alike; four of them count as two.
         job = state.workload.jobs[DEADLY_JOB]
-        for run, expected in ((1, "running"), (2, "running"), (3, "failed")):
+        for run, has_begun in enumerate(begun, start=1):
+            assert job.state is StepJobState.RUNNING or run == 1
             start(state, run)
-            crash(state, run, begun=False)
-            assert job.state.value == expected
+            crash(state, run, begun=has_begun)
+        assert job.state is StepJobState.FAILED
 
     def test_crashes_in_company_never_fail_the_job(self, state):
         for run in range(1, 10):
