Clear a long-running suspect no sooner than a crash stops counting as its doing

Cause, found by the review: a suspect was cleared after 3 s at work and a crash counted until 5 s; a task that crashes its minion in between was cleared each time and started without end. Change: both times are 5 s.

--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -23,7 +23,7 @@
 # A long-running task that was at work for this long before the crash did not cause it.
 SETTLED_MS = 5_000
 # A long-running suspect is cleared after this time at work, doubled for each earlier crash.
-CLEARED_AFTER_MS = 3_000
+CLEARED_AFTER_MS = SETTLED_MS
 MAX_CLEARING_DOUBLINGS = 5
 FULL_PERCENT = 100
 
