Call no crash solo beside a run that is listed but not reserved

Cause, found by the review: runs that a minion lists and this scheduler has not reserved, late ones that it is stopping, were not looked at; one of them could crash the minion and a suspect beside it be given up for it. Evidence: test_a_crash_beside_a_run_that_is_only_listed_is_not_solo fails before. Change: such a crash is not solo, and a suspect is not placed on such a minion.

--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -141,7 +141,7 @@
         if reason != REPLACED:
             self.lapsed.pop(minion.minion_id, None)
             return
-        self._mark(minion.runs.values(), minion.report)
+        self._mark(minion.runs.values(), minion.report, complete=not minion.foreign_runs)
         self._count_lapsed(minion.minion_id, minion.report)
 
     def on_answer(self, minion: Minion) -> None:
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -240,7 +240,9 @@
         )
 
     def has_other_jobs(self, job_id: str) -> bool:
-        """Return whether runs of other jobs are reserved."""
+        """Return whether runs of other jobs are reserved or listed."""
+        if self.foreign_runs:
+            return True
         return len(self.run_counts) > (job_id in self.run_counts)
 
     def has_other_suspects(self, job_id: str) -> bool:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -10,6 +10,7 @@
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders, RecordRuns
+from hornbeamreach.fleet.crash_recorder import REPLACED
 from hornbeamreach.fleet.messages import QueueAction
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.standins.step_minions import SimulatedRun
@@ -619,6 +620,26 @@
         run_scenario(scenario, minion_count=1)
 
 
+class TestForeignRuns:
+    def test_a_crash_beside_a_run_that_is_only_listed_is_not_solo(self):
+        # The minion runs something that this scheduler did not reserve and has not stopped yet.
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            await fleet.submit(DEADLY_JOB, step_job(), work_ms=5_000)
+            await trio.sleep(1)
+            minion = scheduler.fleet.minions["i-1"]
+            minion.set_foreign_runs({(f"{job_id(9)}.0.0.0", 1): None})
+            assert minion.has_other_jobs(DEADLY_JOB)
+            scheduler.crashes.on_incarnation_over(minion, REPLACED)
+            run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
+            assert run is not None
+            assert run.crash is not None
+            assert not run.crash.solo
+
+        run_scenario(scenario, minion_count=1)
+
+
 class TestLateEvidence:
     @pytest.mark.parametrize("new_ids", [False, True])
     @pytest.mark.parametrize("silence_s", [1, 3.7, 7, 20])
