Place no suspect in company once three minions have crashed under it

Ruled out: failing it by count alone, which would fail neighbours too. Change: with three crashes a task waits for a minion of its own and is logged as waiting. test_a_task_that_crashed_three_minions_joins_no_other_job fails before.

--- a/src/hornbeamreach/fleet/suspect_turns.py
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -11,6 +11,7 @@
 from hornbeamreach.systems.job_progress import ReadyStep
 from hornbeamreach.systems.suspect_isolation import (
     AVOID_CRASHED_MS,
+    MAX_CRASHES_IN_COMPANY,
     SUSPECT_MAX_WAIT_MS,
     WIDEN_AFTER_MS,
     HoldPolicy,
@@ -67,8 +68,12 @@
         return attrs.evolve(request, siblings={}, racks=frozenset())
 
     def _waited_in_vain(self, request: PlacementRequest, minions: list[Minion]) -> bool:
-        """Return whether the suspect has waited for long and can't expect a minion for itself."""
-        if self.waited_ms < SUSPECT_MAX_WAIT_MS:
+        """Return whether the suspect has waited for long and can't expect a minion for itself.
+
+        After some crashes it is not placed in company any more, as each harms other jobs.
+        """
+        crashes = self.turns.crashes(request.job_id, request.key)
+        if self.waited_ms < SUSPECT_MAX_WAIT_MS or crashes >= MAX_CRASHES_IN_COMPANY:
             return False
         return self.needed(minions) > max_idle(len(minions)) or not any(
             becomes_empty(request, minion) for minion in minions
@@ -224,7 +229,7 @@
             task=request.key,
             minion=minion.minion_id,
             runs=len(minion.runs),
-            crashes=self._crashes(request.job_id, request.key),
+            crashes=self.crashes(request.job_id, request.key),
             waited_ms=turn.waited_ms,
         ).info("minion is held for a suspect of a crash")
         self._event("suspect_minion_held")
@@ -235,12 +240,13 @@
             task=run.key,
             minion=run.minion,
             runs=len(self.fleet.minions[run.minion].runs),
-            crashes=self._crashes(run.job_id, run.key),
+            crashes=self.crashes(run.job_id, run.key),
             waited_ms=turn.waited_ms,
         ).warning("suspect of a crash waited too long and is placed beside other jobs")
         self._event("suspect_shares_minion")
 
-    def _crashes(self, job_id: str, key: str) -> int:
+    def crashes(self, job_id: str, key: str) -> int:
+        """Return how many minions have crashed under a task since it was last cleared."""
         job = self.fleet.job(job_id)
         task = job.tasks.get(key) if job else None
         return task.crashes if task else 0
--- a/src/hornbeamreach/systems/suspect_isolation.py
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -20,6 +20,8 @@
 # After this, twice the time in which a pool gets another VM, a suspect for which no minion can
 # become empty is placed beside runs of other jobs, and others may hold any minion of their pool.
 SUSPECT_MAX_WAIT_MS = 8_000
+# A task under which this many minions have crashed starts on a minion for itself or not at all.
+MAX_CRASHES_IN_COMPANY = 3
 # A step that waited this long may hold as many minions as there are for suspects in an idle pool.
 WIDEN_AFTER_MS = 4_000
 # For this long a suspect waits for another minion than those that crashed under it.
--- a/tests/test_suspect_isolation.py
+++ b/tests/test_suspect_isolation.py
@@ -267,6 +267,17 @@
         load.step()
         assert len(load.runs_on(fewest)) == 2
 
+    def test_a_task_that_crashed_three_minions_joins_no_other_job(self):
+        # In company no crash is evidence against it alone, so it would be started without end.
+        load = SuspectLoad(minion_count=3, checks_isolation=False)
+        self.fill_with_lasting(load)
+        suspect = load.accept(lasting())
+        load.make_suspect(suspect)
+        for task in load.fleet.job(suspect).tasks.values():
+            task.crashes = 3
+        load.run(4 * WAIT_WITHOUT_PROSPECT_MS, keep_full=False)
+        assert load.minions_of(suspect) == set()
+
     def test_a_gang_wider_than_the_limit_starts_in_the_end(self):
         load = SuspectLoad(minion_count=4, checks_isolation=False)
         self.fill_with_lasting(load)
