Give up a long-running task only after three crashes

Cause: a long-running task is there for every crash of its minions, whatever the cause; two within seconds, while only tasks of its own job were there, failed a job that could run.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -217,7 +217,12 @@
     task.lapsed = None
     task.crashes += 1
     task.begun_crashes += begun
-    history = CrashHistory(crashes=task.crashes, begun_crashes=task.begun_crashes, latest_solo=solo)
+    history = CrashHistory(
+        crashes=task.crashes,
+        begun_crashes=task.begun_crashes,
+        latest_solo=solo,
+        lasting=job.spec.steps[parse_task_key(task_key)[1]].lasting,
+    )
     if not job.ended and giving_up_policies.get(GIVING_UP_POLICY)(history):
         _end_job(job, StepJobState.FAILED, at_ms)
         job.failure_reason = f"task {task_key} crashed {task.crashes} minions"
--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -17,6 +17,8 @@
 
 # A task may be given up once this many minions have crashed under runs known to have begun.
 CRASHES_TO_GIVE_UP = 2
+# The same for a long-running task: it is there for every crash of its minions, whatever the cause.
+LASTING_CRASHES_TO_GIVE_UP = 3
 # The same for runs ordered there, some of which may not have begun: their minions may have been
 # down before.
 ORDERED_CRASHES_TO_GIVE_UP = 4
@@ -37,6 +39,8 @@
     begun_crashes: int
     # Whether only runs of the task's own job were on the minion of the latest crash.
     latest_solo: bool
+    # Whether the task is long-running.
+    lasting: bool = False
 
 
 GivingUpPolicy = Callable[[CrashHistory], bool]
@@ -60,9 +64,8 @@
     Load pattern: a task that crashes its minions shares them with tasks that must not be given up,
     and other tasks are ordered to minions that are down already.
     """
-    enough = (
-        history.begun_crashes >= CRASHES_TO_GIVE_UP or history.crashes >= ORDERED_CRASHES_TO_GIVE_UP
-    )
+    needed = LASTING_CRASHES_TO_GIVE_UP if history.lasting else CRASHES_TO_GIVE_UP
+    enough = history.begun_crashes >= needed or history.crashes >= ORDERED_CRASHES_TO_GIVE_UP
     return enough and history.latest_solo
 
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -105,6 +105,15 @@
         # A long-running task that crashes its minion in between would be started without end.
         assert CLEARED_AFTER_MS >= SETTLED_MS
 
+    def test_a_long_running_task_is_not_given_up_after_two_crashes(self):
+        # Two crashes by other causes within seconds failed a job that could run.
+        is_given_up = giving_up_policies.get("solo")
+        for crashes, expected in ((2, False), (3, True)):
+            found = CrashHistory(
+                crashes=crashes, begun_crashes=crashes, latest_solo=True, lasting=True
+            )
+            assert is_given_up(found) is expected
+
     def test_the_baseline_gives_up_neighbours_too(self):
         assert giving_up_policies.get("count")(history(2, solo=False))
 
