Clear the tasks that crashed only beside a job that is given up

Cause: a minion's crash makes suspects of all runs that were there, and each suspect waits for a minion without other jobs until a run of it ends. Nothing told them apart once the job that caused the crash was known, so at a peak up to 26 tasks waited in turn.

Change: the record of a task keeps the incarnations of its counted crashes. When a job is given up, tasks with at most two crashes, all of them among the given-up job's, are cleared, and their runs may have company again. A task with three crashes keeps its count: it may be a second cause, and the platform allows only three more starts.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -8,7 +8,12 @@
 
 from hornbeamreach.control.state_machine import Outcome, appliers
 from hornbeamreach.link.codec import wire_type
-from hornbeamreach.systems.crash_evidence import CrashHistory, giving_up_policies
+from hornbeamreach.systems.crash_evidence import (
+    CrashHistory,
+    clear_bystanders,
+    clear_task,
+    giving_up_policies,
+)
 from hornbeamreach.tables.control_state import ControlState, KeyRow
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.workload import (
@@ -68,8 +73,8 @@
     `ends` holds (job, task key, run, end, checkpoint); `starts` holds (job, task key, run,
     minion, born_ms); `crashes` holds (job, task key, run, whether only runs of the job were on
     the minion, whether the run was known to have begun); `cleared` holds (job, task key, run).
-    `vms` maps the minions of the starts to their VMs. Items that no longer match the state are
-    skipped.
+    `incarnations` names the incarnation of each crash in `crashes`, in the same order. `vms` maps
+    the minions of the starts to their VMs. Items that no longer match the state are skipped.
     """
 
     ends: list[tuple[str, str, int, str, str]] = field(factory=list)
@@ -78,6 +83,7 @@
     crashes: list[tuple[str, str, int, bool, bool]] = field(factory=list)
     cleared: list[tuple[str, str, int]] = field(factory=list)
     vms: dict[str, str] = field(factory=dict)
+    incarnations: list[str] = field(factory=list)
 
 
 @wire_type("forget_jobs")
@@ -179,15 +185,20 @@
         job = jobs.get(job_id)
         if job is not None:
             _end_run(state, job, task_key, run, RunEnd(end), checkpoint, command.at_ms)
-    for job_id, task_key, run, solo, begun in command.crashes:
+    for number, (job_id, task_key, run, solo, begun) in enumerate(command.crashes):
         job = jobs.get(job_id)
-        if job is not None:
-            _count_crash(job, task_key, run, command.at_ms, solo=solo, begun=begun)
+        if job is None:
+            continue
+        # Entries of earlier builds name no incarnations; their crashes are never cleared here.
+        incarnation = command.incarnations[number] if command.incarnations else ""
+        _count_crash(job, task_key, run, command.at_ms, incarnation, solo=solo, begun=begun)
+    if command.crashes:
+        clear_bystanders(jobs.values())
     for job_id, task_key, run in command.cleared:
         job = jobs.get(job_id)
         task = job.tasks.get(task_key) if job is not None else None
         if task is not None and task.run == run and task.minion:
-            task.crashes = task.begun_crashes = 0
+            clear_task(task)
     for job_id, task_key, run, minion, born_ms in command.starts:
         job = jobs.get(job_id)
         if job is not None and not job.ended:
@@ -207,7 +218,14 @@
 
 
 def _count_crash(
-    job: StepJob, task_key: str, run: int, at_ms: int, *, solo: bool, begun: bool
+    job: StepJob,
+    task_key: str,
+    run: int,
+    at_ms: int,
+    incarnation: str,
+    *,
+    solo: bool,
+    begun: bool,
 ) -> None:
     """Count a crash under a task's run, and fail the job if the task is given up."""
     task = job.tasks.get(task_key)
@@ -217,6 +235,7 @@
     task.lapsed = None
     task.crashes += 1
     task.begun_crashes += begun
+    task.crashed_incarnations.append(incarnation)
     history = CrashHistory(
         crashes=task.crashes,
         begun_crashes=task.begun_crashes,
@@ -254,7 +273,7 @@
         task.checkpoint = checkpoint
     if end in (RunEnd.DONE, RunEnd.FAILED):
         # Only a live minion lists these ends, so the run didn't crash it.
-        task.crashes = task.begun_crashes = 0
+        clear_task(task)
         task.lapsed = None
     if end is RunEnd.DONE:
         _record_done(job, task_key, task)
--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -10,6 +10,7 @@
 from hornbeamreach.fleet.fleet_state import build_run
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.crash_evidence import is_cleared, is_settled
+from hornbeamreach.systems.suspect_isolation import is_suspect
 from hornbeamreach.tables.minions import (
     CrashMark,
     Minion,
@@ -257,9 +258,24 @@
         fleet.unrecorded_clearings.append(run)
         self.scheduler.notify()
 
-    # Log
+    def _clear_bystanders(self) -> None:
+        """Let the runs of tasks that the proposed state no longer suspects have company again."""
+        fleet = self.scheduler.fleet
+        cleared = []
+        for job_id, runs in fleet.runs_by_job.items():
+            job = fleet.job(job_id)
+            for key, run in runs.items():
+                if run.suspect and job is not None and not is_suspect(job, key):
+                    fleet.clear_suspect(run)
+                    cleared.append(run.name)
+        fleet.stale_jobs.update(fleet.suspect_tasks)
+        log.bind(runs=cleared[:MAX_LOGGED_RUNS], cleared=len(cleared)).info(
+            "tasks are cleared: they crashed only beside a job that is given up"
+        )
 
-    def log_counted(self, runs: list[ReservedRun], wall_ms: int) -> None:
+    # Counted crashes
+
+    def on_counted(self, runs: list[ReservedRun], wall_ms: int) -> None:
         """Log crashes that the proposed state has counted at `wall_ms`, and jobs given up."""
         fleet = self.scheduler.fleet
         for _ in runs:
@@ -280,10 +296,12 @@
                 started_ago_ms=run.crash.age_ms,
                 counted=len(runs),
             ).warning("crash of a minion is counted under the task")
-        for job_id in {run.job_id for run in runs}:
-            job = fleet.job(job_id)
-            if job is not None and job.failure_reason and job.ended_ms == wall_ms:
-                self.scheduler.metrics.event("job_given_up")
+        jobs = [job for job_id in {run.job_id for run in runs} if (job := fleet.job(job_id))]
+        given_up = [job for job in jobs if job.failure_reason and job.ended_ms == wall_ms]
+        for _ in given_up:
+            self.scheduler.metrics.event("job_given_up")
+        if given_up:
+            self._clear_bystanders()
 
 
 def _min_time_at_work_ms(started_ms: int, known_ms: int) -> int:
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -194,6 +194,7 @@
                 for r in crashed
                 if r.crash is not None
             ],
+            incarnations=[f"{r.minion}@{r.crash.born_ms}" for r in crashed if r.crash is not None],
             cleared=[(r.job_id, r.key, r.run) for r in clearings],
             at_ms=wall_ms,
         )
@@ -202,7 +203,7 @@
             # The planner reads the proposed state, so the ends must be applied first.
             self.proposed.apply(changes)
             fleet.stale_jobs.update(changed_jobs)
-            self.crashes.log_counted(crashed, wall_ms)
+            self.crashes.on_counted(crashed, wall_ms)
         starts = self.planner.plan(now_ms, wall_ms)
         self._request_tickets()
         if not changed_jobs and not starts:
--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -3,17 +3,19 @@
 Load pattern: a task crashes each minion that starts it, within moments of the start, along with
 the runs of other jobs there. Minions also crash for other reasons, a few at a time, so a run that
 was on a crashed minion is a suspect at most; only a crash of a minion that ran nothing of other
-jobs is evidence against its job alone.
+jobs is evidence against its job alone. A job that is given up explains all crashes it was in, so
+the tasks that crashed only beside it need no minion for themselves any more.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.tables.minions import ReservedRun, RunPhase
+from hornbeamreach.tables.workload import StepJob, TaskRecord
 
 # A task may be given up once this many minions have crashed under runs known to have begun.
 CRASHES_TO_GIVE_UP = 2
@@ -22,6 +24,9 @@
 # The same for runs ordered there, some of which may not have begun: their minions may have been
 # down before.
 ORDERED_CRASHES_TO_GIVE_UP = 4
+# A task that crashed more often is not cleared by another job's end: it may be the cause too, and
+# its count would begin anew.
+MAX_EXPLAINED_CRASHES = 2
 # A long-running task that was at work for this long before the crash did not cause it.
 SETTLED_MS = 5_000
 # A long-running suspect is cleared after this time at work, doubled for each earlier crash.
@@ -84,3 +89,30 @@
     """Return whether a long-running suspect has been at work for long enough."""
     at_work = run.phase is RunPhase.RUNNING and run.percent == FULL_PERCENT
     return run.lasting and at_work and now_ms - run.last_progress_ms >= clearing_ms(crashes)
+
+
+def clear_task(task: TaskRecord) -> None:
+    """Clear a task of having caused a crash."""
+    task.crashes = task.begun_crashes = 0
+    task.crashed_incarnations = []
+
+
+def clear_bystanders(jobs: Collection[StepJob]) -> None:
+    """Clear the tasks that crashed only beside jobs that were given up for their crashes."""
+    explained = {
+        incarnation
+        for job in jobs
+        if job.failure_reason
+        for task in job.tasks.values()
+        for incarnation in task.crashed_incarnations
+        if incarnation
+    }
+    if not explained:
+        return
+    for job in jobs:
+        if job.ended:
+            continue
+        for task in job.tasks.values():
+            few = 0 < task.crashes <= MAX_EXPLAINED_CRASHES
+            if few and explained.issuperset(task.crashed_incarnations):
+                clear_task(task)
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -151,6 +151,8 @@
     begun_crashes: int = 0
     # Latest run under which a crash was counted; each run counts at most once.
     crashed_run: int = 0
+    # The incarnations of those crashes.
+    crashed_incarnations: list[str] = field(factory=list)
     # VM of the minion and wall time of the start of the latest run.
     vm: str = ""
     started_ms: int = 0
--- a/tests/suspect_load.py
+++ b/tests/suspect_load.py
@@ -14,6 +14,8 @@
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.systems.crash_evidence import clear_bystanders
+from hornbeamreach.systems.suspect_isolation import is_suspect
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.minions import ReservedRun, RunPhase
 from hornbeamreach.tables.workload import RunEnd, StepJobSpec, StepJobState, StepSpec
@@ -222,6 +224,8 @@
         else:
             task.minion = ""
             task.crashes += int(self.counts_crashes)
+            crashes = sum(crash.minion == run.minion for crash in self.crashes)
+            task.crashed_incarnations.append(f"{run.minion}@{crashes}")
         self.fleet.stale_jobs.add(run.job_id)
 
     def _give_up(self, name: str) -> None:
@@ -231,21 +235,20 @@
         if is_solo or len(of_job) >= self.max_crashes:
             self.failed_ms[crash.deadly_job] = self.now_ms
             self.end_job(crash.deadly_job, StepJobState.FAILED)
+            self.fleet.proposed.workload.jobs[crash.deadly_job].failure_reason = "crashes"
             if self.clears_neighbours:
                 self._clear_neighbours()
 
     def _clear_neighbours(self) -> None:
         """Clear the tasks of jobs that crashed only beside jobs that are given up."""
-        open_crashes = [c for c in self.crashes if not self.failed_ms.keys() & set(c.job_ids)]
-        suspects = {job_id for crash in open_crashes for job_id in crash.job_ids}
-        for job in self.fleet.proposed.workload.jobs.values():
-            if job.job_id not in suspects and not job.ended:
-                for key, task in job.tasks.items():
-                    task.crashes = 0
-                    run = self.fleet.find_run(job.job_id, key)
-                    if run is not None:
-                        self.fleet.minions[run.minion].clear_suspect(run)
-                self.fleet.stale_jobs.add(job.job_id)
+        jobs = self.fleet.proposed.workload.jobs.values()
+        clear_bystanders(jobs)
+        for job in jobs:
+            for key in job.tasks:
+                run = self.fleet.find_run(job.job_id, key)
+                if run is not None and not is_suspect(job, key):
+                    self.fleet.clear_suspect(run)
+            self.fleet.stale_jobs.add(job.job_id)
 
     def end_job(self, job_id: str, state: StepJobState) -> None:
         """End a job and its runs."""
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -163,6 +163,7 @@
     command = RecordRuns(
         ends=[(DEADLY_JOB, "0.0.0", run, "crashed", "saved-1")],
         crashes=[(DEADLY_JOB, "0.0.0", run, solo, begun)],
+        incarnations=[f"i-1@{run}"],
         at_ms=9_000,
     )
     apply_command(state, state.applied_index + 1, command)
@@ -231,6 +232,35 @@
         assert (job.state, job.failure_reason) == (StepJobState.CANCELLED, "")
 
 
+class TestBystanders:
+    # Tasks that crashed only beside a job that was given up waited for minions of their own.
+    @pytest.mark.parametrize(
+        ("incarnations", "cleared"),
+        [(["i-1@1"], True), (["i-1@1", "i-1@2"], True), (["i-9@5"], False), (["i-1@1"] * 3, False)],
+    )
+    def test_tasks_that_crashed_only_beside_a_given_up_job_are_cleared(
+        self, state, incarnations, cleared
+    ):
+        accept = AcceptJob(
+            job_id=job_id(2),
+            queue="queue-a",
+            pool="pool-a",
+            team="team-a",
+            spec=step_job(),
+            at_ms=0,
+        )
+        apply_command(state, state.applied_index + 1, accept)
+        bystander = state.workload.jobs[job_id(2)]
+        bystander.tasks["0.0.0"] = TaskRecord(
+            run=1, crashes=len(incarnations), crashed_incarnations=list(incarnations)
+        )
+        for run in (1, 2):
+            start(state, run)
+            crash(state, run)
+        assert state.workload.jobs[DEADLY_JOB].state is StepJobState.FAILED
+        assert (bystander.tasks["0.0.0"].crashes == 0) is cleared
+
+
 class TestStoredForms:
     def test_a_snapshot_without_the_fields_of_crashes_decodes(self, state):
         plain = cbor2.loads(encode_state(state))
