Reopen a VM whose maintenance the platform refuses for good

Cause: a VM is cordoned when a wave selects it. If the platform then answers that the VM is not of the wave, or that the order is malformed, the wave counts it as finished, but the cordon and the pending order stayed for the rest of the term, so the pool lost the VM's room and its callers waited.

Change: such an answer lifts the cordon and ends the order.

Evidence: the test with both answers fails before.

--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -275,7 +275,7 @@
                 scheduler.pollers[minion.minion_id].poll_now()
         elif answer in (VmOrderAnswer.NOT_IN_WAVE, VmOrderAnswer.MALFORMED):
             scheduler.propose(RecordUpkeep(number=wave.number, finished=[vm]))
-            self.drain_began_ms.pop(vm, None)
+            self._return_to_service(vm)
         elif answer is VmOrderAnswer.FENCED:
             log.bind(machine=vm, term=scheduler.term).warning(
                 "maintenance order fenced by a newer scheduler"
@@ -288,6 +288,15 @@
 
     # Return to service
 
+    def _return_to_service(self, vm: str) -> None:
+        """Let a VM whose maintenance the platform refused for good take work again."""
+        self.drain_began_ms.pop(vm, None)
+        self.inventory.end_order(vm)
+        minion = self.inventory.current_minions().get(vm)
+        if minion is not None:
+            minion.cordoned = False
+            self.scheduler.notify()
+
     def _record_finished(self, wave: MaintenanceWave, by_vm: dict[str, Minion]) -> None:
         returned = []
         for vm, confirmed in wave.ordered.items():
--- a/tests/test_vm_incarnations.py
+++ b/tests/test_vm_incarnations.py
@@ -107,6 +107,23 @@
         assert maintenance.scheduler.fleet.minions["i-next"].cordoned
 
 
+class TestRefusedMaintenance:
+    @pytest.mark.parametrize("answer", [VmOrderAnswer.NOT_IN_WAVE, VmOrderAnswer.MALFORMED])
+    def test_a_vm_whose_maintenance_is_refused_for_good_takes_work_again(self, maintenance, answer):
+        # It stayed cordoned for the rest of the term, so its pool lost room.
+        add_minion(maintenance, "i-first", 1_000)
+        minion = maintenance.scheduler.fleet.minions["i-first"]
+        maintenance.scheduler.notify = lambda: None
+        minion.cordoned = True
+        maintenance.inventory.pending_orders["m-1"] = NOW_MS
+        maintenance.drain_began_ms["m-1"] = NOW_MS
+        wave = maintenance.scheduler.proposed.workload.waves[1]
+        trio.run(lambda: maintenance._on_answer(wave, "m-1", answer, is_first=True))
+        assert not minion.cordoned
+        assert not maintenance.drain_began_ms
+        assert "m-1" not in maintenance.inventory.pending_orders
+
+
 class TestReturnFromMaintenance:
     def test_an_earlier_incarnation_under_another_id_is_not_taken_for_the_return(self, maintenance):
         add_minion(maintenance, "i-crashed", 1_000)
