Use a minion again after it refused a fencing token

Cause: a minion that refused a poll's token was cordoned for the rest of the term, and an idle one was never polled again; one that refused a start was tried again with the same token, without end. The pool lost the minion's room.

Change: the refusal sets `fenced` instead, raises the minion's step of the token and has it polled again; the first accepted poll clears it. A replica that was deposed gains nothing: the term is the high part of a token, so a later scheduler's tokens stay higher.

Evidence: the test fails before (no start in 60 s of virtual time). Ruled out: lifting the cordon without a new token, as the minion would refuse each later order too.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -169,8 +169,11 @@
             run.ordered = False
             scheduler.mark_minion_gone(minion, "replaced")
             return
-        if answer in (StartAnswer.UNHEALTHY, StartAnswer.NO_ROOM, StartAnswer.FENCED):
+        if answer in (StartAnswer.UNHEALTHY, StartAnswer.NO_ROOM):
             minion.suspect_until_ms = scheduler.clock.now_ms() + scheduler.timing.suspect_ms
+        if answer is StartAnswer.FENCED:
+            minion.fenced = True
+            self.fence(minion)
         if answer is StartAnswer.BAD_TICKET:
             occurrence, step, _ = parse_task_key(run.key)
             scheduler.planner.tickets.pop((run.job_id, occurrence, step), None)
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -96,7 +96,8 @@
             return False
         unacknowledged = minion.acknowledged_end < minion.recorded_end
         has_runs = bool(minion.runs or minion.foreign_runs)
-        return has_runs or minion.polled_ms < 0 or minion.failed_calls > 0 or unacknowledged
+        unsettled = minion.polled_ms < 0 or minion.failed_calls > 0 or minion.fenced
+        return has_runs or unsettled or unacknowledged
 
     def _wait_ms(self, minion: Minion) -> int:
         if minion.polled_ms < 0 or minion.failed_calls:
@@ -156,9 +157,12 @@
     async def _on_fenced(self, minion: Minion, token: int) -> None:
         if token == self.scheduler.fencing_token(minion):
             log.bind(minion=minion.minion_id, token=token).warning(
-                "another scheduler used a higher fencing token, the minion is cordoned"
+                "minion has seen a higher fencing token and gets no work until it accepts ours"
             )
-            minion.cordoned = True
+            minion.fenced = True
+            # Exceeds what an earlier scheduler of this term has sent; a later term's tokens stay
+            # higher, whatever the step.
+            minion.token_step += 1
             await trio.sleep(seconds(MAX_POLL_PAUSE_MS))
 
     # Results
@@ -187,6 +191,7 @@
                 "minion answers again"
             )
         minion.failed_calls = 0
+        minion.fenced = False
         scheduler.crashes.on_answer(minion)
         if minion.polled_ms < 0:
             # An upper bound of any lease that an earlier scheduler can have granted.
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -115,6 +115,7 @@
         if not minion.report.draining
         and not minion.report.leaving
         and not minion.cordoned
+        and not minion.fenced
         and minion.polled_ms >= 0
         and minion.failed_calls == 0
         and not minion.is_silent(now_ms)
--- a/src/hornbeamreach/systems/wait_obstacles.py
+++ b/src/hornbeamreach/systems/wait_obstacles.py
@@ -16,6 +16,7 @@
     LEAVING = "leaving"
     DRAINING = "draining"
     CORDONED = "cordoned"
+    FENCED = "fenced"
     NOT_POLLED = "not_polled"
     UNANSWERED = "unanswered"
     SILENT = "silent"
@@ -36,6 +37,7 @@
         (Obstacle.LEAVING, report.leaving),
         (Obstacle.DRAINING, report.draining),
         (Obstacle.CORDONED, minion.cordoned),
+        (Obstacle.FENCED, minion.fenced),
         (Obstacle.NOT_POLLED, minion.polled_ms < 0),
         (Obstacle.UNANSWERED, minion.failed_calls > 0),
         (Obstacle.SILENT, minion.is_silent(now_ms)),
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -168,6 +168,8 @@
     # Jobs whose runs failed here since the last successful run.
     failing_jobs: set[str] = field(factory=set)
     cordoned: bool = False
+    # The minion has refused this scheduler's fencing token and accepted none since.
+    fenced: bool = False
     # A maintenance wave is still to take its VM.
     awaits_maintenance: bool = False
     # Percentage of full speed at which the minion's fillers should run, and when it was set.
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -335,6 +335,16 @@
 
         run_scenario(scenario)
 
+    def test_a_minion_that_refused_a_fencing_token_gets_work_again(self):
+        # It stayed cordoned for the rest of the term, so its pool lost room.
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            fleet.minions.minions["i-1"].token += 2
+            await fleet.submit(job_id(1), step_job(step(1)))
+            await fleet.wait_for_state(job_id(1), "completed")
+
+        run_scenario(scenario, minion_count=1)
+
     def test_an_incarnation_that_ended_long_ago_is_forgotten(self):
         async def scenario(fleet: StepFleet) -> None:
             await trio.sleep(2)
