Build the environment anew for another interpreter or kind of machine

Cause: the stamp of `.venv` named neither, so one that was carried over from another kind of machine was trusted and its compiled wheels could not be loaded.

Change: the stamp holds the interpreter's cache tag and the machine, and an environment that lacks it is cleared first.

--- a/Makefile
+++ b/Makefile
@@ -1,29 +1,33 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Names the interpreter and the kind of machine: an environment made by others is made anew.
+PLATFORM := $(shell $(PYTHON) -c "import platform, sys; \
+	print(sys.implementation.cache_tag, platform.machine(), sep='-')")
+STAMP := $(VENV)/.installed-$(PLATFORM)
 
 .PHONY: demo test lint format bench capacity clean
 
-$(VENV)/.installed: pyproject.toml constraints.txt
-	$(PYTHON) -m venv $(VENV)
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
 	touch $@
 
-demo: $(VENV)/.installed
+demo: $(STAMP)
 	$(BIN)/hornbeamreach demo --example=examples/brettwerk.toml
 
-test: $(VENV)/.installed
+test: $(STAMP)
 	$(BIN)/python -m pytest
 
-lint: $(VENV)/.installed
+lint: $(STAMP)
 	$(BIN)/black --check --quiet src tests benches
 	$(BIN)/ruff check --quiet src tests benches
 
-format: $(VENV)/.installed
+format: $(STAMP)
 	$(BIN)/black --quiet src tests benches
 	$(BIN)/ruff check --quiet --fix src tests benches
 
-bench: $(VENV)/.installed
+bench: $(STAMP)
 	$(BIN)/python -m benches.policies
 	$(BIN)/python -m benches.ticks
 	$(BIN)/python -m benches.turn_load
@@ -33,5 +37,5 @@
 clean:
 	rm -rf $(VENV) build bench-out
 
-capacity: $(VENV)/.installed
+capacity: $(STAMP)
 	$(BIN)/python -m benches.capacity
