Exchange heartbeats and sync disks apart from the event loop

Cause: a control replica did everything in one loop. Under load an iteration takes hundreds of ms, and heartbeats, votes and syncs waited for it, so the lease of 600 ms lapsed although the process worked; the loop's wait also counted as disk time and leadership was handed over for it.

Change: a thread exchanges heartbeats as signed datagrams; an answer and a vote exclude each other under one lock. Syncs run in a worker thread, all that has gathered in one; the leader goes on committing what a majority of the others has made durable, and answers of followers and votes wait in order for their sync. Disk time is measured in the worker thread, and leadership goes only to a replica whose syncs take at most half as long. A lease is checked against the clock at the call. Saving a vote extends the election timeout by 1 s at most. No timeout changed.

Ruled out: longer timeouts, which delay each real takeover.

--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -16,6 +16,7 @@
     ELECTION_TIMEOUT_MIN_MS,
     ElectionTimer,
 )
+from hornbeamreach.control.liveness import Liveness
 from hornbeamreach.control.raft_log import RaftLog
 from hornbeamreach.control.raft_messages import (
     AppendReply,
@@ -36,6 +37,8 @@
 LEADER_LEASE_MS = 600
 MAX_ENTRIES_PER_APPEND = 256
 SNAPSHOT_RESEND_INTERVAL_MS = 2_000
+# Saving a vote delays the next candidacy by at most this, however long the disk took.
+MAX_VOTE_SAVING_EXTENSION_MS = 1_000
 
 
 class Role(enum.Enum):
@@ -59,6 +62,8 @@
     # Last index of the batch in flight, 0 if there is none, and when it was sent.
     in_flight_index: int = 0
     in_flight_sent_ms: int = 0
+    # Duration of the peer's latest disk sync, 0 if unknown.
+    sync_ms: int = 0
 
 
 @define(kw_only=True)
@@ -118,8 +123,12 @@
         self.leader_since_ms = 0
         # Whether the latest candidacy here followed a request of the leader to take over.
         self.took_over = False
+        # Duration of the latest disk sync here, 0 if unknown.
+        self.sync_ms = 0
         self.ready = Ready()
+        self.liveness = Liveness(node_id=node_id, loop_progress_ms=now_ms)
         self._reset_election_timer()
+        self._publish_role()
 
     # Queries
 
@@ -127,9 +136,12 @@
         """Return the members' addresses by id."""
         return self.log.members()
 
-    def is_leader(self) -> bool:
-        """Return whether this replica leads and holds its lease."""
-        return self.role is Role.LEADER and self.quorum_contact_ms() + LEADER_LEASE_MS > self.now_ms
+    def is_leader(self, now_ms: int | None = None) -> bool:
+        """Return whether this replica leads and holds its lease, at `now_ms` or the last input."""
+        if self.role is not Role.LEADER:
+            return False
+        self._take_heartbeat_replies()
+        return self.quorum_contact_ms() + LEADER_LEASE_MS > max(self.now_ms, now_ms or 0)
 
     def quorum_contact_ms(self) -> int:
         """Return the latest time at which a majority is known to have followed this leader."""
@@ -173,11 +185,37 @@
 
     def tick(self, now_ms: int) -> None:
         """Advance the clock: start elections, send heartbeats, step down without a quorum."""
+        with self.liveness.lock:
+            self._advance_clock(now_ms)
+            self.liveness.loop_progress_ms = self.now_ms
+            if self.role is Role.LEADER:
+                self._tick_leader()
+            elif self.now_ms >= self.election_timer.due_ms and self.node_id in self.members():
+                self._start_election(pre_vote=True)
+            self._publish_role()
+
+    def _advance_clock(self, now_ms: int) -> None:
+        """Advance the clock and take over what the heartbeats have shown since the last input."""
         self.now_ms = max(self.now_ms, now_ms)
+        self._take_heartbeat_replies()
+        contact_ms = self.liveness.contact_ms
+        if self.role is Role.FOLLOWER and contact_ms > self.leader_contact_ms:
+            self.leader_contact_ms = contact_ms
+            self.election_timer.record_leader()
+            self.election_timer.reset(now_ms=contact_ms, lease_end_ms=0)
+
+    def _take_heartbeat_replies(self) -> None:
         if self.role is Role.LEADER:
-            self._tick_leader()
-        elif self.now_ms >= self.election_timer.due_ms and self.node_id in self.members():
-            self._start_election(pre_vote=True)
+            for member, sent_ms in self.liveness.answered().items():
+                peer = self._peer(member)
+                peer.acked_sent_ms = max(peer.acked_sent_ms, sent_ms)
+
+    def _publish_role(self) -> None:
+        """Tell the heartbeats whom this replica follows or that it leads."""
+        leads = self.role is Role.LEADER
+        leader = self.leader if leads or self.role is Role.FOLLOWER else None
+        members = tuple(self._other_members()) if leads else ()
+        self.liveness.publish(term=self.term, leader=leader, members=members)
 
     def propose(self, data: bytes) -> int:
         """Append a command and return its index; raise NotLeaderError if not leading."""
@@ -224,7 +262,12 @@
 
     def receive(self, message: RaftMessage, now_ms: int) -> None:
         """Process a message from another replica."""
-        self.now_ms = max(self.now_ms, now_ms)
+        with self.liveness.lock:
+            self._advance_clock(now_ms)
+            self._handle(message)
+            self._publish_role()
+
+    def _handle(self, message: RaftMessage) -> None:
         if message.target != self.node_id:
             return
         if message.term > self.term and not self._ignores_newer_term(message):
@@ -251,14 +294,18 @@
             return self.quorum_contact_ms() + ELECTION_TIMEOUT_MIN_MS > self.now_ms
         return self.leader_contact_ms + ELECTION_TIMEOUT_MIN_MS > self.now_ms
 
-    def transfer_leadership(self) -> bool:
-        """Ask the most up-to-date peer to take over, and return whether there is one."""
+    def transfer_leadership(self, *, max_sync_ms: int | None = None) -> bool:
+        """Ask the most up-to-date peer to take over, and return whether there is one.
+
+        With `max_sync_ms`, only a peer whose latest disk sync took at most that long.
+        """
         if self.role is not Role.LEADER:
             return False
         up_to_date = [
             member
             for member in self._other_members()
             if self._peer(member).match_index >= self.commit_index
+            and (max_sync_ms is None or 0 < self._peer(member).sync_ms <= max_sync_ms)
         ]
         if not up_to_date:
             return False
@@ -310,7 +357,7 @@
         of another one at the voters.
         """
         if self.role in (Role.FOLLOWER, Role.CANDIDATE):
-            self.election_timer.due_ms += 2 * took_ms
+            self.election_timer.due_ms += min(2 * took_ms, MAX_VOTE_SAVING_EXTENSION_MS)
 
     # Elections
 
@@ -558,6 +605,7 @@
                 success=success,
                 match_index=match_index,
                 sent_ms=message.sent_ms,
+                sync_ms=self.sync_ms,
             )
         )
 
@@ -568,6 +616,7 @@
             return
         peer = self._peer(message.source)
         peer.acked_sent_ms = max(peer.acked_sent_ms, message.sent_ms)
+        peer.sync_ms = message.sync_ms
         if not message.success or message.match_index >= peer.in_flight_index:
             peer.in_flight_index = 0
         if not message.success:
--- a/src/hornbeamreach/control/raft_messages.py
+++ b/src/hornbeamreach/control/raft_messages.py
@@ -77,6 +77,8 @@
     success: bool
     match_index: int
     sent_ms: int
+    # Duration of the follower's latest disk sync, 0 if unknown.
+    sync_ms: int = 0
 
 
 @wire_type("snapshot_request")
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
@@ -31,7 +32,7 @@
 )
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import Outcome, apply_command
-from hornbeamreach.control.storage import RaftStorage
+from hornbeamreach.control.storage import RaftStorage, UnsavedReady
 from hornbeamreach.control.workload_commands import WORKLOAD_COMMANDS, RecordRuns
 from hornbeamreach.exceptions import NotLeaderError
 from hornbeamreach.link.codec import encode
@@ -43,11 +44,13 @@
 log = part_logger("replica")
 
 RAFT_TICK_MS = 50
-# A sync takes 4 to 6 ms. After several syncs in a row of at least SLOW_SYNC_MS a leader transfers
-# leadership. In case all disks are slow, neither it nor the leader that takes over transfers
-# leadership again before the pause has passed.
+NS_PER_MS = 1_000_000
+# A sync takes 4 to 9 ms. After several syncs in a row of at least SLOW_SYNC_MS a leader transfers
+# leadership to a replica whose disk is faster by FASTER_DISK_FACTOR at least. Neither it nor the
+# leader that takes over transfers leadership again before the pause has passed.
 SLOW_SYNC_MS = 60
 SLOW_SYNCS_BEFORE_TRANSFER = 3
+FASTER_DISK_FACTOR = 2
 TRANSFER_PAUSE_MS = 4_000
 # Importing the module registers its command classes, which decoding requires.
 REGISTERED_COMMANDS = WORKLOAD_COMMANDS
@@ -72,12 +75,25 @@
     outcome: Outcome | None = None
 
 
-RunBlocking = Callable[..., Any]
+# Calls a function that may block on the disk and returns how long it took, in ms.
+RunBlocking = Callable[..., Awaitable[int]]
 
 
-async def run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+async def run_inline(function: Callable[..., Any], *arguments: Any) -> int:
     """Call a function directly, for disks that do not block."""
-    return function(*arguments)
+    function(*arguments)
+    return 0
+
+
+async def run_in_thread(function: Callable[..., Any], *arguments: Any) -> int:
+    """Call a function in a worker thread, whose time is measured apart from the event loop's."""
+
+    def run_timed() -> int:
+        started_ns = time.monotonic_ns()
+        function(*arguments)
+        return (time.monotonic_ns() - started_ns) // NS_PER_MS
+
+    return await trio.to_thread.run_sync(run_timed)
 
 
 class Replica:
@@ -124,6 +140,9 @@
         self.last_transfer_ms = -TRANSFER_PAUSE_MS
         # Addresses reported by other processes, for a replica that has no log yet.
         self.reported_addresses: dict[str, str] = {}
+        # Outputs of the core that are not durable yet, and the messages that wait for them.
+        self.unsaved: list[UnsavedReady] = []
+        self.save_due = trio.Event()
         self.work_ready = trio.Event()
         self.state_changed = trio.Event()
         for message_class in RAFT_MESSAGES:
@@ -133,7 +152,9 @@
 
     def is_leader(self) -> bool:
         """Return whether this replica leads with a lease, and has applied an entry of its term."""
-        return self.core.is_leader() and self.applied_term == self.core.term
+        # The clock is read now: a process that was suspended must not act on an old lease.
+        leads = self.core.is_leader(self.clock.now_ms())
+        return leads and self.applied_term == self.core.term
 
     def leader_address(self) -> str | None:
         """Return the link address of the leader, if known."""
@@ -248,20 +269,20 @@
 
     async def run(self) -> None:
         """Run until cancelled; raise StorageError if storage fails."""
-        while True:
-            with trio.move_on_after(seconds(RAFT_TICK_MS)):
-                await self.work_ready.wait()
-            self.work_ready = trio.Event()
-            await self.step()
-
-    async def step(self) -> None:
-        """Tick, then make durable, send and apply everything that is ready."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._save_forever)
+            while True:
+                with trio.move_on_after(seconds(RAFT_TICK_MS)):
+                    await self.work_ready.wait()
+                self.work_ready = trio.Event()
+                self.step()
+
+    def step(self) -> None:
+        """Tick, then send and apply everything that is ready, or queue it to be made durable."""
         role = self.core.role
         self.core.tick(self.clock.now_ms())
         while self.core.has_ready():
-            await self._process_ready(self.core.take_ready())
-            # Under load there is always more to process; heartbeats must not wait for its end.
-            self.core.tick(self.clock.now_ms())
+            self._process_ready(self.core.take_ready())
         if role is not self.core.role:
             log.info(
                 "replica {} is now {} in term {}",
@@ -272,22 +293,28 @@
         if self.core.role is not Role.LEADER:
             self._fail_pending()
         self.notify_waiters()
-        await self._compact_if_due()
 
-    async def _process_ready(self, ready: Ready) -> None:
-        if ready.hard_state is None:
+    def _process_ready(self, ready: Ready) -> None:
+        if ready.hard_state is None and not any(item.ready.hard_state for item in self.unsaved):
             # A leader counts its own copy only once it is durable, so it may send entries to its
             # peers before it syncs.
             ready.messages = [m for m in ready.messages if not self._send_early(m)]
-        if ready.needs_sync():
-            term, voted_for = self.core.term, self.core.voted_for
-            sync_started_ms = self.clock.now_ms()
-            await self.run_blocking(self.storage.save, ready, term, voted_for)
-            self.core.mark_durable(ready.entries)
-            now_ms = self.clock.now_ms()
-            if ready.hard_state is not None:
-                self.core.mark_hard_state_durable(took_ms=now_ms - sync_started_ms)
-            self._check_sync_time(now_ms - sync_started_ms)
+        installs = any(item.ready.installed_snapshot for item in self.unsaved)
+        if not installs and ready.installed_snapshot is None:
+            # A majority has them, so they are applied whether or not they are durable here.
+            for entry in ready.committed:
+                self._apply(entry)
+            ready.committed = []
+        if ready.needs_sync() or (self.unsaved and (ready.messages or ready.committed)):
+            # Replies and votes wait, in order, for all that was received before them.
+            self.unsaved.append(
+                UnsavedReady(ready=ready, term=self.core.term, voted_for=self.core.voted_for)
+            )
+            self.save_due.set()
+        else:
+            self._finish_ready(ready)
+
+    def _finish_ready(self, ready: Ready) -> None:
         if ready.installed_snapshot is not None:
             self._install_snapshot(ready.installed_snapshot)
         for message in ready.messages:
@@ -297,8 +324,36 @@
         for entry in ready.committed:
             self._apply(entry)
 
+    # Disk
+
+    async def _save_forever(self) -> None:
+        """Make outputs durable, all that have gathered with one sync at a time."""
+        while True:
+            await self.save_due.wait()
+            self.save_due = trio.Event()
+            batch = list(self.unsaved)
+            if any(item.ready.needs_sync() for item in batch):
+                took_ms = await self.run_blocking(self.storage.save_batch, batch)
+                self._record_sync(batch, took_ms)
+            del self.unsaved[: len(batch)]
+            for item in batch:
+                self._finish_ready(item.ready)
+            if self.unsaved:
+                self.save_due.set()
+            else:
+                await self._compact_if_due()
+            self._wake()
+
+    def _record_sync(self, batch: list[UnsavedReady], took_ms: int) -> None:
+        for item in batch:
+            self.core.mark_durable(item.ready.entries)
+            if item.ready.hard_state is not None:
+                self.core.mark_hard_state_durable(took_ms=took_ms)
+        self.core.sync_ms = took_ms
+        self._check_sync_time(took_ms)
+
     def _check_sync_time(self, took_ms: int) -> None:
-        """Transfer leadership if this replica's disk has become slow."""
+        """Transfer leadership to a replica with a faster disk if this one's has become slow."""
         self.slow_syncs = self.slow_syncs + 1 if took_ms >= SLOW_SYNC_MS else 0
         now_ms = self.clock.now_ms()
         last_transfer_ms = self.last_transfer_ms
@@ -311,7 +366,7 @@
             or self.core.role is not Role.LEADER
         ):
             return
-        if self.core.transfer_leadership():
+        if self.core.transfer_leadership(max_sync_ms=took_ms // FASTER_DISK_FACTOR):
             self.last_transfer_ms = now_ms
             log.bind(took_ms=took_ms, term=self.core.term).warning(
                 "disk is slow, leadership is handed over"
@@ -379,5 +434,6 @@
         remaining = self.core.log.slice_from(applied + 1, len(self.core.log.entries))
         term, voted_for = self.core.term, self.core.voted_for
         await self.run_blocking(self.storage.save_snapshot, snapshot, remaining, term, voted_for)
-        self.core.compact(snapshot)
+        if snapshot.index > self.core.log.base_index:
+            self.core.compact(snapshot)
         self.skipped = {index for index in self.skipped if index > applied}
--- a/src/hornbeamreach/control/storage.py
+++ b/src/hornbeamreach/control/storage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from attrs import define, field
 
 from hornbeamreach.control.disk import Disk
@@ -26,6 +28,15 @@
     voted_for: str | None = None
 
 
+@define(frozen=True, kw_only=True)
+class UnsavedReady:
+    """Hold an output of the core, with the term and vote at that time, until it is durable."""
+
+    ready: Ready
+    term: int
+    voted_for: str | None
+
+
 @define(kw_only=True)
 class RaftStorage:
     """Write what must be durable before a replica replies."""
@@ -51,7 +62,11 @@
         return wire_converter.structure(frames[0], Snapshot)
 
     def save(self, ready: Ready, term: int, voted_for: str | None) -> None:
-        """Make durable what a replica's next messages depend on.
+        """Make durable what a replica's next messages depend on."""
+        self.save_batch([UnsavedReady(ready=ready, term=term, voted_for=voted_for)])
+
+    def save_batch(self, batch: Sequence[UnsavedReady]) -> None:
+        """Make several outputs durable, in order, with one sync.
 
         After a failed write or sync, every later call raises StorageError too: what reached the
         disk is unknown, and a second sync may report success for lost data.
@@ -59,15 +74,20 @@
         if self.failure is not None:
             raise self.failure
         try:
-            self._save(ready, term, voted_for)
+            self._save_batch(batch)
         except OSError as exc:
             self.failure = StorageError(f"can't write the data folder: {exc.strerror or exc}")
             raise self.failure from exc
 
-    def _save(self, ready: Ready, term: int, voted_for: str | None) -> None:
-        if ready.installed_snapshot is not None:
-            self._save_snapshot(ready.installed_snapshot, [], term, voted_for)
-        records = _ready_records(ready)
+    def _save_batch(self, batch: Sequence[UnsavedReady]) -> None:
+        records: list[list] = []
+        for item in batch:
+            snapshot = item.ready.installed_snapshot
+            if snapshot is not None:
+                # It replaces all earlier entries.
+                self._save_snapshot(snapshot, [], item.term, item.voted_for)
+                records = []
+            records += _ready_records(item.ready)
         if records:
             # One frame per batch: a torn batch is truncated as a whole and was never acknowledged.
             self.disk.append(LOG_FILE_NAME, encode_frame(records))
--- a/src/hornbeamreach/daemons/control.py
+++ b/src/hornbeamreach/daemons/control.py
@@ -10,6 +10,7 @@
 from hornbeamreach.clock import Clock
 from hornbeamreach.control.disk import FileDisk
 from hornbeamreach.control.node import ControlNode
+from hornbeamreach.control.replica import run_in_thread
 from hornbeamreach.daemons.process import daemon_main
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.websocket import LinkServer, WebSocketLink
@@ -39,7 +40,7 @@
                 handlers=handlers,
                 clock=clock,
                 rng=rng,
-                run_blocking=trio.to_thread.run_sync,
+                run_blocking=run_in_thread,
             )
             server = LinkServer(
                 address=process.link_address, secret=process.link_secret, handlers=handlers
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -10,7 +10,8 @@
 from hornbeamreach.clock import seconds
 from hornbeamreach.control.discovery import Discovery, load_identity
 from hornbeamreach.control.disk import FileDisk
-from hornbeamreach.control.replica import Replica
+from hornbeamreach.control.heartbeat_thread import HeartbeatThread
+from hornbeamreach.control.replica import Replica, run_in_thread
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.fleet.guarded_port import GuardedMinionPort
 from hornbeamreach.fleet.order_relay import OrderRelay
@@ -73,7 +74,15 @@
                 rng=rng,
                 started_ms=started_ms,
                 snapshot_every=SNAPSHOT_INTERVAL_ENTRIES,
-                run_blocking=trio.to_thread.run_sync,
+                run_blocking=run_in_thread,
+            )
+            heartbeats = HeartbeatThread(
+                liveness=replica.core.liveness,
+                clock=clock,
+                host=current.ip,
+                port=current.heartbeat_port,
+                secret=secret.encode(),
+                address_of=replica.address_of,
             )
             discovery = Discovery(
                 replica=replica,
@@ -121,6 +130,8 @@
             requests_done = trio.Event()
             await nursery.start(serve, app, current.control_address, stop, requests_done)
             await nursery.start(serve, metrics_app(metrics), current.metrics_address, stop)
+            if current.heartbeat_port:
+                heartbeats.start()
             nursery.start_soon(replica.run)
             nursery.start_soon(discovery.run)
             nursery.start_soon(relay.run)
@@ -133,6 +144,7 @@
             replica.transfer_leadership()
             with trio.move_on_after(seconds(HANDOVER_TIMEOUT_MS)):
                 await requests_done.wait()
+            heartbeats.stop()
             log.info("control replica stopped")
             nursery.cancel_scope.cancel()
     disk.close()
--- a/src/hornbeamreach/platform/settings.py
+++ b/src/hornbeamreach/platform/settings.py
@@ -29,6 +29,8 @@
     # The first two ports of the range for internal traffic: the link, and the metrics.
     link_port: int
     metrics_port: int
+    # For datagrams between control replicas; 0 if the range has only two ports.
+    heartbeat_port: int
     # Addresses of up to three control replicas, for operators and minions.
     seeds: tuple[str, ...]
     # Whether the whole system starts for the first time, on empty disks.
@@ -79,6 +81,7 @@
         data_center=fields.string(data, "zone"),
         link_port=ports[0],
         metrics_port=ports[0] + 1,
+        heartbeat_port=ports[0] + 2 if ports[0] + 2 <= ports[1] else 0,
         seeds=tuple(_decode_seeds(data)),
         first_start=fields.boolean(data, "bootstrap"),
         data_folder=fields.string(data, "data-dir", ""),
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -209,9 +209,11 @@
         self.control[address] = process
         self.nursery.start_soon(self._run_control, process)
 
-    async def _run_blocking(self, address: str, function: Any, *arguments: Any) -> Any:
-        await trio.sleep(seconds(self.sync_duration_ms.get(address, 5)))
-        return function(*arguments)
+    async def _run_blocking(self, address: str, function: Any, *arguments: Any) -> int:
+        duration_ms = self.sync_duration_ms.get(address, 5)
+        await trio.sleep(seconds(duration_ms))
+        function(*arguments)
+        return duration_ms
 
     async def _run_control(self, process: ControlProcess) -> None:
         with process.scope:
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -133,6 +133,8 @@
     def build(self, seed):
         self.cluster = Cluster(seed=seed)
         self.number = 0
+        # Heartbeats and replies that the threads have sent, in any order of delivery.
+        self.heartbeats = []
 
     @rule(name=st.sampled_from(NODES), step=st.sampled_from([10, 100, 400, 2_100]))
     def tick(self, name, step):
@@ -170,10 +172,32 @@
     def compact(self, name):
         self.cluster.compact(name)
 
+    @rule(name=st.sampled_from(NODES))
+    def send_heartbeats(self, name):
+        now_ms = self.cluster.now_ms
+        self.heartbeats += self.cluster.cores[name].liveness.heartbeats(now_ms)
+
+    @rule(position=st.integers(0, 20), keep=st.booleans())
+    def deliver_heartbeat(self, position, keep):
+        if not self.heartbeats:
+            return
+        message = self.heartbeats[position % len(self.heartbeats)]
+        if not keep:
+            self.heartbeats.remove(message)
+        core = self.cluster.cores[message.target]
+        reply = core.liveness.receive(message, self.cluster.now_ms)
+        if reply is not None:
+            self.heartbeats.append(reply)
+
     @rule(rounds=st.integers(1, 60))
     def settle(self, rounds):
         self.cluster.settle(rounds)
 
+    @invariant()
+    def one_replica_at_most_holds_a_lease(self):
+        cores = list(self.cluster.cores.values()) if hasattr(self, "cluster") else []
+        assert sum(core.is_leader(self.cluster.now_ms) for core in cores) <= 1
+
     @invariant()
     def logs_agree_up_to_the_commit_index(self):
         cores = list(self.cluster.cores.values()) if hasattr(self, "cluster") else []
