Evacuate data centres on the operators' request

Operators could not keep work out of a data centre: a wave takes single VMs, and a drain is the minion's own. POST /evacuation/{data centre}/begin and /finish now store the request in the replicated log as part of the workload.

--- a/src/hornbeamreach/control/discovery.py
+++ b/src/hornbeamreach/control/discovery.py
@@ -114,6 +114,10 @@
                 )
             core.learners[message.joiner_id] = message.joiner
 
+    def known_data_centers(self) -> set[str]:
+        """Return the data centres that this replica's settings and those of others name."""
+        return {self.data_center, *self.data_centers.values()} - {""}
+
     async def run(self) -> None:
         """Ask for status while not a member or without a leader; change members while leading."""
         while True:
--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -127,6 +127,24 @@
     at_ms: int = 0
 
 
+@wire_type("begin_evacuation")
+@define(frozen=True, kw_only=True)
+class BeginEvacuation:
+    """Let nothing start in a data centre any more, unless that is so already."""
+
+    data_center: str
+    at_ms: int
+
+
+@wire_type("end_evacuation")
+@define(frozen=True, kw_only=True)
+class EndEvacuation:
+    """Let work start in a data centre again, unless it is not evacuated."""
+
+    data_center: str
+    at_ms: int
+
+
 def _accepted(state: ControlState) -> Outcome:
     return Outcome(accepted=True, version=state.version, index=state.applied_index)
 
@@ -363,6 +381,21 @@
     return _accepted(state)
 
 
+@appliers.register("BeginEvacuation")
+def _apply_begin_evacuation(state: ControlState, command: BeginEvacuation) -> Outcome:
+    state.workload.evacuated.setdefault(command.data_center, command.at_ms)
+    state.workload.restored.pop(command.data_center, None)
+    return _accepted(state)
+
+
+@appliers.register("EndEvacuation")
+def _apply_end_evacuation(state: ControlState, command: EndEvacuation) -> Outcome:
+    workload = state.workload
+    if workload.evacuated.pop(command.data_center, None) is not None:
+        workload.restored[command.data_center] = command.at_ms
+    return _accepted(state)
+
+
 WORKLOAD_COMMANDS: tuple[type, ...] = (
     ApplyDeclaration,
     AcceptJob,
@@ -372,6 +405,8 @@
     OrderWave,
     NoteMachineOrders,
     RecordUpkeep,
+    BeginEvacuation,
+    EndEvacuation,
 )
 
 WorkloadCommand = Any
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -20,6 +20,7 @@
     TaskRecord,
     parse_task_key,
     step_key,
+    task_key,
 )
 
 
@@ -196,6 +197,14 @@
         runs = self.runs_by_job.get(run.job_id, {})
         return [other for key, other in runs.items() if key.startswith(prefix)]
 
+    def step_tasks(
+        self, job: StepJob, run: ReservedRun
+    ) -> tuple[dict[str, ReservedRun], list[str]]:
+        """Return the job's runs, and the keys of all tasks of the run's step."""
+        occurrence, number, _ = parse_task_key(run.key)
+        keys = [task_key(occurrence, number, n) for n in range(job.spec.steps[number].count)]
+        return self.runs_by_job.get(run.job_id, {}), keys
+
     # Ready steps
 
     def refresh_ready(self, wall_ms: int) -> None:
--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -21,7 +21,7 @@
     unavailable_tasks,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun
-from hornbeamreach.tables.workload import MaintenanceWave, StepJob, parse_task_key, task_key
+from hornbeamreach.tables.workload import MaintenanceWave, parse_task_key
 
 if TYPE_CHECKING:
     from hornbeamreach.fleet.step_scheduler import StepScheduler
@@ -151,9 +151,10 @@
         ]
 
     def _free_shares(self) -> dict[str, float]:
+        evacuated = self.scheduler.proposed.workload.evacuated
         totals: dict[str, list[int]] = {}
         for minion in self.scheduler.fleet.minions.values():
-            if not minion.report.leaving:
+            if not minion.report.leaving and minion.report.data_center not in evacuated:
                 sums = totals.setdefault(minion.report.pool, [0, 0])
                 sums[0] += minion.free().cpu_millis
                 sums[1] += minion.report.capacity.cpu_millis
@@ -179,15 +180,10 @@
             return True
         step = job.spec.steps[parse_task_key(run.key)[1]]
         now_ms = self.scheduler.clock.now_ms()
-        unavailable = unavailable_tasks(*self._siblings(job, run), now_ms)
+        siblings = self.scheduler.fleet.step_tasks(job, run)
+        unavailable = unavailable_tasks(*siblings, now_ms)
         return may_stop(run, len(unavailable), step.may_miss, now_ms=now_ms)
 
-    def _siblings(self, job: StepJob, run: ReservedRun) -> tuple[dict[str, ReservedRun], list[str]]:
-        """Return the job's runs, and the keys of all tasks of the run's step."""
-        occurrence, number, _ = parse_task_key(run.key)
-        keys = [task_key(occurrence, number, n) for n in range(job.spec.steps[number].count)]
-        return self.scheduler.fleet.runs_by_job.get(run.job_id, {}), keys
-
     def _log_slow_drain(self, wave: MaintenanceWave, vm: str, minion: Minion, now_ms: int) -> None:
         """Log once which tasks keep a VM from being drained, and what their budgets wait for."""
         drained_ms = now_ms - self.drain_began_ms.get(vm, now_ms)
@@ -196,7 +192,8 @@
         self.slow_drains.add(vm)
         for run in list(minion.runs.values())[:MAX_LOGGED_RUNS]:
             job = self.scheduler.fleet.job(run.job_id)
-            missing = unavailable_tasks(*self._siblings(job, run), now_ms) if job else []
+            siblings = self.scheduler.fleet.step_tasks(job, run) if job else ({}, [])
+            missing = unavailable_tasks(*siblings, now_ms)
             log.bind(
                 wave=wave.number,
                 machine=vm,
--- a/src/hornbeamreach/fleet/messages.py
+++ b/src/hornbeamreach/fleet/messages.py
@@ -137,6 +137,23 @@
     completed: bool
 
 
+@wire_type("change_evacuation")
+@define(frozen=True, kw_only=True)
+class ChangeEvacuation:
+    """Request that nothing starts in a data centre any more, or withdraw that request."""
+
+    data_center: str
+    begin: bool
+
+
+@wire_type("evacuation_changed")
+@define(frozen=True, kw_only=True)
+class EvacuationReply:
+    """Acknowledge a committed request, or refuse one that names an unknown data centre."""
+
+    known: bool
+
+
 @wire_type("ask_status")
 @define(frozen=True, kw_only=True)
 class StatusRequest:
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -75,6 +75,9 @@
             return False
         if minion.report.draining or minion.report.leaving:
             return False
+        if minion.report.data_center in fleet.proposed.workload.evacuated:
+            self.scheduler.evacuations.log_given_back(run, minion)
+            return False
         here = [other for other in members if other.minion == run.minion]
         pool = fleet.proposed.state.table.pools.get(minion.report.pool)
         now_ms = self.scheduler.clock.now_ms()
@@ -130,6 +133,12 @@
 
     async def _start(self, run: ReservedRun, minion: Minion) -> None:
         scheduler = self.scheduler
+        if scheduler.evacuations.is_evacuated(minion):
+            # The evacuation was requested after the start was released for sending.
+            run.ordered = False
+            scheduler.evacuations.log_given_back(run, minion)
+            self._drop_unsent_run(run)
+            return
         try:
             order = self._build_order(run, minion)
             reply = await self.port.start(minion.report, order)
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -10,6 +10,7 @@
 from hornbeamreach.fleet.fleet_state import FleetState, build_run
 from hornbeamreach.fleet.suspect_turns import SuspectTurns
 from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.evacuation import ColdStarts, recently_restored
 from hornbeamreach.systems.job_progress import (
     USEFUL_DURATION_FACTOR,
     ReadyStep,
@@ -62,6 +63,7 @@
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
     missing_tickets: set[tuple[str, int, int]] = field(factory=set)
+    cold_starts: ColdStarts = field(factory=ColdStarts)
 
     def __attrs_post_init__(self) -> None:
         self.turns = SuspectTurns(fleet=self.fleet, policy=self.placement, metrics=self.metrics)
@@ -71,6 +73,8 @@
         fleet = self.fleet
         fleet.refresh_ready(wall_ms)
         self.turns.begin_pass()
+        workload = fleet.proposed.workload
+        self.cold_starts = ColdStarts(restored=recently_restored(workload.restored, wall_ms))
         by_pool: dict[str, list[QueuedStep]] = {}
         for job_id, steps in fleet.ready.items():
             job = fleet.job(job_id)
@@ -89,7 +93,7 @@
             row = fleet.proposed.state.table.pools.get(pool)
             usable = [
                 minion
-                for minion in usable_minions(members[pool], now_ms)
+                for minion in usable_minions(members[pool], now_ms, evacuated=workload.evacuated)
                 if may_rely_on_capacity(minion, row, now_ms)
             ]
             if usable:
@@ -249,7 +253,7 @@
         placement: PlacementPolicy,
     ) -> ReservedRun | None:
         fleet, key = self.fleet, request.key
-        minion = placement(request, plan.minions)
+        minion = placement(request, self.cold_starts.candidates(plan.minions))
         if minion is None:
             if not request.constrained:
                 plan.too_large.append(request.needs)
@@ -269,6 +273,7 @@
             return None
         run.checkpoint = task.checkpoint if task else ""
         fleet.reserve(run)
+        self.cold_starts.count(minion)
         return run
 
     def _racks_of(self, minion_ids: Iterable[str]) -> frozenset[str]:
@@ -278,6 +283,7 @@
     def _release(self, runs: list[ReservedRun]) -> None:
         fleet = self.fleet
         for run in runs:
+            self.cold_starts.count(fleet.minions[run.minion], -1)
             fleet.minions[run.minion].release(run.name)
             fleet.team_use.remove(run.team, run.charged)
             del fleet.runs_by_job[run.job_id][run.key]
--- a/src/hornbeamreach/fleet/pool_needs.py
+++ b/src/hornbeamreach/fleet/pool_needs.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from attrs import define
 
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.tables.minions import Minion
 from hornbeamreach.tables.workload import StepJob
 
 
@@ -22,12 +25,24 @@
     running: dict[str, int] = {}
     for minion in fleet.minions.values():
         pool = minion.report.pool
+        if minion.report.data_center in fleet.proposed.workload.evacuated:
+            # Its runs end or move, and what moves waits in the pool's queue then.
+            continue
         is_closed = minion.suspects or minion.minion_id in fleet.held_minions
         taken = minion.report.capacity if is_closed else minion.used
         running[pool] = running.get(pool, 0) + taken.cpu_millis
     return running
 
 
+def largest_minions(minions: Iterable[Minion]) -> dict[str, int]:
+    """Return the CPU of the largest minion by pool, in 1/1000 cores."""
+    largest: dict[str, int] = {}
+    for minion in minions:
+        pool, capacity = minion.report.pool, minion.report.capacity
+        largest[pool] = max(largest.get(pool, 0), capacity.cpu_millis)
+    return largest
+
+
 def queued_cpu(fleet: FleetState) -> dict[str, int]:
     """Sum the CPU of tasks that may start by pool, in 1/1000 cores."""
     queued: dict[str, int] = {}
--- a/src/hornbeamreach/fleet/proposed_state.py
+++ b/src/hornbeamreach/fleet/proposed_state.py
@@ -18,6 +18,8 @@
         jobs={job_id: _copy_job(job) for job_id, job in workload.jobs.items()},
         tombstones=dict(workload.tombstones),
         machine_orders=dict(workload.machine_orders),
+        evacuated=dict(workload.evacuated),
+        restored=dict(workload.restored),
         waves={number: _copy_wave(wave) for number, wave in workload.waves.items()},
     )
 
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
+
 import trio
 from attrs import define, field
 
@@ -12,8 +14,10 @@
 from hornbeamreach.exceptions import NotLeaderError
 from hornbeamreach.fleet.maintenance_waves import MaintenanceWaves
 from hornbeamreach.fleet.messages import (
+    ChangeEvacuation,
     DeclarationReply,
     DeclareRequest,
+    EvacuationReply,
     ForwardedReport,
     MinionLeft,
     QueueAnswer,
@@ -52,6 +56,8 @@
     clock: Clock
     metrics: Metrics
     timing: FleetTiming = field(factory=FleetTiming)
+    # Return the data centres that the settings of this process and of the other replicas name.
+    known_data_centers: Callable[[], Iterable[str]] = tuple
     generation: int = field(default=0, init=False)
     scheduler: StepScheduler | None = field(default=None, init=False)
     queue_service: QueueService | None = field(default=None, init=False)
@@ -64,6 +70,7 @@
         self.handlers.on(ReadDeclaration, self.on_read_declaration)
         self.handlers.on(StartWave, self.on_start_wave)
         self.handlers.on(ReadWave, self.on_read_wave)
+        self.handlers.on(ChangeEvacuation, self.on_change_evacuation)
 
     async def run(self) -> None:
         """Run one scheduler for each term in which this replica leads."""
@@ -86,10 +93,12 @@
                 generation=self.generation % MAX_GENERATIONS,
             )
             self.generation += 1
+            scheduler.evacuations.known_data_centers = self.known_data_centers
             try:
                 async with trio.open_nursery() as nursery:
                     if self.vm_port is not None:
                         inventory = VmInventory(scheduler=scheduler, port=self.vm_port)
+                        scheduler.evacuations.inventory = inventory
                         nursery.start_soon(
                             MaintenanceWaves(scheduler=scheduler, inventory=inventory).run
                         )
@@ -196,3 +205,14 @@
         self.current_scheduler()
         wave = self.replica.state.workload.waves.get(message.number)
         return WaveState(known=wave is not None, completed=bool(wave and wave.completed))
+
+    async def on_change_evacuation(self, message: ChangeEvacuation) -> EvacuationReply:
+        """Store that a data centre is evacuated, or that it no longer is."""
+        scheduler = self.current_scheduler()
+        if not await scheduler.evacuations.is_known(message.data_center):
+            return EvacuationReply(known=False)
+        if message.begin:
+            await scheduler.evacuations.begin(message.data_center)
+        else:
+            await scheduler.evacuations.finish(message.data_center)
+        return EvacuationReply(known=True)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -17,6 +17,7 @@
 )
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
+from hornbeamreach.fleet.evacuations import Evacuations
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
@@ -92,6 +93,7 @@
         self.uncommitted_proposals = 0
         self.tickets_requested: set[tuple[str, int, int]] = set()
         self.waiting_jobs = WaitingJobs(scheduler=self)
+        self.evacuations = Evacuations(scheduler=self)
 
     # State
 
@@ -393,6 +395,7 @@
         self._check_schedules(wall_ms)
         self._forget_old(now_ms, wall_ms)
         self.waiting_jobs.tick(now_ms, wall_ms)
+        self.evacuations.tick(now_ms)
         unrecorded = any(m.listed_end > m.recorded_end for m in self.fleet.minions.values())
         if self.fleet.ready or self.fleet.unrecorded_ends or unrecorded:
             self.notify()
@@ -469,7 +472,11 @@
         if job is None or self.admission_port is None:
             return
         pool = self.fleet.pool_of(job)
-        members = [m for m in self.fleet.minions.values() if m.report.pool == pool]
+        members = [
+            minion
+            for minion in self.fleet.minions.values()
+            if minion.report.pool == pool and not self.evacuations.is_evacuated(minion)
+        ]
         members.sort(key=lambda minion: -minion.free().cpu_millis)
         minion_ids = [minion.minion_id for minion in members[:MAX_TICKET_MINIONS]]
         try:
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -11,7 +11,12 @@
 from hornbeamreach.clock import seconds
 from hornbeamreach.control.workload_commands import NoteMachineOrders
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
-from hornbeamreach.fleet.pool_needs import lasting_needs, queued_cpu, running_cpu
+from hornbeamreach.fleet.pool_needs import (
+    largest_minions,
+    lasting_needs,
+    queued_cpu,
+    running_cpu,
+)
 from hornbeamreach.fleet.ports import PlatformVmState, UnknownOutcomeError, VmOrderAnswer
 from hornbeamreach.fleet.vm_inventory import VmInventory
 from hornbeamreach.logs import part_logger
@@ -110,6 +115,8 @@
         """Return each pool's VMs and the demand on it."""
         table = self.scheduler.proposed.state.table
         fleet = self.scheduler.fleet
+        evacuated = self.scheduler.proposed.workload.evacuated
+        vm_sizes = largest_minions(minions.values())
         running, queued, lasting = running_cpu(fleet), queued_cpu(fleet), lasting_needs(fleet)
         arrivals = fleet.arrivals
         rates = arrivals.measure(now_ms)
@@ -117,14 +124,22 @@
         by_pool: dict[str, list[tuple[str, Minion]]] = {}
         for vm, minion in minions.items():
             is_ending = minion.report.leaving or minion.report.draining
-            if not is_ending and not minion.is_silent(now_ms):
+            if minion.report.data_center in evacuated:
+                self.idle_since_ms.pop(vm, None)
+            elif not is_ending and not minion.is_silent(now_ms):
                 by_pool.setdefault(minion.report.pool, []).append((vm, minion))
-        arriving = Counter(self.arriving.values()) + self._unreported_vms(minions, now_ms)
+        arriving = Counter(
+            pool for vm, pool in self.arriving.items() if not self._is_evacuated(vm)
+        ) + self._unreported_vms(minions, now_ms)
         pool_demands = {}
         for pool, row in table.pools.items():
             members = by_pool.get(pool, [])
             if row.standby:
-                standby_vms = tuple((vm.name, 0) for vm in self.inventory.standby_vms())
+                standby_vms = tuple(
+                    (vm.name, 0)
+                    for vm in self.inventory.standby_vms()
+                    if vm.data_center not in evacuated
+                )
                 pool_demands[pool] = PoolDemand(
                     pool=pool, standby=True, vms=len(standby_vms), idle=standby_vms
                 )
@@ -134,7 +149,9 @@
                 vms=len([m for m, _ in members if m not in self.arriving]),
                 arriving=arriving[pool],
                 vm_cpu_millis=max(
-                    (minion.report.capacity.cpu_millis for _, minion in members), default=0
+                    (minion.report.capacity.cpu_millis for _, minion in members),
+                    # A pool whose VMs are all evacuated gets VMs of the size that it had.
+                    default=vm_sizes.get(pool, 0) if evacuated else 0,
                 ),
                 demand_cpu_millis=running.get(pool, 0) + queued.get(pool, 0),
                 running_cpu_millis=running.get(pool, 0),
@@ -164,8 +181,14 @@
             if vm.state in (PlatformVmState.UP, PlatformVmState.MOVING)
             and vm.name not in minions
             and vm.name not in self.arriving
+            and vm.data_center not in self.scheduler.proposed.workload.evacuated
         )
 
+    def _is_evacuated(self, vm: str) -> bool:
+        listed = self.inventory.vms.get(vm)
+        evacuated = self.scheduler.proposed.workload.evacuated
+        return listed is not None and listed.data_center in evacuated
+
     def _idle(self, members: list[tuple[str, Minion]], now_ms: int) -> tuple[tuple[str, int], ...]:
         found = []
         for vm, minion in members:
--- a/src/hornbeamreach/fleet/waiting_jobs.py
+++ b/src/hornbeamreach/fleet/waiting_jobs.py
@@ -128,7 +128,9 @@
             needs=[request.needs.cpu_millis, request.needs.memory_mb, request.needs.accelerators],
             within_team_limits=fleet.team_use.allows(job.team, team, charged),
             pool=pool,
-            minions=count_obstacles(request, members, now_ms),
+            minions=count_obstacles(
+                request, members, now_ms, evacuated=fleet.proposed.workload.evacuated
+            ),
         ).info("job waits to start")
 
     def _placement_request(self, job: StepJob, step: ReadyStep) -> PlacementRequest:
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -120,6 +120,7 @@
                 clock=clock,
                 metrics=metrics,
                 timing=current.timing,
+                known_data_centers=discovery.known_data_centers,
             )
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
             app = OperatorApp(settings=current, finder=finder, metrics=metrics)
--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.fleet.messages import (
+    ChangeEvacuation,
     DeclareRequest,
     ForwardedReport,
     MinionLeft,
@@ -87,6 +88,8 @@
                 return await self._start_wave(body)
             case "GET", ["wave-get", number] if WAVE_NUMBER_PATTERN.fullmatch(number):
                 return await self._read_wave(int(number))
+            case "POST", ["evacuation", data_center, "begin" | "finish" as action]:
+                return await self._change_evacuation(data_center, begin=action == "begin")
         return HTTP_NOT_FOUND, {"reason": Reason.UNKNOWN_PATH.value}
 
     async def _ask_leader(self, message: Any, timeout_ms: int = OPERATOR_TIMEOUT_MS) -> Any:
@@ -130,6 +133,16 @@
         )
         return 200, {}
 
+    async def _change_evacuation(self, data_center: str, *, begin: bool) -> tuple[int, Any]:
+        reply = await self._ask_leader(ChangeEvacuation(data_center=data_center, begin=begin))
+        if not reply.known:
+            self.metrics.refused("operator", Reason.UNKNOWN_ROW)
+            return HTTP_NOT_FOUND, {
+                "reason": Reason.UNKNOWN_ROW.value,
+                "detail": f"no VM, minion or setting names data centre {data_center!r}",
+            }
+        return 200, {}
+
     async def _read_wave(self, number: int) -> tuple[int, Any]:
         reply = await self._ask_leader(ReadWave(number=number))
         if not reply.known:
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from attrs import define, field
 
@@ -107,8 +107,10 @@
     return step.filler and any(run.lasting and not run.filler for run in minion.runs.values())
 
 
-def usable_minions(minions: Iterable[Minion], now_ms: int) -> list[Minion]:
-    """List the minions that may get new work."""
+def usable_minions(
+    minions: Iterable[Minion], now_ms: int, *, evacuated: Container[str] = ()
+) -> list[Minion]:
+    """List the minions that may get new work, outside the evacuated data centres."""
     return [
         minion
         for minion in minions
@@ -120,6 +122,7 @@
         and minion.failed_calls == 0
         and not minion.is_silent(now_ms)
         and minion.suspect_until_ms <= now_ms
+        and minion.report.data_center not in evacuated
     ]
 
 
--- a/src/hornbeamreach/systems/wait_obstacles.py
+++ b/src/hornbeamreach/systems/wait_obstacles.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from hornbeamreach.systems.task_placement import PlacementRequest, fits
 from hornbeamreach.tables.minions import Minion
@@ -15,6 +15,7 @@
 
     LEAVING = "leaving"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     CORDONED = "cordoned"
     FENCED = "fenced"
     NOT_POLLED = "not_polled"
@@ -29,13 +30,16 @@
     NONE = "none"
 
 
-def find_obstacle(request: PlacementRequest, minion: Minion, now_ms: int) -> Obstacle:
+def find_obstacle(
+    request: PlacementRequest, minion: Minion, now_ms: int, *, evacuated: Container[str] = ()
+) -> Obstacle:
     """Return the first obstacle between a task and a minion."""
     step, report = request.step, minion.report
     siblings = request.siblings.get(minion.minion_id, 0)
     checks = (
         (Obstacle.LEAVING, report.leaving),
         (Obstacle.DRAINING, report.draining),
+        (Obstacle.EVACUATED, report.data_center in evacuated),
         (Obstacle.CORDONED, minion.cordoned),
         (Obstacle.FENCED, minion.fenced),
         (Obstacle.NOT_POLLED, minion.polled_ms < 0),
@@ -54,8 +58,14 @@
 
 
 def count_obstacles(
-    request: PlacementRequest, minions: Iterable[Minion], now_ms: int
+    request: PlacementRequest,
+    minions: Iterable[Minion],
+    now_ms: int,
+    *,
+    evacuated: Container[str] = (),
 ) -> dict[str, int]:
     """Count a pool's minions by what keeps the task from each."""
-    found = Counter(find_obstacle(request, minion, now_ms).value for minion in minions)
+    found = Counter(
+        find_obstacle(request, minion, now_ms, evacuated=evacuated).value for minion in minions
+    )
     return dict(found.most_common())
