Test evacuations through takeovers, power loss, late orders and raced requests

The tests guard the bound of an evacuation: without the fencing token at the request, orders under way start up to 600 ms after the acknowledgement; without the check at sending, planned starts do.

--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,337 @@
+"""Evacuation of data centres: nothing starts there from the acknowledgement on, whatever fails."""
+
+from __future__ import annotations
+
+import contextlib
+
+import attrs
+import cbor2
+import pytest
+import trio
+
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
+from hornbeamreach.exceptions import RefusedError
+from hornbeamreach.fleet.messages import ChangeEvacuation
+from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.link.leader_finder import NoLeaderError
+from hornbeamreach.standins import step_minions
+from hornbeamreach.systems.evacuation import ColdStarts, cold_start_limits, evacuation_policies
+from hornbeamreach.systems.maintenance_wave import is_at_full_speed
+from hornbeamreach.systems.task_placement import PlacementRequest
+from hornbeamreach.systems.wait_obstacles import Obstacle, find_obstacle
+from hornbeamreach.tables.control_state import ControlState
+
+from . import builders
+from .fakes import run_virtual
+from .step_fleet import StepFleet
+from .test_planner import NOW_MS, make_planner
+
+
+class EvacuatedFleet(StepFleet):
+    """Run minions in three data centres, with a method for each step of an evacuation."""
+
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        for number, minion in enumerate(self.minions.minions.values()):
+            minion.data_center = f"dc{number % 3 + 1}"
+
+    async def change(self, data_center: str, *, begin: bool) -> bool:
+        """Request a change until it is answered; return whether the data centre is known."""
+        message = ChangeEvacuation(data_center=data_center, begin=begin)
+        while True:
+            with contextlib.suppress(NoLeaderError, RefusedError):
+                return (await self.finder.send_request(message, timeout_ms=900)).reply.known
+            await trio.sleep(0.1)
+
+    async def keep_submitting(self) -> None:
+        """Submit jobs that occupy minions of every data centre."""
+        for number in range(10_000):
+            spec = builders.step_job(builders.step(count=24, cpu_millis=3_000))
+            await self.submit(f"{number:016x}", spec, work_ms=300)
+            await trio.sleep(0.2)
+
+    def starts(self, *data_centers: str, since_ms: float = 0) -> list[str]:
+        """Return the tasks that began in the data centres since a time of the simulation."""
+        minions = self.minions.minions
+        return [
+            run.task
+            for run in self.minions.history
+            if run.began_ms > since_ms and minions[run.minion].data_center in data_centers
+        ]
+
+    def now_ms(self) -> float:
+        return trio.current_time() * 1_000
+
+
+def play(scenario, **options) -> None:
+    """Run a scenario on a fleet with load, and check the scheduling rules afterwards."""
+
+    async def main() -> None:
+        fleet = EvacuatedFleet(**options)
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            nursery.start_soon(fleet.keep_submitting)
+            await trio.sleep(2)
+            await scenario(fleet)
+            assert not fleet.find_violations()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+async def assert_enforced(fleet: EvacuatedFleet, *data_centers: str, since_ms: float) -> None:
+    """Check that work starts elsewhere but not in the data centres, over 8 s."""
+    others = {"dc1", "dc2", "dc3"} - set(data_centers)
+    await trio.sleep(8)
+    assert fleet.starts(*data_centers, since_ms=since_ms) == []
+    assert fleet.starts(*others, since_ms=fleet.now_ms() - 3_000)
+
+
+class TestEnforcement:
+    def test_nothing_starts_until_the_withdrawal_also_after_a_takeover(self):
+        async def scenario(fleet):
+            assert fleet.starts("dc2")
+            assert await fleet.change("dc2", begin=True)
+            acked_ms = fleet.now_ms()
+            fleet.kill_control(await fleet.wait_for_leader())
+            await assert_enforced(fleet, "dc2", since_ms=acked_ms)
+            assert await fleet.change("dc2", begin=False)
+            finished_ms = fleet.now_ms()
+            await trio.sleep(3)
+            assert fleet.starts("dc2", since_ms=finished_ms)
+
+        play(scenario)
+
+    def test_a_start_that_was_planned_before_is_given_back(self):
+        # Starts wait 300 ms for their commit, so some are reserved when the request arrives.
+        async def scenario(fleet):
+            fleet.sync_duration_ms = dict.fromkeys(fleet.addresses, 300)
+            await trio.sleep(1)
+            assert await fleet.change("dc2", begin=True)
+            await assert_enforced(fleet, "dc2", since_ms=fleet.now_ms())
+
+        play(scenario)
+
+    @pytest.mark.parametrize("relayed", [False, True])
+    def test_an_order_that_is_under_way_is_refused_by_its_token(self, relayed, monkeypatch):
+        # The orders take effect before their outcome counts as unknown, which also fences them.
+        monkeypatch.setattr(step_minions, "LATE_DELAY_MIN_MS", 300)
+        monkeypatch.setattr(step_minions, "LATE_DELAY_MAX_MS", 600)
+
+        async def scenario(fleet):
+            fleet.minions.late_order_fraction = 1.0
+            await trio.sleep(0.25)
+            assert await fleet.change("dc2", begin=True)
+            acked_ms = fleet.now_ms()
+            fleet.minions.late_order_fraction = 0.0
+            await assert_enforced(fleet, "dc2", since_ms=acked_ms)
+
+        play(scenario, relayed=relayed)
+
+    def test_an_acknowledged_request_survives_a_loss_of_all_power(self):
+        async def scenario(fleet):
+            assert await fleet.change("dc1", begin=True)
+            acked_ms = fleet.now_ms()
+            for address in fleet.addresses:
+                fleet.kill_control(address, power_loss=True)
+            await trio.sleep(1)
+            for address in fleet.addresses:
+                fleet.start_control(address)
+            await assert_enforced(fleet, "dc1", since_ms=acked_ms)
+
+        play(scenario)
+
+    def test_two_of_three_data_centres_and_a_begin_right_after_a_finish(self):
+        async def scenario(fleet):
+            assert await fleet.change("dc1", begin=True)
+            assert await fleet.change("dc3", begin=True)
+            assert await fleet.change("dc3", begin=False)
+            assert await fleet.change("dc3", begin=True)
+            await assert_enforced(fleet, "dc1", "dc3", since_ms=fleet.now_ms())
+
+        play(scenario)
+
+
+class TestRequests:
+    def test_repeated_and_raced_requests_leave_one_state_on_all_replicas(self):
+        async def scenario(fleet):
+            async with trio.open_nursery() as nursery:
+                for begin in (True, False, True, False):
+                    nursery.start_soon(lambda b=begin: fleet.change("dc2", begin=b))
+            for begin in (True, True, False, False, True):
+                assert await fleet.change("dc2", begin=begin)
+            acked_ms = fleet.now_ms()
+            await assert_enforced(fleet, "dc2", since_ms=acked_ms)
+            states = [process.replica.state for process in fleet.control.values()]
+            assert len({tuple(state.workload.evacuated.items()) for state in states}) == 1
+
+        play(scenario)
+
+    def test_an_unknown_data_centre_is_refused_and_changes_nothing(self):
+        async def scenario(fleet):
+            for name in ("dc9", "", "DC1"):
+                assert not await fleet.change(name, begin=True)
+                assert not await fleet.change(name, begin=False)
+            workload = (await fleet.wait_for_scheduler()).proposed.workload
+            assert not workload.evacuated
+            assert not workload.restored
+
+        play(scenario)
+
+    def test_a_new_leader_doesnt_refuse_what_it_may_not_have_heard_of_yet(self):
+        async def scenario(fleet):
+            fleet.kill_control(await fleet.wait_for_leader())
+            scheduler = await fleet.wait_for_scheduler()
+            with pytest.raises(RefusedError):
+                await scheduler.evacuations.is_known("dc9")
+            await trio.sleep(4)
+            assert not await scheduler.evacuations.is_known("dc9")
+
+        play(scenario)
+
+
+class TestState:
+    def test_a_repeat_changes_nothing_and_snapshots_keep_the_state(self):
+        proposed = ProposedState.of(ControlState())
+        for at_ms in (5, 9):
+            proposed.apply(BeginEvacuation(data_center="dc1", at_ms=at_ms))
+            proposed.apply(BeginEvacuation(data_center="dc2", at_ms=at_ms))
+        for at_ms in (11, 12):
+            proposed.apply(EndEvacuation(data_center="dc2", at_ms=at_ms))
+        workload = decode_state(encode_state(proposed.state)).workload
+        assert (workload.evacuated, workload.restored) == ({"dc1": 5}, {"dc2": 11})
+        copy = ProposedState.of(proposed.state)
+        copy.apply(EndEvacuation(data_center="dc1", at_ms=13))
+        assert proposed.workload.evacuated == {"dc1": 5}
+
+    def test_a_snapshot_of_an_earlier_build_names_no_evacuation(self):
+        plain = cbor2.loads(encode_state(ControlState()))
+        del plain["state"]["workload"]["evacuated"], plain["state"]["workload"]["restored"]
+        assert decode_state(cbor2.dumps(plain)).workload.evacuated == {}
+
+
+LASTING = builders.step(count=6, cpu_millis=2_000, lasting=True, may_miss=1)
+
+
+async def evacuate_service(fleet: EvacuatedFleet, policy: str, step=LASTING) -> int:
+    """Evacuate two data centres of a long-running job; return the most tasks that were away."""
+    await fleet.submit("f" * 16, builders.step_job(step))
+    await trio.sleep(2)
+    scheduler = await fleet.wait_for_scheduler()
+    scheduler.evacuations.policy = evacuation_policies.get(policy)
+    await fleet.change("dc1", begin=True)
+    await fleet.change("dc2", begin=True)
+    most_away = 0
+    for _ in range(300):
+        await trio.sleep(0.05)
+        runs = scheduler.fleet.runs_by_job.get("f" * 16, {}).values()
+        working = [run for run in runs if is_at_full_speed(run, scheduler.clock.now_ms())]
+        most_away = max(most_away, step.count - len(working))
+    return most_away
+
+
+def tasks_left(fleet: EvacuatedFleet) -> int:
+    minions = fleet.minions.minions.values()
+    return sum(
+        task.startswith("f" * 16)
+        for minion in minions
+        if minion.data_center != "dc3"
+        for task in minion.running
+    )
+
+
+class TestLongRunningTasks:
+    @pytest.mark.parametrize(
+        ("policy", "left", "is_within_budget"),
+        [("within_budget", 0, True), ("stay", None, True), ("at_once", 0, False)],
+    )
+    def test_they_move_one_at_a_time_and_the_baselines_stay_or_exceed_the_budget(
+        self, policy, left, is_within_budget
+    ):
+        async def main() -> None:
+            fleet = EvacuatedFleet()
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                spread = attrs.evolve(LASTING, max_per_minion=3)
+                most_away = await evacuate_service(fleet, policy, spread)
+                assert (most_away <= 1) is is_within_budget
+                assert tasks_left(fleet) == left or (left is None and tasks_left(fleet) > 0)
+                nursery.cancel_scope.cancel()
+
+        run_virtual(main)
+
+    def test_a_task_without_room_elsewhere_stays_and_is_logged_once(self):
+        async def main() -> None:
+            fleet = EvacuatedFleet()
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                # Only two of the six tasks have room in the remaining data centre.
+                step = attrs.evolve(LASTING, max_per_minion=1)
+                assert await evacuate_service(fleet, "within_budget", step) <= 1
+                scheduler = await fleet.wait_for_scheduler()
+                assert [v.value for _, v in scheduler.evacuations.held_back] == ["no_room"]
+                assert tasks_left(fleet) == 4
+                nursery.cancel_scope.cancel()
+
+        run_virtual(main)
+
+    def test_a_task_that_a_wave_has_stopped_counts_against_the_same_budget(self):
+        async def main() -> None:
+            fleet = EvacuatedFleet()
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                await fleet.submit("f" * 16, builders.step_job(LASTING))
+                await trio.sleep(3)
+                scheduler = await fleet.wait_for_scheduler()
+                runs = list(scheduler.fleet.runs_by_job["f" * 16].values())
+                fleet.minions.stop_duration_ms = (2_000, 2_000)
+                scheduler.orders.stop(runs[0], "upkeep")
+                data_center = fleet.minions.minions[runs[1].minion].data_center
+                await fleet.change(data_center, begin=True)
+                await trio.sleep(1)
+                assert [v.value for _, v in scheduler.evacuations.held_back] == ["may_miss"]
+                assert sum(not is_at_full_speed(r, scheduler.clock.now_ms()) for r in runs) == 1
+                nursery.cancel_scope.cancel()
+
+        run_virtual(main)
+
+
+class TestPlacement:
+    def test_an_evacuated_data_centre_is_named_as_the_obstacle(self):
+        minion = builders.minion()
+        request = make_request()
+        assert find_obstacle(request, minion, 0, evacuated={"dc1"}) is Obstacle.EVACUATED
+        assert find_obstacle(request, minion, 0, evacuated={"dc2"}) is Obstacle.NONE
+
+    def test_the_planner_selects_no_start_that_would_only_be_given_back(self):
+        planner = make_planner(builders.step(count=12))
+        for name, data_center in (("i-0", "dc2"), ("i-1", "dc3")):
+            minion = planner.fleet.minions[name]
+            minion.report = attrs.evolve(minion.report, data_center=data_center)
+        planner.fleet.proposed.workload.evacuated = {"dc2": 0, "dc3": 0}
+        assert [run.minion for run in planner.plan(NOW_MS, NOW_MS)] == ["i-2"] * 4
+
+    @pytest.mark.parametrize(("limit", "cold"), [("share", 2), ("unlimited", 4)])
+    def test_cold_minions_get_a_quarter_of_a_pass_after_the_withdrawal(
+        self, limit, cold, monkeypatch
+    ):
+        # Eight of the twelve tasks fit on the warm minions; the baseline sends all others at once.
+        monkeypatch.setitem(cold_start_limits.entries, "share", cold_start_limits.get(limit))
+        planner = make_planner(builders.step(count=12))
+        minion = planner.fleet.minions["i-0"]
+        minion.report = attrs.evolve(minion.report, data_center="dc2", cold_ms=900)
+        planner.fleet.proposed.workload.restored = {"dc2": NOW_MS - 100}
+        assert [run.minion for run in planner.plan(NOW_MS, NOW_MS)].count("i-0") == cold
+
+    def test_work_is_not_held_back_where_all_minions_are_cold(self):
+        limited = ColdStarts(restored=frozenset({"dc1"}))
+        cold = builders.minion(cold_ms=900)
+        assert limited.candidates([cold]) == [cold]
+        limited.count(cold)
+        assert limited.candidates([cold]) == []
+
+
+def make_request() -> PlacementRequest:
+    step = builders.step()
+    return PlacementRequest(step=step, needs=step.needs)
