Evacuate and restore data centres from the command line

hornbeamreach evacuate and restore send the request to the operators' API, which stores it with the commands of the workload. Entries of an evacuated data centre start no tasks and report no capacity, so that new jobs go elsewhere; status shows what is evacuated, and explain names it for the jobs that wait. Calls to endpoints go on.

--- a/src/hornbeamreach/cli/main.py
+++ b/src/hornbeamreach/cli/main.py
@@ -73,6 +73,17 @@
         )
 
 
+def _change_evacuation(data_center: str, action: str, json: bool) -> None:
+    body = {"data_center": data_center, "action": action}
+    response = _client().send("POST", "/operator/v1/evacuations", body)
+    if json:
+        print_json(response)
+    elif response["evacuated_since_ms"] is None:
+        print_line(f"{data_center}: not evacuated")
+    else:
+        print_line(f"{data_center}: evacuated, nothing starts there")
+
+
 class TableCommands:
     """Show, compare, apply and export the declared table."""
 
@@ -307,6 +318,24 @@
         if not response["lines"]:
             print_line("nothing is known of it")
 
+    def evacuate(self, data_center: str, json: bool = False) -> None:
+        """Start nothing more in a data centre until it is restored; tasks there may end.
+
+        Args:
+            data_center: the data centre's name in the table.
+            json: print JSON.
+        """
+        _change_evacuation(data_center, "begin", json)
+
+    def restore(self, data_center: str, json: bool = False) -> None:
+        """Withdraw the evacuation of a data centre.
+
+        Args:
+            data_center: the data centre's name in the table.
+            json: print JSON.
+        """
+        _change_evacuation(data_center, "finish", json)
+
     def member(self, id: str, address: str = "", json: bool = False) -> None:
         """Add a control replica, or remove it if no address is given.
 
@@ -355,6 +384,7 @@
     if "replica" in status:
         phases = [f"{vm} {phase}" for vm, phase in status["vms"].items() if phase != "in_service"]
         out = ", ".join(phases) or "all VMs in service"
+        out += "".join(f", {name} evacuated" for name in status.get("evacuated", {}))
         return (
             f"{status['replica']}: {status['role']} of term {status['term']}, "
             f"version {status['version']}, index {status['applied_index']}, {out}"
--- a/src/hornbeamreach/control/operator_api.py
+++ b/src/hornbeamreach/control/operator_api.py
@@ -19,8 +19,10 @@
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.snapshots import state_digest
 from hornbeamreach.control.state_machine import Outcome
+from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
 from hornbeamreach.converters import structure, to_plain
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
+from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.tables.control_state import Change, KeyEdit, OrderAction
 from hornbeamreach.tables.declared import RowEdit
@@ -35,10 +37,13 @@
     read_json,
 )
 
+log = part_logger("operators")
+
 MAX_OPERATOR_BODY_BYTES = 8 * 1024 * 1024
 OPERATION_ID_PATTERN = re.compile(r"^[A-Za-z0-9._-]{8,128}$")
 KEY_HASH_PATTERN = re.compile(r"^[0-9a-f]{64}$")
 HTTP_UNAVAILABLE = 503
+EVACUATION_COMMANDS = {"begin": BeginEvacuation, "finish": EndEvacuation}
 
 
 class OperatorApi:
@@ -67,6 +72,7 @@
                 Route("/operator/v1/table", guard(self.show_table), methods=["GET"]),
                 Route("/operator/v1/changes", guard(self.change_table), methods=["POST"]),
                 Route("/operator/v1/maintenance", guard(self.order_maintenance), methods=["POST"]),
+                Route("/operator/v1/evacuations", guard(self.change_evacuation), methods=["POST"]),
                 Route("/operator/v1/members", guard(self.change_members), methods=["POST"]),
                 Route("/operator/v1/status", guard(self.status), methods=["GET"]),
                 Route("/healthz", self.healthz, methods=["GET"]),
@@ -131,6 +137,25 @@
         )
         return _outcome_response(operation_id, outcome)
 
+    async def change_evacuation(self, request: Request) -> Response:
+        """Evacuate a data centre, or withdraw that; a repeat changes nothing."""
+        self.authenticate(request)
+        body = await read_json(request, MAX_OPERATOR_BODY_BYTES)
+        data_center, action = str(body.get("data_center", "")), body.get("action")
+        if action not in EVACUATION_COMMANDS:
+            known = ", ".join(EVACUATION_COMMANDS)
+            raise RefusedError(Reason.MALFORMED, f"action: give one of {known}")
+        self.leader.require_leader()
+        await self.replica.confirm_leadership()
+        state = self.replica.state
+        if data_center not in {*state.table.data_centers(), *state.workload.evacuated}:
+            raise RefusedError(Reason.UNKNOWN_ROW, f"no VM is declared in {data_center!r}")
+        command = EVACUATION_COMMANDS[action]
+        await self.replica.propose(command(data_center=data_center, at_ms=self.clock.wall_ms()))
+        since_ms = self.replica.state.workload.evacuated.get(data_center)
+        log.bind(data_center=data_center, action=action, since_ms=since_ms).info("evacuation")
+        return json_response({"data_center": data_center, "evacuated_since_ms": since_ms})
+
     async def change_members(self, request: Request) -> Response:
         """Add or remove one control replica."""
         self.authenticate(request)
@@ -176,6 +201,7 @@
             "sessions": sessions if self.replica.is_leader() else {},
             "vms": {vm: vm_state.phase.value for vm, vm_state in state.vm_states.items()},
             "orders": {vm: order.action.value for vm, order in state.orders.items()},
+            "evacuated": dict(sorted(state.workload.evacuated.items())),
             "prepared": sorted(state.prepared),
             "granted": {
                 team: {"limit": row.max_running, "granted": state.granted_total(team)}
@@ -200,6 +226,8 @@
         """Render the process's metrics."""
         self.metrics.gauge("control_applied_index", self.replica.state.applied_index)
         self.metrics.gauge("control_is_leader", int(self.replica.is_leader()))
+        evacuated = self.replica.state.workload.evacuated
+        self.metrics.gauge("evacuated_data_centers", len(evacuated))
         content, headers = self.metrics.render(request.headers.getlist("accept"))
         return Response(content, headers=headers)
 
--- a/src/hornbeamreach/entry/forwarding.py
+++ b/src/hornbeamreach/entry/forwarding.py
@@ -188,6 +188,10 @@
         call = self.calls.tables.calls.get(subject)
         if call is not None and not call.running:
             lines.append(f"waits for {call.waiting_for or 'its turn'}")
+        is_evacuated = self.data_center in self.replayed_state.state.workload.evacuated
+        # The id of a job begins with the data centre where it is recorded and runs.
+        if is_evacuated and subject.startswith(f"{self.data_center}."):
+            lines.append(f"{self.data_center} is evacuated: none of its queued jobs starts")
         return lines
 
     async def explain(self, subject: str) -> list[str]:
--- a/src/hornbeamreach/entry/job_scheduler.py
+++ b/src/hornbeamreach/entry/job_scheduler.py
@@ -216,9 +216,13 @@
             placement=self.placement,
             sizes=self.sizes,
             now_ms=now_ms,
+            evacuated=self._is_evacuated(),
         )
         return schedule(self.tables, self.permits, context)
 
+    def _is_evacuated(self) -> bool:
+        return self.data_center in self.replayed_state.state.workload.evacuated
+
     def _may_act(self, team: str, now_ms: int) -> bool:
         held = self.lease.is_held() and not self.stopping
         return held and self.authority.may_act(self.replayed_state.state, team, now_ms)
@@ -498,7 +502,9 @@
         """Return the loads of the local pools; none unless this process schedules."""
         if not self.lease.is_held() or not self.scan_done.is_set():
             return {}
-        return collect_pool_loads(self.tables, self.replayed_state.state)
+        return collect_pool_loads(
+            self.tables, self.replayed_state.state, evacuated=self._is_evacuated()
+        )
 
     async def stop(self) -> None:
         """Start no more tasks, release the lease, and return once all held permits are released."""
--- a/src/hornbeamreach/entry/replayed_state.py
+++ b/src/hornbeamreach/entry/replayed_state.py
@@ -8,11 +8,14 @@
 
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
+from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
 from hornbeamreach.link.codec import decode
 from hornbeamreach.link.messages import LogItem, LogPage
 from hornbeamreach.tables.control_state import ControlState
 
 MAX_KEPT_ITEMS = 2_000
+# Importing the module registers these classes, which decoding requires.
+REGISTERED_COMMANDS = (BeginEvacuation, EndEvacuation)
 
 
 class ReplayedState:
--- a/src/hornbeamreach/systems/pool_load.py
+++ b/src/hornbeamreach/systems/pool_load.py
@@ -9,14 +9,16 @@
 ROUNDING_STEPS_PER_VM = 8
 
 
-def collect_pool_loads(tables: JobTables, state: ControlState) -> dict[str, PoolLoad]:
-    """Sum capacity, reservations and queued work by pool."""
+def collect_pool_loads(
+    tables: JobTables, state: ControlState, *, evacuated: bool = False
+) -> dict[str, PoolLoad]:
+    """Sum capacity, reservations and queued work by pool; without capacity while evacuated."""
     capacity: dict[str, int] = {}
     used: dict[str, int] = {}
     largest: dict[str, int] = {}
     for worker in tables.workers.values():
         largest[worker.pool] = max(worker.capacity.cpu_millis, largest.get(worker.pool, 0))
-        if worker.up and worker.phase is VmPhase.IN_SERVICE:
+        if worker.up and worker.phase is VmPhase.IN_SERVICE and not evacuated:
             capacity[worker.pool] = capacity.get(worker.pool, 0) + worker.capacity.cpu_millis
             used[worker.pool] = used.get(worker.pool, 0) + worker.reserved.cpu_millis
     queued = _queued_cpu_millis(tables, state)
--- a/src/hornbeamreach/systems/schedule.py
+++ b/src/hornbeamreach/systems/schedule.py
@@ -94,6 +94,8 @@
     placement: WorkerPlacementPolicy
     sizes: SizeTable
     now_ms: int
+    # Nothing may start in this data centre.
+    evacuated: bool = False
 
 
 def schedule(tables: JobTables, permits: PermitTable, context: ScheduleContext) -> list[JobAction]:
@@ -223,6 +225,12 @@
     """Start queued jobs pool by pool, in the order of the share policy."""
     permit_demand: dict[str, int] = {}
     actions: list[JobAction] = []
+    if context.evacuated:
+        for job in tables.jobs.values():
+            if job.state is JobState.QUEUED:
+                job.waiting_for = "the end of the data centre's evacuation"
+        permits.set_shortfall("jobs", permit_demand)
+        return actions
     for pool in sorted({row.pool for row in context.state.table.queues.values()}):
         actions += _start_in_pool(tables, permits, context, pool, permit_demand)
     permits.set_shortfall("jobs", permit_demand)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -25,6 +25,7 @@
 from . import builders
 from .fakes import run_virtual
 from .step_fleet import StepFleet
+from .test_fleet_jobs import run_job_scenario, submit, wait_for_job
 from .test_planner import NOW_MS, make_planner
 
 
@@ -211,6 +212,30 @@
         assert decode_state(cbor2.dumps(plain)).workload.evacuated == {}
 
 
+class TestTasksOfEntries:
+    @pytest.mark.parametrize("evacuated", [("dc1",), builders.DATA_CENTERS])
+    def test_an_entry_starts_no_task_in_its_evacuated_data_centre(self, evacuated):
+        async def scenario(fleet):
+            leader = await fleet.wait_for_leader()
+            for name in evacuated:
+                await leader.replica.propose(BeginEvacuation(data_center=name, at_ms=0))
+            # Entries choose data centres by figures that are some seconds old.
+            await trio.sleep(5)
+            job_ids = [await submit(fleet) for _ in range(5)]
+            await trio.sleep(3)
+            assert not any(fleet.platforms[name].starts for name in evacuated)
+            if evacuated == builders.DATA_CENTERS:
+                lines = await fleet.entry("dc1-e1").forwarder.explain(job_ids[0])
+                assert any("is evacuated" in line for line in lines)
+                for name in evacuated:
+                    await leader.replica.propose(EndEvacuation(data_center=name, at_ms=0))
+            # With one data centre evacuated, the jobs run in the others.
+            for job_id in job_ids:
+                assert (await wait_for_job(fleet, job_id)).state == "done"
+
+        run_job_scenario(scenario)
+
+
 LASTING = builders.step(count=6, cpu_millis=2_000, lasting=True, may_miss=1)
 
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -14,6 +14,7 @@
 from hornbeamreach.fleet.messages import (
     DeclarationReply,
     DeclareRequest,
+    EvacuationReply,
     ForwardedReport,
     QueueAction,
     QueueAnswer,
@@ -249,6 +250,22 @@
         assert send_request(app, "GET", "/wave-get/2")[0] == 404
         assert isinstance(finder.requests[1], ReadWave)
 
+    def test_an_evacuation_is_requested_withdrawn_and_refused_if_unknown(self):
+        app, finder = make_operator_app(
+            EvacuationReply(known=True), EvacuationReply(known=True), EvacuationReply(known=False)
+        )
+        assert send_request(app, "POST", "/evacuation/dc1/begin")[0] == 200
+        assert send_request(app, "POST", "/evacuation/dc1/finish")[0] == 200
+        status, _, body = send_request(app, "POST", "/evacuation/dc9/begin")
+        assert (status, body["reason"]) == (404, Reason.UNKNOWN_ROW.value)
+        assert "dc9" in body["detail"]
+        assert [(r.data_center, r.begin) for r in finder.requests] == [
+            ("dc1", True),
+            ("dc1", False),
+            ("dc9", True),
+        ]
+        assert send_request(app, "POST", "/evacuation/dc1/pause")[0] == 404
+
     def test_unknown_paths_are_not_found(self):
         app, _ = make_operator_app()
         assert send_request(app, "GET", "/nothing")[0] == 404
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -109,6 +109,31 @@
         later_ms = vm_moves.scheduler.began_ms + FIRST_REPORTS_MS + 1
         assert vm_moves.pool_demands(minions, later_ms).by_pool["pool-a"].arriving == 0
 
+    def test_vms_of_an_evacuated_data_centre_neither_count_nor_move(self):
+        # Otherwise the need that they had would be met by VMs that may start nothing.
+        vm_moves = make_vm_moves(20_000)
+        fleet = vm_moves.scheduler.fleet
+        fleet.proposed.state.table.pools["spare"] = PoolRow(max_down=0, standby=True)
+        names = {"m-0": "pool-a", "m-8": "spare", "m-9": "spare"}
+        vm_moves.inventory.vms = {
+            name: PlatformVm(
+                name=name,
+                pool=pool,
+                state=PlatformVmState.UP,
+                data_center="dc2" if name == "m-9" else "dc1",
+            )
+            for name, pool in names.items()
+        }
+        vm_moves.inventory.listed_ms = 19_000
+        fleet.minions["i-0"].reserve(builders.run(minion="i-0"))
+        fleet.proposed.workload.evacuated = {"dc1": 0}
+        minions = vm_moves.inventory.current_minions()
+        demands = vm_moves.pool_demands(minions, 20_000).by_pool
+        pool = demands["pool-a"]
+        assert (pool.vms, pool.arriving, pool.running_cpu_millis, pool.idle) == (0, 0, 0, ())
+        assert pool.vm_cpu_millis == VM_CPU_MILLIS
+        assert demands["spare"].idle == (("m-9", 0),)
+
     def test_a_long_running_task_without_a_minion_asks_for_a_vm(self):
         vm_moves = make_vm_moves(20_000)
         fleet = vm_moves.scheduler.fleet
