--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -28,6 +28,8 @@
 from .test_fleet_jobs import run_job_scenario, submit, wait_for_job
 from .test_planner import NOW_MS, make_planner
 
+EVACUATION_BOUND_MS = 5_000
+
 
 class EvacuatedFleet(StepFleet):
     """Run minions in three data centres, with a method for each step of an evacuation."""
@@ -65,15 +67,16 @@
         return trio.current_time() * 1_000
 
 
-def play(scenario, **options) -> None:
-    """Run a scenario on a fleet with load, and check the scheduling rules afterwards."""
+def play(scenario, *, load: bool = True, **options) -> None:
+    """Run a scenario on a fleet, and check the scheduling rules afterwards."""
 
     async def main() -> None:
         fleet = EvacuatedFleet(**options)
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
-            nursery.start_soon(fleet.keep_submitting)
-            await trio.sleep(2)
+            if load:
+                nursery.start_soon(fleet.keep_submitting)
+            await trio.sleep(4)
             await scenario(fleet)
             assert not fleet.find_violations()
             nursery.cancel_scope.cancel()
@@ -130,6 +133,21 @@
 
         play(scenario, relayed=relayed)
 
+    def test_a_late_order_to_a_cut_off_data_centre_lapses_within_the_bound(self, monkeypatch):
+        # No token reaches the minions: only the lease in the order ends its validity.
+        monkeypatch.setattr(step_minions, "LATE_DELAY_MIN_MS", EVACUATION_BOUND_MS + 300)
+
+        async def scenario(fleet):
+            fleet.minions.late_order_fraction = 1.0
+            await trio.sleep(0.25)
+            fleet.minions.partitions = {(a, f"i-{n}") for a in fleet.addresses for n in (2, 5)}
+            assert await fleet.change("dc2", begin=True)
+            bound_ms = fleet.now_ms() + EVACUATION_BOUND_MS
+            fleet.minions.late_order_fraction = 0.0
+            await assert_enforced(fleet, "dc2", since_ms=bound_ms)
+
+        play(scenario)
+
     def test_an_acknowledged_request_survives_a_loss_of_all_power(self):
         async def scenario(fleet):
             assert await fleet.change("dc1", begin=True)
@@ -242,7 +260,7 @@
 async def evacuate_service(fleet: EvacuatedFleet, policy: str, step=LASTING) -> int:
     """Evacuate two data centres of a long-running job; return the most tasks that were away."""
     await fleet.submit("f" * 16, builders.step_job(step))
-    await trio.sleep(2)
+    await trio.sleep(4)
     scheduler = await fleet.wait_for_scheduler()
     scheduler.evacuations.policy = evacuation_policies.get(policy)
     await fleet.change("dc1", begin=True)
@@ -274,58 +292,46 @@
     def test_they_move_one_at_a_time_and_the_baselines_stay_or_exceed_the_budget(
         self, policy, left, is_within_budget
     ):
-        async def main() -> None:
-            fleet = EvacuatedFleet()
-            async with trio.open_nursery() as nursery:
-                await fleet.start(nursery)
-                spread = attrs.evolve(LASTING, max_per_minion=3)
-                most_away = await evacuate_service(fleet, policy, spread)
-                assert (most_away <= 1) is is_within_budget
-                assert tasks_left(fleet) == left or (left is None and tasks_left(fleet) > 0)
-                nursery.cancel_scope.cancel()
+        async def scenario(fleet):
+            spread = attrs.evolve(LASTING, max_per_minion=3)
+            most_away = await evacuate_service(fleet, policy, spread)
+            assert (most_away <= 1) is is_within_budget
+            assert tasks_left(fleet) == left or (left is None and tasks_left(fleet) > 0)
 
-        run_virtual(main)
+        play(scenario, load=False)
 
     def test_a_task_without_room_elsewhere_stays_and_is_logged_once(self):
-        async def main() -> None:
-            fleet = EvacuatedFleet()
-            async with trio.open_nursery() as nursery:
-                await fleet.start(nursery)
-                # Only two of the six tasks have room in the remaining data centre.
-                step = attrs.evolve(LASTING, max_per_minion=1)
-                assert await evacuate_service(fleet, "within_budget", step) <= 1
-                scheduler = await fleet.wait_for_scheduler()
-                assert [v.value for _, v in scheduler.evacuations.held_back] == ["no_room"]
-                assert tasks_left(fleet) == 4
-                nursery.cancel_scope.cancel()
+        async def scenario(fleet):
+            # Only two of the six tasks have room in the remaining data centre.
+            spread = attrs.evolve(LASTING, max_per_minion=1)
+            assert await evacuate_service(fleet, "within_budget", spread) <= 1
+            scheduler = await fleet.wait_for_scheduler()
+            assert [v.value for _, v in scheduler.evacuations.held_back] == ["no_room"]
+            assert tasks_left(fleet) == 4
 
-        run_virtual(main)
+        play(scenario, load=False)
 
     def test_a_task_that_a_wave_has_stopped_counts_against_the_same_budget(self):
-        async def main() -> None:
-            fleet = EvacuatedFleet()
-            async with trio.open_nursery() as nursery:
-                await fleet.start(nursery)
-                await fleet.submit("f" * 16, builders.step_job(LASTING))
-                await trio.sleep(3)
-                scheduler = await fleet.wait_for_scheduler()
-                runs = list(scheduler.fleet.runs_by_job["f" * 16].values())
-                fleet.minions.stop_duration_ms = (2_000, 2_000)
-                scheduler.orders.stop(runs[0], "upkeep")
-                data_center = fleet.minions.minions[runs[1].minion].data_center
-                await fleet.change(data_center, begin=True)
-                await trio.sleep(1)
-                assert [v.value for _, v in scheduler.evacuations.held_back] == ["may_miss"]
-                assert sum(not is_at_full_speed(r, scheduler.clock.now_ms()) for r in runs) == 1
-                nursery.cancel_scope.cancel()
-
-        run_virtual(main)
+        async def scenario(fleet):
+            await fleet.submit("f" * 16, builders.step_job(LASTING))
+            await trio.sleep(3)
+            scheduler = await fleet.wait_for_scheduler()
+            runs = list(scheduler.fleet.runs_by_job["f" * 16].values())
+            fleet.minions.stop_duration_ms = (2_000, 2_000)
+            scheduler.orders.stop(runs[0], "upkeep")
+            await fleet.change(fleet.minions.minions[runs[1].minion].data_center, begin=True)
+            await trio.sleep(1)
+            assert [v.value for _, v in scheduler.evacuations.held_back] == ["may_miss"]
+            assert sum(not is_at_full_speed(r, scheduler.clock.now_ms()) for r in runs) == 1
+
+        play(scenario, load=False)
 
 
 class TestPlacement:
     def test_an_evacuated_data_centre_is_named_as_the_obstacle(self):
         minion = builders.minion()
-        request = make_request()
+        step = builders.step()
+        request = PlacementRequest(step=step, needs=step.needs)
         assert find_obstacle(request, minion, 0, evacuated={"dc1"}) is Obstacle.EVACUATED
         assert find_obstacle(request, minion, 0, evacuated={"dc2"}) is Obstacle.NONE
 
@@ -355,8 +361,3 @@
         assert limited.candidates([cold]) == [cold]
         limited.count(cold)
         assert limited.candidates([cold]) == []
-
-
-def make_request() -> PlacementRequest:
-    step = builders.step()
-    return PlacementRequest(step=step, needs=step.needs)
