Settle submissions without an answer at the next leader

Some 300 of 3,700 calls got 504 although they had reached nobody: a killed leader cost 600 ms per attempt, every refusal after a lost answer counted as unknown, and the wait ended at 2,200 ms although an election takes up to 2 s and the caller's deadline is 3,000 ms.

A submission or cancellation now names the only term in which a leader may carry it out. Replicas tell their term in redirects, status replies and answers. An attempt that is delivered late, also to a replica that leads again, has no effect, so a refusal by a leader of a later term that does not know the job is conclusive for all attempts of earlier terms. A connection that is refused or closing is reported as not sent at once.

--- a/src/hornbeamreach/control/discovery.py
+++ b/src/hornbeamreach/control/discovery.py
@@ -100,6 +100,7 @@
             replicas=sorted({*self.known_addresses, *addresses.values()}),
             members=dict(core.members()),
             declared_version=self.replica.state.workload.declared_version,
+            term=core.term,
         )
 
     def _add_learner(self, message: StatusRequest) -> None:
--- a/src/hornbeamreach/exceptions.py
+++ b/src/hornbeamreach/exceptions.py
@@ -64,8 +64,10 @@
 class NotLeaderError(HornbeamreachError):
     """Report that this replica is not the leader and can't accept commands."""
 
-    def __init__(self, leader: str | None) -> None:
+    def __init__(self, leader: str | None, *, term: int = 0) -> None:
         self.leader = leader
+        # Term that the replica is in; 0 if it doesn't tell.
+        self.term = term
         super().__init__(f"not the leader; the leader is {leader or 'unknown'}")
 
 
--- a/src/hornbeamreach/fleet/messages.py
+++ b/src/hornbeamreach/fleet/messages.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from hornbeamreach.link.codec import wire_type
+from hornbeamreach.link.interface import ANY_TERM
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.minions import MinionReport
 from hornbeamreach.tables.workload import StepJobSpec
@@ -33,6 +34,9 @@
     # SHA-256 of the caller's key; empty without one.
     key_hash: str = ""
     spec: StepJobSpec | None = None
+    # The only term in which a leader may carry out the call, so that an attempt that is delivered
+    # late has no effect.
+    leader_term: int = ANY_TERM
 
 
 class QueueOutcome(enum.Enum):
@@ -56,6 +60,14 @@
     reason: Reason | None = None
     detail: str = ""
     retry_after_ms: int = 0
+    # Term of the leader that answered. A refusal names it only if the leader knows no job with the
+    # call's id; then no attempt of an earlier term has been or will be accepted.
+    term: int = 0
+
+    @property
+    def refused(self) -> bool:
+        """Return whether the call was refused."""
+        return self.served is QueueOutcome.REFUSED
 
 
 @wire_type("minion_heard")
@@ -159,3 +171,5 @@
     # Link addresses of the members by id.
     members: dict[str, str]
     declared_version: int = 0
+    # Term that the replica is in.
+    term: int = 0
--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import attrs
 from attrs import define
 
 from hornbeamreach.clock import Clock
@@ -85,7 +86,16 @@
                 version=self.state.workload.declared_version,
                 reason=answer.reason.value,
             ).info("call refused: {}", answer.detail)
-        return answer
+        return self._with_term(call, answer)
+
+    def _with_term(self, call: QueueCall, answer: QueueAnswer) -> QueueAnswer:
+        """Name the term in an answer, unless a refused submission may have been accepted before."""
+        if answer.refused and call.action is QueueAction.SUBMIT:
+            jobs = self.scheduler.proposed.workload.jobs
+            # The declaration may have changed since, so any end of the path may be a job's id.
+            if any(call.path[start:] in jobs for start in range(len(call.path))):
+                return answer
+        return attrs.evolve(answer, term=self.scheduler.term)
 
     def _authorize(self, call: QueueCall) -> AuthorizedCall | QueueAnswer:
         state = self.state
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -30,7 +30,7 @@
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.fleet.vm_inventory import VmInventory
 from hornbeamreach.fleet.vm_moves import VmMoves
-from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.interface import ANY_TERM, HandlerTable
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 
@@ -123,14 +123,16 @@
         """Return the scheduler, or raise NotLeaderError if this replica does not lead."""
         scheduler = self.scheduler
         if scheduler is None or not scheduler.is_current():
-            raise NotLeaderError(self.replica.leader_address())
+            raise NotLeaderError(self.replica.leader_address(), term=self.replica.core.term)
         return scheduler
 
     # Handlers
 
     async def on_queue_call(self, call: QueueCall) -> QueueAnswer:
         """Answer a caller's queue call."""
-        self.current_scheduler()
+        scheduler = self.current_scheduler()
+        if call.leader_term not in (ANY_TERM, scheduler.term):
+            raise NotLeaderError(self.replica.leader_address(), term=scheduler.term)
         assert self.queue_service is not None
         return await self.queue_service.answer(call)
 
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -128,7 +128,7 @@
         Raise NotLeaderError if this replica no longer leads in this term.
         """
         if not self.is_current():
-            raise NotLeaderError(self.replica.leader_address())
+            raise NotLeaderError(self.replica.leader_address(), term=self.replica.core.term)
         proposal = self.replica.submit(command)
         self.proposed.apply(command)
         return proposal
--- a/src/hornbeamreach/link/interface.py
+++ b/src/hornbeamreach/link/interface.py
@@ -11,6 +11,11 @@
 from hornbeamreach.link.codec import wire_type
 from hornbeamreach.verdict import Reason, Verdict
 
+# A request with this term is accepted in any term.
+ANY_TERM = -1
+# A request with this term is accepted by no leader: it only asks which term to name.
+NO_TERM = 0
+
 Handler = Callable[[Any], Awaitable[Any]]
 
 
@@ -55,7 +60,7 @@
         except RefusedError as exc:
             return Refusal.from_error(exc)
         except NotLeaderError as exc:
-            return Redirect(leader=exc.leader)
+            return Redirect(leader=exc.leader, term=exc.term)
 
 
 @wire_type("refusal")
@@ -91,6 +96,8 @@
     """Reply that only the leader can serve the request, and name it if known."""
 
     leader: str | None
+    # Term that the replica is in; 0 from an earlier build.
+    term: int = 0
 
 
 def unwrap_reply(reply: Any) -> Any:
@@ -98,5 +105,5 @@
     if isinstance(reply, Refusal):
         raise reply.to_error()
     if isinstance(reply, Redirect):
-        raise NotLeaderError(reply.leader)
+        raise NotLeaderError(reply.leader, term=reply.term)
     return reply
--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -10,6 +10,7 @@
 import trio
 from websockets.exceptions import ConnectionClosed, WebSocketException
 from websockets.http11 import Request, Response
+from websockets.protocol import State
 from websockets.trio.client import connect
 from websockets.trio.server import ServerConnection, serve
 
@@ -55,7 +56,9 @@
         self.socket: Any = None
         self.pending_replies: dict[int, trio.MemorySendChannel] = {}
         self.request_numbers = itertools.count(1)
-        self.connected = trio.Event()
+        # Set once the attempt to connect has succeeded or failed.
+        self.connect_ended = trio.Event()
+        self.was_open = False
         sender, receiver = trio.open_memory_channel(NOTIFY_QUEUE_LENGTH)
         self.notifications: trio.MemorySendChannel = sender
         self.queued_notifications: trio.MemoryReceiveChannel = receiver
@@ -63,6 +66,9 @@
     async def run(self) -> None:
         """Connect, and reconnect after a delay, until cancelled."""
         while True:
+            if self.connect_ended.is_set():
+                self.connect_ended = trio.Event()
+            self.was_open = False
             try:
                 await self._run_connection()
             except* (OSError, WebSocketException, TimeoutError, EOFError) as group:
@@ -74,6 +80,9 @@
                 log.bind(peer=self.address).error(
                     "unexpected error on a connection, will reconnect: {!r}", group
                 )
+            if not self.was_open:
+                # Requests that wait for this connection can be sent to another peer.
+                self.connect_ended.set()
             await trio.sleep(seconds(RECONNECT_DELAY_MS))
 
     async def _run_connection(self) -> None:
@@ -89,7 +98,8 @@
         }
         async with connect(f"ws://{self.address}/link", **options) as socket:
             self.socket = socket
-            self.connected.set()
+            self.was_open = True
+            self.connect_ended.set()
             log.bind(peer=self.address).info("connected to peer")
             try:
                 async with trio.open_nursery() as nursery:
@@ -104,7 +114,7 @@
 
     def _reset(self) -> None:
         self.socket = None
-        self.connected = trio.Event()
+        self.connect_ended = trio.Event()
         for channel in self.pending_replies.values():
             channel.close()
         self.pending_replies.clear()
@@ -135,8 +145,9 @@
         may_be_sent = False
         with trio.move_on_after(seconds(timeout_ms)) as scope:
             with trio.move_on_after(seconds(OPEN_TIMEOUT_MS)):
-                await self.connected.wait()
-            if self.socket is None:
+                await self.connect_ended.wait()
+            # On a socket that is closing nothing would be written.
+            if self.socket is None or self.socket.state is not State.OPEN:
                 raise PeerUnreachableError(f"no connection to {self.address}")
             may_be_sent = True
             return await self._exchange(message)
--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.fleet.messages import QueueAction, QueueAnswer, QueueCall, QueueOutcome
+from hornbeamreach.link.interface import ANY_TERM, NO_TERM
 from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
@@ -26,9 +27,9 @@
 MAX_DEADLINE_DIGITS = 15
 # Part of a caller's deadline reserved for the response's way back: leader, entry and client.
 RESPONSE_MARGIN_MS = 150
-# Longest wait for a leader. An election takes up to 2 s; a caller that is refused before its
-# deadline can try elsewhere.
-LEADER_TIMEOUT_MS = 2_200
+# A job that was accepted and has ended is forgotten after 130 s; a repeated submission must come
+# well before, or it would be taken for a new one.
+MAX_WAIT_MS = 30_000
 RETRY_AFTER = b"retry-after"
 MS_PER_S = 1_000
 STATUS_BY_REASON = {
@@ -82,7 +83,7 @@
         await self._forward(call, _deadline_ms(headers), send)
 
     async def _forward(self, call: QueueCall, deadline_ms: int, send: asgi.Send) -> None:
-        timeout_ms = max(1, min(deadline_ms - RESPONSE_MARGIN_MS, LEADER_TIMEOUT_MS))
+        timeout_ms = max(1, min(deadline_ms - RESPONSE_MARGIN_MS, MAX_WAIT_MS))
         try:
             found = await self.finder.send_request(call, timeout_ms=timeout_ms)
         except NoLeaderError as exc:
@@ -95,7 +96,7 @@
             return
         reply: QueueAnswer = found.reply
         if reply.served is QueueOutcome.REFUSED and found.repeated and call.spec is not None:
-            # An earlier attempt may have been accepted, so this refusal is not conclusive.
+            # An attempt that was not answered may have been accepted in the term of this refusal.
             await self._send_response(
                 send, HTTP_GATEWAY_TIMEOUT, {"reason": Reason.NO_LEADER.value}
             )
@@ -166,8 +167,14 @@
         action = QueueAction.CANCEL
     else:
         return None
+    changes_jobs = action in (QueueAction.SUBMIT, QueueAction.CANCEL)
     return QueueCall(
-        action=action, host=host, path=path, key_hash=hash_key(key) if key else "", spec=spec
+        action=action,
+        host=host,
+        path=path,
+        key_hash=hash_key(key) if key else "",
+        spec=spec,
+        leader_term=NO_TERM if changes_jobs else ANY_TERM,
     )
 
 
--- a/src/hornbeamreach/platform/entry_daemon.py
+++ b/src/hornbeamreach/platform/entry_daemon.py
@@ -75,11 +75,12 @@
     """Poll the leader's status, to route calls to it and to report readiness."""
     while True:
         try:
-            found = await finder.send_request(StatusRequest(), timeout_ms=STATUS_TIMEOUT_MS)
+            found = await finder.send_request(
+                StatusRequest(), timeout_ms=STATUS_TIMEOUT_MS, any_replica=True
+            )
             reply: StatusReply = found.reply
             finder.add_replicas(reply.replicas)
-            if reply.leader and reply.leader != finder.leader:
-                finder.leader = reply.leader
+            finder.update_leader(reply.leader, reply.term)
         except NoLeaderError as exc:
             log.info("no control replica responded: {}", exc)
         await trio.sleep(seconds(STATUS_INTERVAL_MS))
--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -10,9 +10,10 @@
 import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
+from websockets.protocol import State
 from websockets.trio.server import serve
 
-from hornbeamreach.exceptions import PeerTimeoutError
+from hornbeamreach.exceptions import PeerTimeoutError, PeerUnreachableError
 from hornbeamreach.fleet.messages import MinionLeft, ReadWave, ReportReply, WaveState
 from hornbeamreach.link.codec import DecodeError
 from hornbeamreach.link.interface import HandlerTable
@@ -153,14 +154,42 @@
         connection = PeerConnection(address="127.0.0.1:1", secret=SECRET)
 
         class LostSocket:
+            state = State.OPEN
+
             async def send(self, data: bytes) -> None:
                 # The reset is noticed before the task that sent the request runs again.
                 connection.socket = None
 
         async def main() -> None:
             connection.socket = LostSocket()
-            connection.connected.set()
+            connection.connect_ended.set()
             with pytest.raises(PeerTimeoutError):
                 await connection.request(ReadWave(number=1), 20)
 
         trio.run(main)
+
+    def test_a_connection_that_is_refused_ends_the_request_at_once(self):
+        # A killed leader must not cost its callers the whole time-out of an attempt.
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                link = WebSocketLink(nursery=nursery, secret=SECRET)
+                for _ in range(2):
+                    with trio.fail_after(1), pytest.raises(PeerUnreachableError):
+                        await link.request("127.0.0.1:1", ReadWave(number=1), timeout_ms=5_000)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_a_request_on_a_closing_connection_is_not_sent(self):
+        connection = PeerConnection(address="127.0.0.1:1", secret=SECRET)
+
+        class ClosingSocket:
+            state = State.CLOSING
+
+        async def main() -> None:
+            connection.socket = ClosingSocket()
+            connection.connect_ended.set()
+            with pytest.raises(PeerUnreachableError):
+                await connection.request(ReadWave(number=1), 20)
+
+        trio.run(main)
