Refuse short jobs that certainly end too late, with the time to come again

Under a burst every job was accepted, so all ended too late together, also those of the seconds after the burst, and Retry-After was always 1,000 ms.

It refuses a new short job with 429 and the reason overloaded only if it can't end while it is useful even if all goes well. Known ids, long-running and timed jobs are never refused, and what another team has queued beyond its share by weight doesn't count. Totals are updated as jobs change.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -6,7 +6,14 @@
 
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
-from hornbeamreach.systems.job_progress import ReadyStep, ready_steps, work_core_ms
+from hornbeamreach.systems.job_progress import (
+    USEFUL_DURATION_FACTOR,
+    ReadyStep,
+    objective_ms,
+    ready_steps,
+    work_core_ms,
+)
+from hornbeamreach.systems.queued_work import JobWork, QueuedWork
 from hornbeamreach.systems.run_times import RunTimeHistory
 from hornbeamreach.systems.stragglers import record_run_failure
 from hornbeamreach.systems.suspect_isolation import is_suspect, suspect_tasks
@@ -64,12 +71,15 @@
     arrivals: ArrivalHistory = field(factory=ArrivalHistory)
     # Run times of tasks that ended in this term.
     run_times: RunTimeHistory = field(factory=RunTimeHistory)
+    # Work of short jobs that no run has begun yet.
+    queued_work: QueuedWork = field(factory=QueuedWork)
 
     def record_arrival(self, job: StepJob, now_ms: int) -> None:
         """Record the work of a newly accepted job that may start at once."""
         if not job.spec.lasting and not job.spec.timed:
             work = work_core_ms(job.spec) * self.run_times.factor(job.queue)
             self.arrivals.record(self.pool_of(job), now_ms, round(work))
+            self._update_queued_work(job.job_id, job, job.accepted_ms)
 
     def job(self, job_id: str) -> StepJob | None:
         """Return a job of the proposed state."""
@@ -204,6 +214,7 @@
             job = self.job(job_id)
             if job is None or job.ended:
                 self.crashed_on.pop(job_id, None)
+            self._update_queued_work(job_id, job, wall_ms)
             steps = ready_steps(job, wall_ms) if job else []
             suspects = suspect_tasks(job) if job and steps else None
             if suspects:
@@ -216,6 +227,31 @@
                 self.ready.pop(job_id, None)
         self.stale_jobs.clear()
 
+    def _update_queued_work(self, job_id: str, job: StepJob | None, wall_ms: int) -> None:
+        if job is None or job.ended or job.spec.lasting or job.spec.timed:
+            self.queued_work.update(job_id, None, wall_ms)
+            return
+        counts = [
+            step.count - job.done_counts.get(step_key(0, number), 0)
+            for number, step in enumerate(job.spec.steps)
+        ]
+        for key in self.runs_by_job.get(job_id, ()):
+            counts[parse_task_key(key)[1]] -= 1
+        core_ms = sum(
+            count * step.needs.cpu_millis * step.estimate_ms / 1_000
+            for count, step in zip(counts, job.spec.steps, strict=True)
+        )
+        queue = self.proposed.state.table.queues.get(job.queue)
+        work = JobWork(
+            pool=self.pool_of(job),
+            team=job.team,
+            rank=queue.rank if queue else 0,
+            core_ms=core_ms * self.run_times.factor(job.queue),
+            # Work of no more use is served last.
+            until_ms=job.accepted_ms + USEFUL_DURATION_FACTOR * objective_ms(job.spec, queue),
+        )
+        self.queued_work.update(job_id, work, wall_ms)
+
     # Start of a term
 
     def recover_runs(self, now_ms: int) -> None:
--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -132,6 +132,20 @@
     exceeded = exceeded_limit(call.spec)
     if known is None and exceeded is not None:
         return build_refusal(Reason.MALFORMED, exceeded)
+    if known is None:
+        decision = scheduler.job_admission.decide(
+            job_id,
+            call.spec,
+            queue=authorized.queue,
+            row=authorized.row,
+            team=authorized.team,
+        )
+        if not decision.accepted:
+            return build_refusal(
+                Reason.OVERLOADED,
+                f"the queued work takes {round(decision.end_ms)} ms",
+                retry_after_ms=decision.retry_after_ms,
+            )
     command = AcceptJob(
         job_id=job_id,
         queue=authorized.queue,
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -18,6 +18,7 @@
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.fleet.job_admission import JobAdmission
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.planner import Planner
@@ -92,6 +93,7 @@
         self.uncommitted_proposals = 0
         self.tickets_requested: set[tuple[str, int, int]] = set()
         self.waiting_jobs = WaitingJobs(scheduler=self)
+        self.job_admission = JobAdmission(scheduler=self)
 
     # State
 
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -70,6 +70,9 @@
         minions = self.inventory.current_minions()
         self._clear_arrivals(minions, now_ms)
         demands = self.pool_demands(minions, now_ms)
+        self.scheduler.job_admission.standby_vms = len(self.arriving) + sum(
+            demand.vms for demand in demands.by_pool.values() if demand.standby
+        )
         moves = self.mover(demands)
         _log_moves(demands, moves)
         for move in moves:
--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -39,6 +39,7 @@
     Reason.UNKNOWN_JOB: 410,
     Reason.MALFORMED: 400,
     Reason.QUEUE_FULL: 429,
+    Reason.OVERLOADED: 429,
     Reason.TEAM_AT_LIMIT: 429,
     Reason.CANCELLED: 429,
     Reason.FOREIGN_JOB: 429,
--- a/src/hornbeamreach/systems/run_times.py
+++ b/src/hornbeamreach/systems/run_times.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from attrs import define, field
@@ -19,6 +20,8 @@
 # Run times of a few stragglers or failures must not change a pool's size without limit.
 MIN_FACTOR = 0.4
 MAX_FACTOR = 2.0
+# Spread of a task's run time around its expected one while too few runs have ended to tell.
+UNKNOWN_SPREAD = 0.5
 
 
 @define(kw_only=True)
@@ -28,6 +31,9 @@
     runs: int = 0
     declared_core_ms: float = 0.0
     taken_core_ms: float = 0.0
+    # Sums of the ratio between actual and declared work, and of its square.
+    ratios: float = 0.0
+    squared_ratios: float = 0.0
 
     def record(self, *, declared_core_ms: float, taken_core_ms: float) -> None:
         """Record a run that ended as done."""
@@ -35,9 +41,21 @@
             self.runs //= 2
             self.declared_core_ms /= 2
             self.taken_core_ms /= 2
+            self.ratios /= 2
+            self.squared_ratios /= 2
         self.runs += 1
         self.declared_core_ms += declared_core_ms
         self.taken_core_ms += taken_core_ms
+        ratio = taken_core_ms / declared_core_ms if declared_core_ms > 0 else 1.0
+        self.ratios += ratio
+        self.squared_ratios += ratio * ratio
+
+    def spread(self) -> float:
+        """Return the standard deviation of that ratio, relative to its mean."""
+        if self.runs < MIN_RUNS or self.ratios <= 0:
+            return UNKNOWN_SPREAD
+        mean = self.ratios / self.runs
+        return math.sqrt(max(0.0, self.squared_ratios / self.runs - mean * mean)) / mean
 
 
 RunTimeEstimator = Callable[[RunTimeTotals], float]
@@ -74,3 +92,8 @@
         """Return what a queue's declared work must be multiplied by."""
         totals = self.by_queue.get(queue)
         return self.estimator(totals) if totals is not None else 1.0
+
+    def spread(self, queue: str) -> float:
+        """Return the relative spread of a queue's run times around the expected ones."""
+        totals = self.by_queue.get(queue)
+        return totals.spread() if totals is not None else UNKNOWN_SPREAD
--- a/src/hornbeamreach/verdict.py
+++ b/src/hornbeamreach/verdict.py
@@ -35,6 +35,7 @@
     BAD_CREDENTIAL = "bad_credential"
     # Load
     QUEUE_FULL = "queue_full"
+    OVERLOADED = "overloaded"
     DEADLINE_PASSED = "deadline_passed"
     TEAM_AT_LIMIT = "team_at_limit"
     NO_ENDPOINT = "no_endpoint"
@@ -89,6 +90,7 @@
     Reason.BAD_CREDENTIAL: 401,
     Reason.FOREIGN_JOB: 403,
     Reason.QUEUE_FULL: 429,
+    Reason.OVERLOADED: 429,
     Reason.TEAM_AT_LIMIT: 429,
     Reason.DEADLINE_PASSED: 504,
     Reason.IN_PROGRESS: 409,
