--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -30,8 +30,8 @@
 
 log = part_logger("admission")
 
-# Capacities change with reports and moves, which come every 200 ms and more.
-CAPACITY_INTERVAL_MS = 250
+# Reports come every 1.5 s and a move takes as long; a pass over 2,400 minions takes some ms.
+CAPACITY_INTERVAL_MS = 500
 # Share of its expected time that a job's longest chain of steps takes at least.
 MIN_PATH_SHARE = 0.4
 # A pool that has refused no job for this long accepts jobs again, for the log.
--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -142,9 +142,7 @@
         )
         if not decision.accepted:
             return build_refusal(
-                Reason.OVERLOADED,
-                f"the queued work takes {round(decision.end_ms)} ms",
-                retry_after_ms=decision.retry_after_ms,
+                Reason.OVERLOADED, decision.detail, retry_after_ms=decision.retry_after_ms
             )
     command = AcceptJob(
         job_id=job_id,
--- a/src/hornbeamreach/systems/admission.py
+++ b/src/hornbeamreach/systems/admission.py
@@ -21,6 +21,8 @@
 # Retry-After is given in whole seconds within these bounds.
 MIN_RETRY_MS = 1_000
 MAX_RETRY_MS = 10_000
+# The estimate is the best case, so the queued work falls more slowly.
+RETRY_MARGIN = 1.25
 # While the loop lags, refused callers are spread over this many seconds.
 LAG_SPREAD = 5
 # The queued work may be less than estimated by this many standard deviations, but by at most half.
@@ -64,6 +66,8 @@
     end_ms: float = 0.0
     # When the queued work will have fallen enough.
     retry_after_ms: int = 0
+    # Why the job is refused.
+    detail: str = ""
 
 
 AdmissionPolicy = Callable[[JobRequest], JobDecision]
@@ -81,7 +85,8 @@
     """Refuse a job that can't end while it is useful, even if all goes well."""
     if request.loop_lag_ms > MAX_LOOP_LAG_MS:
         after_ms = MIN_RETRY_MS + request.waiting_callers % LAG_SPREAD * MS_PER_S
-        return JobDecision(accepted=False, retry_after_ms=after_ms)
+        detail = f"the scheduler's loop lags by {request.loop_lag_ms:.0f} ms"
+        return JobDecision(accepted=False, retry_after_ms=after_ms, detail=detail)
     if not request.cpu_millis or not 0 < request.path_ms <= request.useful_ms:
         # Nothing is known of the pool or the job, all of the pool has failed, or the job is late
         # without any load.
@@ -91,11 +96,14 @@
     end_ms = drain_ms(ahead_core_ms, request.cpu_millis, request.lendable_cpu_millis)
     end_ms += request.path_ms
     excess_ms = end_ms - request.useful_ms
+    if excess_ms <= 0:
+        return JobDecision(accepted=True, ahead_core_ms=ahead_core_ms, end_ms=end_ms)
     return JobDecision(
-        accepted=excess_ms <= 0,
+        accepted=False,
         ahead_core_ms=ahead_core_ms,
         end_ms=end_ms,
-        retry_after_ms=round(min(max(excess_ms, MIN_RETRY_MS), MAX_RETRY_MS)),
+        retry_after_ms=round(min(max(excess_ms * RETRY_MARGIN, MIN_RETRY_MS), MAX_RETRY_MS)),
+        detail=f"would end after {end_ms:.0f} ms, is useful for {request.useful_ms:.0f} ms",
     )
 
 
