Spread the callers of an outage by the leader's last report

Every 503 of an entry said Retry-After 1, so all callers of an outage reached the next leader together. An entry now spreads them over 3 s, from what is left of the Retry-After with which the leader last refused a job of the queue for load, up to 10 s (test_callers_of_an_outage_are_spread_from_when_the_last_report_lets_expect_room).

--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -15,6 +15,7 @@
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform import asgi
 from hornbeamreach.platform.decoding import decode_job, hash_key
+from hornbeamreach.systems.outage_retry import LoadReports, RetryPolicy, outage_retries
 from hornbeamreach.verdict import Reason, Verdict
 
 log = part_logger("callers")
@@ -56,6 +57,8 @@
     finder: LeaderFinder
     metrics: Metrics
     closing: bool = field(default=False)
+    reports: LoadReports = field(factory=LoadReports)
+    retry_policy: RetryPolicy = field(factory=lambda: outage_retries.get("reported"))
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -93,9 +96,12 @@
         except RefusedError as exc:
             self.metrics.refused(f"call_{call.action.value}", exc.reason)
             log.bind(request=call.path, verdict=exc.verdict.value).info("call refused: {}", exc)
-            await self._send_unserved(send, exc.reason, exc.verdict)
+            await self._send_unserved(call, send, exc.reason, exc.verdict)
             return
         reply: QueueAnswer = found.reply
+        if call.action is QueueAction.SUBMIT:
+            overloaded_ms = reply.retry_after_ms if reply.reason is Reason.OVERLOADED else 0
+            self.reports.note(_queue_of(call), overloaded_ms, self.finder.clock.now_ms())
         if reply.served is QueueOutcome.REFUSED and found.repeated and call.spec is not None:
             # An attempt that was not answered may have been accepted in the term of this refusal.
             await self._send_response(
@@ -109,13 +115,16 @@
         log.bind(request=call.path, action=call.action.value, verdict=exc.verdict.value).warning(
             "no leader answered: {}", exc
         )
-        await self._send_unserved(send, Reason.NO_LEADER, exc.verdict)
+        await self._send_unserved(call, send, Reason.NO_LEADER, exc.verdict)
 
-    async def _send_unserved(self, send: asgi.Send, reason: Reason, verdict: Verdict) -> None:
+    async def _send_unserved(
+        self, call: QueueCall, send: asgi.Send, reason: Reason, verdict: Verdict
+    ) -> None:
         """Send 503 for a call that certainly did not run, and 504 for any other."""
         body = {"reason": reason.value}
         if verdict is Verdict.NOT_RUN:
-            await self._send_response(send, HTTP_UNAVAILABLE, body, 1_000)
+            refused = self.reports.describe(_queue_of(call), self.finder.clock.now_ms())
+            await self._send_response(send, HTTP_UNAVAILABLE, body, self.retry_policy(refused))
         else:
             await self._send_response(send, HTTP_GATEWAY_TIMEOUT, body)
 
@@ -144,6 +153,11 @@
         await asgi.send_response(send, status, body, tuple(headers))
 
 
+def _queue_of(call: QueueCall) -> str:
+    """Return the host and the path without the job's id, which select the queue."""
+    return call.host + call.path.rpartition("/")[0]
+
+
 def _deadline_ms(headers: dict[bytes, bytes]) -> int:
     value = headers.get(b"deadline-ms", b"")
     is_number = value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import attrs
@@ -55,6 +56,7 @@
         self.repeated = repeated
         self.requests: list[Any] = []
         self.leader = "10.2.0.18:7000"
+        self.clock = SimpleNamespace(now_ms=lambda: 0)
 
     async def send_request(self, message: Any, *, timeout_ms: int) -> LeaderReply:
         self.requests.append(message)
@@ -167,6 +169,17 @@
         assert send_request(app, "POST", JOB_PATH, JOB)[0] == 503
         assert send_request(app, "POST", JOB_PATH, JOB)[0] == 504
 
+    def test_callers_of_an_outage_are_spread_from_when_the_last_report_lets_expect_room(self):
+        # All callers of an outage must not reach the next leader together.
+        none = NoLeaderError("none", verdict=Verdict.NOT_RUN)
+        app, _ = make_caller_app(refusal(Reason.OVERLOADED, 6_000), *[none] * 4)
+        assert send_request(app, "POST", JOB_PATH, JOB)[:1] == (429,)
+        answers = [send_request(app, "POST", JOB_PATH, JOB) for _ in range(3)]
+        assert [status for status, _, _ in answers] == [503] * 3
+        assert {int(headers["retry-after"]) for _, headers, _ in answers} == {6, 7, 8}
+        other = send_request(app, "POST", "/other" + JOB_PATH, JOB)
+        assert int(other[1]["retry-after"]) <= 3
+
     def test_a_refusal_after_an_attempt_with_unknown_outcome_is_not_forwarded(self):
         # The earlier attempt may have submitted the job although the repeated one is refused.
         app, _ = make_caller_app(refusal(Reason.QUEUE_FULL), repeated=True)
