--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -19,6 +19,7 @@
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.evacuations import Evacuations
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.fleet.job_admission import JobAdmission
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.planner import Planner
@@ -94,6 +95,7 @@
         self.tickets_requested: set[tuple[str, int, int]] = set()
         self.waiting_jobs = WaitingJobs(scheduler=self)
         self.evacuations = Evacuations(scheduler=self)
+        self.job_admission = JobAdmission(scheduler=self)
 
     # State
 
@@ -130,7 +132,7 @@
         Raise NotLeaderError if this replica no longer leads in this term.
         """
         if not self.is_current():
-            raise NotLeaderError(self.replica.leader_address())
+            raise NotLeaderError(self.replica.leader_address(), term=self.replica.core.term)
         proposal = self.replica.submit(command)
         self.proposed.apply(command)
         return proposal
--- a/src/hornbeamreach/platform/caller_app.py
+++ b/src/hornbeamreach/platform/caller_app.py
@@ -9,11 +9,13 @@
 
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.fleet.messages import QueueAction, QueueAnswer, QueueCall, QueueOutcome
+from hornbeamreach.link.interface import ANY_TERM, NO_TERM
 from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform import asgi
 from hornbeamreach.platform.decoding import decode_job, hash_key
+from hornbeamreach.systems.outage_retry import LoadReports, RetryPolicy, outage_retries
 from hornbeamreach.verdict import Reason, Verdict
 
 log = part_logger("callers")
@@ -26,9 +28,9 @@
 MAX_DEADLINE_DIGITS = 15
 # Part of a caller's deadline reserved for the response's way back: leader, entry and client.
 RESPONSE_MARGIN_MS = 150
-# Longest wait for a leader. An election takes up to 2 s; a caller that is refused before its
-# deadline can try elsewhere.
-LEADER_TIMEOUT_MS = 2_200
+# A job that was accepted and has ended is forgotten after 130 s; a repeated submission must come
+# well before, or it would be taken for a new one.
+MAX_WAIT_MS = 30_000
 RETRY_AFTER = b"retry-after"
 MS_PER_S = 1_000
 STATUS_BY_REASON = {
@@ -38,6 +40,7 @@
     Reason.UNKNOWN_JOB: 410,
     Reason.MALFORMED: 400,
     Reason.QUEUE_FULL: 429,
+    Reason.OVERLOADED: 429,
     Reason.TEAM_AT_LIMIT: 429,
     Reason.CANCELLED: 429,
     Reason.FOREIGN_JOB: 429,
@@ -54,6 +57,8 @@
     finder: LeaderFinder
     metrics: Metrics
     closing: bool = field(default=False)
+    reports: LoadReports = field(factory=LoadReports)
+    retry_policy: RetryPolicy = field(factory=lambda: outage_retries.get("reported"))
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -82,7 +87,7 @@
         await self._forward(call, _deadline_ms(headers), send)
 
     async def _forward(self, call: QueueCall, deadline_ms: int, send: asgi.Send) -> None:
-        timeout_ms = max(1, min(deadline_ms - RESPONSE_MARGIN_MS, LEADER_TIMEOUT_MS))
+        timeout_ms = max(1, min(deadline_ms - RESPONSE_MARGIN_MS, MAX_WAIT_MS))
         try:
             found = await self.finder.send_request(call, timeout_ms=timeout_ms)
         except NoLeaderError as exc:
@@ -91,11 +96,14 @@
         except RefusedError as exc:
             self.metrics.refused(f"call_{call.action.value}", exc.reason)
             log.bind(request=call.path, verdict=exc.verdict.value).info("call refused: {}", exc)
-            await self._send_unserved(send, exc.reason, exc.verdict)
+            await self._send_unserved(call, send, exc.reason, exc.verdict)
             return
         reply: QueueAnswer = found.reply
+        if call.action is QueueAction.SUBMIT:
+            overloaded_ms = reply.retry_after_ms if reply.reason is Reason.OVERLOADED else 0
+            self.reports.note(_queue_of(call), overloaded_ms, self.finder.clock.now_ms())
         if reply.served is QueueOutcome.REFUSED and found.repeated and call.spec is not None:
-            # An earlier attempt may have been accepted, so this refusal is not conclusive.
+            # An attempt that was not answered may have been accepted in the term of this refusal.
             await self._send_response(
                 send, HTTP_GATEWAY_TIMEOUT, {"reason": Reason.NO_LEADER.value}
             )
@@ -107,13 +115,16 @@
         log.bind(request=call.path, action=call.action.value, verdict=exc.verdict.value).warning(
             "no leader answered: {}", exc
         )
-        await self._send_unserved(send, Reason.NO_LEADER, exc.verdict)
+        await self._send_unserved(call, send, Reason.NO_LEADER, exc.verdict)
 
-    async def _send_unserved(self, send: asgi.Send, reason: Reason, verdict: Verdict) -> None:
+    async def _send_unserved(
+        self, call: QueueCall, send: asgi.Send, reason: Reason, verdict: Verdict
+    ) -> None:
         """Send 503 for a call that certainly did not run, and 504 for any other."""
         body = {"reason": reason.value}
         if verdict is Verdict.NOT_RUN:
-            await self._send_response(send, HTTP_UNAVAILABLE, body, 1_000)
+            refused = self.reports.describe(_queue_of(call), self.finder.clock.now_ms())
+            await self._send_response(send, HTTP_UNAVAILABLE, body, self.retry_policy(refused))
         else:
             await self._send_response(send, HTTP_GATEWAY_TIMEOUT, body)
 
@@ -142,6 +153,11 @@
         await asgi.send_response(send, status, body, tuple(headers))
 
 
+def _queue_of(call: QueueCall) -> str:
+    """Return the host and the path without the job's id, which select the queue."""
+    return call.host + call.path.rpartition("/")[0]
+
+
 def _deadline_ms(headers: dict[bytes, bytes]) -> int:
     value = headers.get(b"deadline-ms", b"")
     is_number = value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS
@@ -166,8 +182,14 @@
         action = QueueAction.CANCEL
     else:
         return None
+    changes_jobs = action in (QueueAction.SUBMIT, QueueAction.CANCEL)
     return QueueCall(
-        action=action, host=host, path=path, key_hash=hash_key(key) if key else "", spec=spec
+        action=action,
+        host=host,
+        path=path,
+        key_hash=hash_key(key) if key else "",
+        spec=spec,
+        leader_term=NO_TERM if changes_jobs else ANY_TERM,
     )
 
 
