Count a refused caller's time from its first request, and hold no room for it

Change: refused callers hold no room; a job that returns is ordered by its first request; only work that can be on time counts as ahead of a new job.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -7,7 +7,6 @@
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
 from hornbeamreach.systems.job_progress import (
-    USEFUL_DURATION_FACTOR,
     ReadyStep,
     objective_ms,
     ready_steps,
@@ -256,8 +255,8 @@
             team=job.team,
             rank=queue.rank if queue else 0,
             core_ms=core_ms * self.run_times.factor(job.queue),
-            # Work of no more use is served last.
-            until_ms=job.accepted_ms + USEFUL_DURATION_FACTOR * objective_ms(job.spec, queue),
+            # A new job goes ahead of late ones.
+            until_ms=job.accepted_ms + objective_ms(job.spec, queue),
         )
         self.queued_work.update(job_id, work, wall_ms)
 
--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.fleet.vm_moves import FIRST_REPORTS_MS
@@ -20,8 +21,7 @@
     objective_ms,
     work_core_ms,
 )
-from hornbeamreach.systems.queued_work import JobWork
-from hornbeamreach.systems.refused_callers import RETURN_GRACE_MS, RefusedCallers
+from hornbeamreach.systems.refused_callers import RefusedCallers
 from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.workload import StepJobSpec
 
@@ -80,18 +80,13 @@
         request = self._describe(job_id, spec, queue, row, team, now_ms, wall_ms)
         decision = self.policy(request)
         if decision.accepted:
-            if self.refused.remove(job_id, now_ms):
+            waited_ms = self.refused.waited_ms(job_id, now_ms)
+            decision = attrs.evolve(decision, waited_ms=waited_ms)
+            if self.refused.remove(job_id):
                 scheduler.metrics.event("job_accepted_after_refusal")
             self._note_accepted(row.pool, now_ms)
             return decision
-        work = JobWork(
-            pool=row.pool,
-            team=team,
-            rank=row.rank,
-            core_ms=work_core_ms(spec) * scheduler.fleet.run_times.factor(queue),
-            until_ms=now_ms + decision.retry_after_ms + RETURN_GRACE_MS,
-        )
-        self.refused.add(job_id, work, now_ms)
+        self.refused.add(job_id, now_ms)
         self._note_refused(job_id, row.pool, request, decision, now_ms)
         return decision
 
@@ -108,9 +103,6 @@
         scheduler = self.scheduler
         fleet = scheduler.fleet
         queued = fleet.queued_work.ahead(row.pool, row.rank, wall_ms)
-        waiting = self.refused.waiting_before(job_id, row.pool, row.rank, now_ms)
-        for other, core_ms in waiting.items():
-            queued[other] = queued.get(other, 0.0) + core_ms
         teams = scheduler.proposed.state.table.teams
         rows = {name: teams[name] for name in queued if name in teams}
         factor, spread = fleet.run_times.factor(queue), fleet.run_times.spread(queue)
@@ -120,7 +112,8 @@
         return JobRequest(
             team=team,
             path_ms=critical_path_ms(spec) * factor * max(MIN_PATH_SHARE, 1 - spread),
-            useful_ms=USEFUL_DURATION_FACTOR * objective_ms(spec, row),
+            useful_ms=USEFUL_DURATION_FACTOR * objective_ms(spec, row)
+            - self.refused.waited_ms(job_id, now_ms),
             queued_core_ms=queued,
             weights={name: team_row.weight for name, team_row in rows.items()},
             limits_cpu_millis={
--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -132,6 +132,7 @@
     exceeded = exceeded_limit(call.spec)
     if known is None and exceeded is not None:
         return build_refusal(Reason.MALFORMED, exceeded)
+    at_ms = service.clock.wall_ms()
     if known is None:
         decision = scheduler.job_admission.decide(
             job_id,
@@ -144,13 +145,15 @@
             return build_refusal(
                 Reason.OVERLOADED, decision.detail, retry_after_ms=decision.retry_after_ms
             )
+        # The caller has waited since its first request, so that time counts for the order.
+        at_ms -= decision.waited_ms
     command = AcceptJob(
         job_id=job_id,
         queue=authorized.queue,
         pool=authorized.row.pool,
         team=authorized.team,
         spec=call.spec,
-        at_ms=service.clock.wall_ms(),
+        at_ms=at_ms,
     )
     await scheduler.accept_job(command)
     log.bind(
--- a/src/hornbeamreach/systems/admission.py
+++ b/src/hornbeamreach/systems/admission.py
@@ -68,6 +68,8 @@
     retry_after_ms: int = 0
     # Why the job is refused.
     detail: str = ""
+    # How long ago the accepted job was first refused; its objective counts from then.
+    waited_ms: int = 0
 
 
 AdmissionPolicy = Callable[[JobRequest], JobDecision]
@@ -89,7 +91,7 @@
         return JobDecision(accepted=False, retry_after_ms=after_ms, detail=detail)
     if not request.cpu_millis or not 0 < request.path_ms <= request.useful_ms:
         # Nothing is known of the pool or the job, all of the pool has failed, or the job is late
-        # without any load.
+        # without any load: its caller came for it all the same.
         return JobDecision(accepted=True)
     ahead_core_ms = work_ahead(request)
     ahead_core_ms *= _least_share(ahead_core_ms, request)
