Give a full pool's teams capacity by weight

A team's declared weight was read by no part of fleet/: while a pool was full, the team that sent most got most.

Each planning pass divides a full pool by weighted max-min over the dominant resource, with the deficits of systems/fair_share, and starts steps within their team's due share before what teams borrow. The order is unchanged in a pool that isn't full or that only one team uses.

--- a/benches/step_load.py
+++ b/benches/step_load.py
@@ -1,7 +1,7 @@
 """Simulate the busy period of the users' queues in virtual time, with the real planner.
 
 Prints the credit of each task ordering, on a pool of fixed size and on one that receives the
-spare VMs. Run it with `python -m benches.step_load`.
+spare VMs, and the shares and credit of teams with each share order. Run it with `python -m benches.step_load`.
 """
 
 from __future__ import annotations
@@ -11,15 +11,17 @@
 import statistics
 from collections.abc import Callable
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.control.workload_commands import AcceptJob, RecordRuns
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.systems.share_order import share_orders
 from hornbeamreach.systems.task_order import ordering_policies
 from hornbeamreach.tables.control_state import ControlState
-from hornbeamreach.tables.declared import DeclaredTable, PoolRow, QueueRow
+from hornbeamreach.tables.declared import DeclaredTable, PoolRow, QueueRow, TeamRow
 from hornbeamreach.tables.minions import Minion, MinionReport, ReservedRun
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import RunEnd, StepJobSpec, StepSpec, parse_task_key
@@ -88,6 +90,7 @@
     durations_ms: list[list[int]]
     work: float
     due_ms: float
+    team: str = ""
     done_ms: int | None = None
 
 
@@ -155,22 +158,29 @@
     jobs: list[SimulatedJob]
     # Number of VMs in the pool at a time in ms.
     vm_count_at: Callable[[int], int]
+    # Weights of the teams, of which each has a queue of its name.
+    weights: dict[str, float] = field(factory=dict)
+    share_order: str = "due_first"
     fleet: FleetState = field(init=False)
     planner: Planner = field(init=False)
     ends: list[tuple[int, int, ReservedRun]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
+        queue = QueueRow(
+            pool="pool",
+            slack_factor=self.profile.slack,
+            target_latency_ms=self.profile.target_latency_ms,
+        )
         table = DeclaredTable(
-            pools={"pool": PoolRow(max_down=0)},
-            queues={
-                "queue": QueueRow(
-                    pool="pool",
-                    slack_factor=self.profile.slack,
-                    target_latency_ms=self.profile.target_latency_ms,
-                )
+            teams={
+                team: TeamRow(weight=weight, max_running=1_000_000, home="dc1")
+                for team, weight in self.weights.items()
             },
+            pools={"pool": PoolRow(max_down=0)},
+            queues={name: queue for name in self.weights or ("queue",)},
         )
         self.fleet = FleetState(proposed=ProposedState.of(ControlState(table=table)))
+        self.fleet.shares.policy = share_orders.get(self.share_order)
         self.planner = Planner(fleet=self.fleet, ordering=ordering_policies.get(self.ordering))
 
     def run(self) -> None:
@@ -186,8 +196,12 @@
                 _, _, run = heapq.heappop(self.ends)
                 self.fleet.end_run(run, RunEnd.DONE)
             self._record_and_plan(now_ms, by_id)
+            self.on_pass(now_ms)
             now_ms += PLAN_INTERVAL_MS
 
+    def on_pass(self, now_ms: int) -> None:
+        """Observe the fleet after a planning pass."""
+
     def _update_minions(self, now_ms: int) -> None:
         for minion in self.fleet.minions.values():
             minion.last_report_ms = now_ms
@@ -208,9 +222,9 @@
         self.fleet.proposed.apply(
             AcceptJob(
                 job_id=job.job_id,
-                queue="queue",
+                queue=job.team or "queue",
                 pool="pool",
-                team="",
+                team=job.team,
                 spec=job.spec,
                 at_ms=job.at_ms,
             )
@@ -296,8 +310,166 @@
     return earned_credit(simulation.jobs)
 
 
+# Shares of teams
+
+
+@define(frozen=True, kw_only=True)
+class TeamLoad:
+    """Describe what one team sends while teams compete for a pool."""
+
+    weight: float
+    # Multiple of the profile's busy rate, and its factor between the two times in ms.
+    load: float
+    peak: float = 1.0
+    peak_ms: tuple[int, int] = (1_000, 7_000)
+
+
+# The light team sends seven times its usual load of about its share, or one of twenty does.
+TEAM_CASES = {
+    "ten to one": {
+        "heavy": TeamLoad(weight=10, load=0.65),
+        "light": TeamLoad(weight=1, load=0.08, peak=7),
+    },
+    "twenty": {
+        f"team-{number}": TeamLoad(
+            weight=1 + number % 5 * 3,
+            load=0.007 * (1 + number % 5 * 3),
+            peak=7 if not number else 1,
+        )
+        for number in range(20)
+    },
+    "equal": {name: TeamLoad(weight=1, load=0.5) for name in ("one", "two")},
+}
+
+
+@define(kw_only=True)
+class TeamSimulation(Simulation):
+    """Simulate teams, and note what they used and were due during the busy period."""
+
+    share_error: float = 0.0
+
+    def on_pass(self, now_ms: int) -> None:
+        """Note which part of what teams were due others used."""
+        if now_ms == BUSY_PERIOD_MS:
+            totals = self.fleet.shares.attainment.totals(now_ms).values()
+            due = sum(item.due_core_ms for item in totals)
+            lacking = sum(max(0.0, item.due_core_ms - item.used_core_ms) for item in totals)
+            self.share_error = lacking / due if due else 0.0
+
+
+@define(frozen=True, kw_only=True)
+class TeamResult:
+    """Hold how the teams of one case fared."""
+
+    share_error: float
+    # Credit, and share of jobs that are late or of no use, by team.
+    credit: dict[str, float]
+    late: dict[str, float]
+    whole: Credit
+
+
+def generate_team_jobs(
+    profile: JobProfile, teams: dict[str, TeamLoad], seed: int
+) -> list[SimulatedJob]:
+    """Generate the jobs of several teams in one busy period."""
+    jobs: list[SimulatedJob] = []
+    for place, (team, load) in enumerate(teams.items()):
+        rng = random.Random(f"{seed}-{place}")
+        at_ms = 0.0
+        while at_ms < BUSY_PERIOD_MS:
+            in_peak = load.peak_ms[0] <= at_ms < load.peak_ms[1]
+            rate = profile.per_s * 4 * load.load * (load.peak if in_peak else 1.0)
+            at_ms += rng.expovariate(rate / 1_000)
+            jobs.append(attrs.evolve(generate_job(profile, rng, int(at_ms), 0), team=team))
+    jobs.sort(key=lambda job: job.at_ms)
+    return [attrs.evolve(job, job_id=f"{number:016x}") for number, job in enumerate(jobs)]
+
+
+def simulate_teams(
+    profile: JobProfile,
+    teams: dict[str, TeamLoad],
+    share_order: str,
+    seed: int,
+    *,
+    only: str = "",
+    ordering: str = "useful_first",
+) -> TeamResult:
+    """Simulate a busy period of several teams, or of the jobs of only one of them."""
+    jobs = generate_team_jobs(profile, teams, seed)
+    simulation = TeamSimulation(
+        profile=profile,
+        ordering=ordering,
+        jobs=[job for job in jobs if only in ("", job.team)],
+        vm_count_at=fixed_pool,
+        weights={team: load.weight for team, load in teams.items()},
+        share_order=share_order,
+    )
+    simulation.run()
+    by_team = {
+        team: [job for job in simulation.jobs if job.team == team] for team in [only] if only
+    } or {team: [job for job in simulation.jobs if job.team == team] for team in teams}
+    return TeamResult(
+        share_error=simulation.share_error,
+        credit={
+            team: _earned_fraction(found, statistics.fmean(job.work for job in jobs))
+            for team, found in by_team.items()
+        },
+        late={
+            team: sum(job.done_ms is None or job.done_ms > job.due_ms for job in found)
+            / max(1, len(found))
+            for team, found in by_team.items()
+        },
+        whole=earned_credit(simulation.jobs),
+    )
+
+
+def _mean_by_team(rows: list[dict[str, float]]) -> dict[str, float]:
+    return {team: statistics.fmean(row[team] for row in rows) for team in rows[0]}
+
+
+def print_teams(seeds: int = 3) -> None:
+    """Print share error, credit and late jobs of each share order, for the first two teams.
+
+    The row `alone` shows each team with the pool to itself, an upper bound of what it can get.
+    """
+    for name, teams in TEAM_CASES.items():
+        shown = list(teams)[:2]
+        for share_order in (*share_orders, "alone"):
+            if share_order == "alone":
+                results = [
+                    simulate_teams(QUOTE, teams, "by_urgency", seed, only=team)
+                    for seed in range(seeds)
+                    for team in shown
+                ]
+                credit = _merge_alone([result.credit for result in results])
+                late = _merge_alone([result.late for result in results])
+                head = "- - - -"
+            else:
+                results = [simulate_teams(QUOTE, teams, share_order, seed) for seed in range(seeds)]
+                credit = _mean_by_team([result.credit for result in results])
+                late = _mean_by_team([result.late for result in results])
+                error = statistics.fmean(result.share_error for result in results)
+                whole, largest, fifth = (
+                    statistics.fmean(getattr(result.whole, column) for result in results)
+                    for column in ("whole", "largest_tenth", "next_fifth")
+                )
+                head = f"{error:.3f} {whole:.3f} {largest:.3f} {fifth:.3f}"
+            cells = [f"{team} {credit[team]:.3f} late {late[team]:.3f}" for team in shown]
+            print(f"{name:10} {share_order:10} {head:23}", *cells)
+
+
+def _merge_alone(rows: list[dict[str, float]]) -> dict[str, float]:
+    """Return the means of rows that hold one team each."""
+    values: dict[str, list[float]] = {}
+    for row in rows:
+        for team, value in row.items():
+            values.setdefault(team, []).append(value)
+    return {team: statistics.fmean(found) for team, found in values.items()}
+
+
 def main() -> None:
-    """Print the credit of every task ordering."""
+    """Print the credit of every task ordering and share order."""
+    print_teams()
     for name, profile in (("quote", QUOTE), ("booking", BOOKING)):
         for label, vm_count_at in (("6 machines", fixed_pool), ("6 then 12", pool_with_spares)):
             for ordering in ordering_policies:
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.team_shares import TeamShares
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
 from hornbeamreach.systems.job_progress import ReadyStep, ready_steps, work_core_ms
 from hornbeamreach.systems.run_times import RunTimeHistory
@@ -44,6 +45,8 @@
     unattached_runs: dict[str, dict[str, ReservedRun]] = field(factory=dict)
     ready: dict[str, list[ReadyStep]] = field(factory=dict)
     team_use: TeamResourceUse = field(factory=TeamResourceUse)
+    # Use and deficits of teams by pool in this term.
+    shares: TeamShares = field(factory=TeamShares)
     # Runs by job and task key, to stop a job's runs and to count the runs of a step.
     runs_by_job: dict[str, dict[str, ReservedRun]] = field(factory=dict)
     # Jobs whose ready steps must be computed again.
@@ -105,6 +108,9 @@
         else:
             self.unattached_runs.setdefault(run.minion, {})[run.name] = run
         self.team_use.add(run.team, run.charged)
+        job = self.job(run.job_id)
+        run.pool = self.pool_of(job) if job else ""
+        self.shares.add(run)
         self.runs_by_job.setdefault(run.job_id, {})[run.key] = run
 
     def find_run(self, job_id: str, key: str) -> ReservedRun | None:
@@ -123,6 +129,7 @@
             self._record_outcome(minion, run, end, now_ms)
         self.unattached_runs.get(run.minion, {}).pop(run.name, None)
         self.team_use.remove(run.team, run.charged)
+        self.shares.remove(run)
         runs = self.runs_by_job[run.job_id]
         del runs[run.key]
         if not runs:
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -17,7 +17,14 @@
     remaining_critical_path_ms,
     work_core_ms,
 )
-from hornbeamreach.systems.task_order import OrderingPolicy, PendingStep, ordering_policies
+from hornbeamreach.systems.share_order import ShareRequest, keep_minions
+from hornbeamreach.systems.task_order import (
+    OrderingPolicy,
+    PendingStep,
+    Standing,
+    ordering_policies,
+    standing,
+)
 from hornbeamreach.systems.task_placement import (
     PlacementPolicy,
     PlacementRequest,
@@ -29,7 +36,7 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, task_key
 
-QueuedStep = tuple[tuple, ReadyStep, StepJob]
+QueuedStep = tuple[tuple, ReadyStep, StepJob, Standing]
 
 # Limits one log append to about 100 KB of entries.
 MAX_STARTS_PER_PLAN = 400
@@ -39,6 +46,7 @@
 class PoolPlan:
     """Hold one pool's minions while its starts are selected."""
 
+    pool: str
     minions: list[Minion]
     # Needs that fit on no minion of the pool; further starts only reduce the free capacity.
     too_large: list[Resources] = field(factory=list)
@@ -78,8 +86,9 @@
                 continue
             pool = fleet.pool_of(job)
             for step in steps:
-                sort_key = self.ordering(self.describe_step(job, step, wall_ms))
-                by_pool.setdefault(pool, []).append((sort_key, step, job))
+                pending = self.describe_step(job, step, wall_ms)
+                queued_step = (self.ordering(pending), step, job, standing(pending))
+                by_pool.setdefault(pool, []).append(queued_step)
         members: dict[str, list[Minion]] = {pool: [] for pool in by_pool}
         for minion in fleet.minions.values():
             if minion.report.pool in members:
@@ -94,7 +103,7 @@
             ]
             if usable:
                 queued.sort(key=lambda item: item[0])
-                self._plan_pool(PoolPlan(minions=usable), queued, starts, now_ms)
+                self._plan_pool(PoolPlan(pool=pool, minions=usable), queued, starts, now_ms)
         return starts
 
     def _plan_pool(
@@ -109,13 +118,50 @@
         held = self.fleet.held_minions
         plan.minions = [m for m in usable if m.minion_id not in held] if held else usable
         plan.suspect_jobs = {job_id for minion in usable for job_id in minion.suspects}
-        for _, step, job in others:
-            if len(starts) >= MAX_STARTS_PER_PLAN:
-                break
-            starts += self._start_step(plan, job, step, now_ms, self.placement)
+        self._start_by_share(plan, others, starts, now_ms)
         plan.minions = usable
         if suspects and not all(minion.runs for minion in usable):
             self._start_suspects(plan, suspects, starts, now_ms, idle=True)
+        self.fleet.shares.finish(plan.pool)
+
+    def _start_by_share(
+        self, plan: PoolPlan, queued: list[QueuedStep], starts: list[ReservedRun], now_ms: int
+    ) -> None:
+        """Start steps in their order; in a full pool, those within their team's share first."""
+        turns = self.fleet.shares.order(
+            plan.pool,
+            plan.minions,
+            [_share_request(step, job, level) for _, step, job, level in queued],
+            self.fleet.proposed.state.table.teams,
+            now_ms,
+        )
+        if turns is None:
+            for _, step, job, _ in queued:
+                if len(starts) >= MAX_STARTS_PER_PLAN:
+                    break
+                starts += self._start_step(plan, job, step, now_ms, self.placement)
+            return
+        # Needs of the first step of each team that found no room within its share.
+        passed_over: dict[str, Resources] = {}
+        borrowing: PoolPlan | None = None
+        for turn in turns:
+            if len(starts) >= MAX_STARTS_PER_PLAN:
+                break
+            _, step, job, _ = queued[turn.position]
+            needs = job.spec.steps[step.step].needs
+            if turn.end - turn.first < len(step.indexes):
+                step = attrs.evolve(step, indexes=step.indexes[turn.first : turn.end])
+            if turn.borrowed and borrowing is None:
+                kept = keep_minions(list(passed_over.values()), plan.minions)
+                borrowing = attrs.evolve(
+                    plan,
+                    minions=[m for m in plan.minions if m.minion_id not in kept],
+                    too_large=list(plan.too_large),
+                )
+            used_plan = borrowing if turn.borrowed and borrowing is not None else plan
+            starts += self._start_step(used_plan, job, step, now_ms, self.placement)
+            if not turn.borrowed and plan.is_known_not_to_fit(needs):
+                passed_over.setdefault(job.team, needs)
 
     def _split_suspects(
         self, queued: list[QueuedStep], usable: list[Minion]
@@ -124,7 +170,7 @@
         if not self.fleet.suspect_tasks:
             return [], queued
         suspects, others = [], []
-        for sort_key, step, job in queued:
+        for sort_key, step, job, level in queued:
             keys = self.fleet.suspect_tasks.get(job.job_id, ())
             found = [
                 index
@@ -134,10 +180,10 @@
             if found and job.spec.steps[step.step].gang:
                 found = list(step.indexes)
             if found:
-                suspects.append((sort_key, attrs.evolve(step, indexes=tuple(found)), job))
+                suspects.append((sort_key, attrs.evolve(step, indexes=tuple(found)), job, level))
             if len(found) < len(step.indexes):
                 left = tuple(index for index in step.indexes if index not in found)
-                others.append((sort_key, attrs.evolve(step, indexes=left), job))
+                others.append((sort_key, attrs.evolve(step, indexes=left), job, level))
         served = {job_id for minion in usable for job_id in minion.suspects}
         suspects.sort(key=lambda item: item[2].job_id in served)
         return suspects, others
@@ -151,7 +197,7 @@
         *,
         idle: bool = False,
     ) -> None:
-        for _, step, job in suspects:
+        for _, step, job, _ in suspects:
             if len(starts) >= MAX_STARTS_PER_PLAN:
                 break
             turn = self.turns.turn(job, step, now_ms, idle=idle)
@@ -280,6 +326,7 @@
         for run in runs:
             fleet.minions[run.minion].release(run.name)
             fleet.team_use.remove(run.team, run.charged)
+            fleet.shares.remove(run)
             del fleet.runs_by_job[run.job_id][run.key]
 
     def _align_gang(self, job: StepJob, step: ReadyStep, runs: list[ReservedRun]) -> None:
@@ -290,3 +337,14 @@
         for run in runs:
             run.run = number
             run.checkpoint = checkpoint
+
+
+def _share_request(step: ReadyStep, job: StepJob, level: Standing) -> ShareRequest:
+    spec = job.spec.steps[step.step]
+    return ShareRequest(
+        team=job.team,
+        standing=level,
+        needs=spec.needs,
+        tasks=len(step.indexes),
+        gang=spec.gang,
+    )
--- /dev/null
+++ b/src/hornbeamreach/fleet/team_shares.py
@@ -0,0 +1,176 @@
+"""Shares of teams in each pool: use, deficits, and the order of steps in a full pool."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+
+from attrs import define, field
+
+from hornbeamreach.systems.attainment import AttainmentWindow
+from hornbeamreach.systems.fair_share import (
+    DEFICIT_WINDOW_MS,
+    TeamUsage,
+    accumulate_deficits,
+    max_min_shares,
+    team_weights,
+)
+from hornbeamreach.systems.share_order import (
+    ShareOrder,
+    ShareRequest,
+    TeamDemand,
+    Turn,
+    due_shares,
+    exceeds,
+    share_orders,
+)
+from hornbeamreach.systems.task_order import Standing
+from hornbeamreach.tables.declared import TeamRow
+from hornbeamreach.tables.minions import Minion, ReservedRun
+from hornbeamreach.tables.resources import NO_RESOURCES, Resources
+
+
+@define(kw_only=True)
+class PoolShares:
+    """Hold the use and the due shares of the teams of one pool."""
+
+    usage: TeamUsage = field(factory=lambda: TeamUsage(total=NO_RESOURCES))
+    # The part of the use that long-running tasks hold.
+    lasting: TeamUsage = field(factory=lambda: TeamUsage(total=NO_RESOURCES))
+    # Of the latest pass, in which the pool was full if it has due shares.
+    planned_ms: int = 0
+    weights: dict[str, float] = field(factory=dict)
+    due: dict[str, float] = field(factory=dict)
+    waiting: set[str] = field(factory=set)
+    # Shares held since the end of the latest pass.
+    held: dict[str, float] = field(factory=dict)
+
+    def set_total(self, minions: Iterable[Minion]) -> None:
+        """Set the pool's capacity to that of some minions."""
+        cpu_millis = memory_mb = accelerators = 0
+        for minion in minions:
+            capacity = minion.report.capacity
+            cpu_millis += capacity.cpu_millis
+            memory_mb += capacity.memory_mb
+            accelerators += capacity.accelerators
+        total = Resources(cpu_millis=cpu_millis, memory_mb=memory_mb, accelerators=accelerators)
+        self.usage.total = self.lasting.total = total
+
+    def attainable(self) -> dict[str, float]:
+        """Return the due shares, scaled to what waiting teams hold together.
+
+        Not all of a pool can be used, as tasks don't fill minions exactly. Deficits against the
+        unscaled shares would grow for all teams and hide the differences between them.
+        """
+        held = sum(self.held.get(team, 0.0) for team in self.waiting)
+        due = sum(self.due[team] for team in self.waiting)
+        scale = held / due if due else 1.0
+        # A team that doesn't wait repays an earlier surplus with what it leaves free.
+        nominal = max_min_shares(self.weights)
+        return {
+            team: share * scale if team in self.waiting else max(share, nominal[team])
+            for team, share in self.due.items()
+        }
+
+
+@define(kw_only=True)
+class TeamShares:
+    """Track the shares of all pools; the state of one scheduler, lost at a takeover."""
+
+    policy: ShareOrder = field(factory=lambda: share_orders.get("due_first"))
+    pools: dict[str, PoolShares] = field(factory=dict)
+    attainment: AttainmentWindow = field(factory=AttainmentWindow)
+
+    def add(self, run: ReservedRun) -> None:
+        """Add a reserved run to its team's use of its pool."""
+        for usage in self._usages(run):
+            usage.add(run.team, run.needs)
+
+    def remove(self, run: ReservedRun) -> None:
+        """Remove a run that has ended."""
+        for usage in self._usages(run):
+            usage.remove(run.team, run.needs)
+
+    def _usages(self, run: ReservedRun) -> Iterator[TeamUsage]:
+        shares = self.pools.setdefault(run.pool, PoolShares())
+        yield shares.usage
+        if run.lasting:
+            yield shares.lasting
+
+    def order(
+        self,
+        pool: str,
+        minions: Iterable[Minion],
+        requests: Sequence[ShareRequest],
+        rows: Mapping[str, TeamRow],
+        now_ms: int,
+    ) -> list[Turn] | None:
+        """Return the turns of a pool's waiting steps; None if the pool isn't full.
+
+        The requests come in the order of the task ordering. Each pass that orders a pool ends with
+        `finish`.
+        """
+        shares = self.pools.setdefault(pool, PoolShares())
+        self._settle(shares, now_ms)
+        shares.set_total(minions)
+        demands = _team_demands(shares, requests)
+        if len(demands) < 2 or not _is_full(shares, requests):
+            shares.usage.deficits.clear()
+            shares.due = {}
+            return None
+        shares.weights = team_weights(rows, demands)
+        shares.due, shares.waiting = due_shares(shares.weights, demands)
+        return self.policy(requests, shares.usage, shares.due)
+
+    def finish(self, pool: str) -> None:
+        """Note the shares that a pool's teams hold after a pass."""
+        shares = self.pools[pool]
+        shares.held = {team: shares.usage.dominant_share(team) for team in shares.due}
+
+    def _settle(self, shares: PoolShares, now_ms: int) -> None:
+        """Count the time since the latest pass, if the pool was full."""
+        elapsed_ms, shares.planned_ms = now_ms - shares.planned_ms, now_ms
+        if elapsed_ms > DEFICIT_WINDOW_MS:
+            # What happened since is not known here, and earlier deficits are out of the window.
+            shares.usage.deficits.clear()
+        elif shares.due:
+            accumulate_deficits(
+                shares.usage.deficits, shares.attainable(), shares.held, shares.waiting, elapsed_ms
+            )
+            core_ms = shares.usage.total.cpu_millis / 1_000 * elapsed_ms
+            for team, share in shares.due.items():
+                self.attainment.record(
+                    team,
+                    now_ms,
+                    used_core_ms=shares.held.get(team, 0.0) * core_ms,
+                    due_core_ms=share * core_ms,
+                )
+
+
+def _team_demands(shares: PoolShares, requests: Sequence[ShareRequest]) -> dict[str, TeamDemand]:
+    """Return what each team of a pool uses and waits for."""
+    demands = {
+        team: TeamDemand(
+            used=shares.usage.dominant_share(team), lasting=shares.lasting.dominant_share(team)
+        )
+        for team in shares.usage.by_team
+    }
+    for request in requests:
+        demand = demands.get(request.team)
+        if demand is None:
+            demand = demands[request.team] = TeamDemand()
+        share = request.needs.dominant_fraction(shares.usage.total) * request.tasks
+        demand.waiting += share
+        if request.standing is not Standing.USELESS:
+            demand.useful += share
+    return demands
+
+
+def _is_full(shares: PoolShares, requests: Sequence[ShareRequest]) -> bool:
+    """Return whether a pool's teams use and wait for more than the pool has."""
+    cpu_millis = memory_mb = accelerators = 0
+    for request in requests:
+        cpu_millis += request.needs.cpu_millis * request.tasks
+        memory_mb += request.needs.memory_mb * request.tasks
+        accelerators += request.needs.accelerators * request.tasks
+    waiting = Resources(cpu_millis=cpu_millis, memory_mb=memory_mb, accelerators=accelerators)
+    return exceeds([waiting, *shares.usage.by_team.values()], shares.usage.total)
--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -180,7 +180,7 @@
 def _decode_team(row: dict[str, Any], data_center: str) -> TeamRow:
     cap = fields.table(row, "cap")
     return TeamRow(
-        weight=max(0.001, fields.number(row, "weight", 1)),
+        weight=max(0.001, fields.number(row, "weight", 1) or 1),
         max_running=MAX_COUNT,
         home=data_center,
         max_cpu_millis=fields.integer(cap, "cpu", 0),
--- a/src/hornbeamreach/systems/fair_share.py
+++ b/src/hornbeamreach/systems/fair_share.py
@@ -1,14 +1,20 @@
-"""Choose the next job by weighted max-min fairness over the dominant resource."""
+"""Share a pool by weighted max-min fairness over the dominant resource.
+
+Both job paths use the entitlements and deficits here: the jobs of entries, which are chosen one
+at a time (`max_min`), and step jobs, whose queue is ordered once a pass (`systems/share_order`).
+"""
 
 from __future__ import annotations
 
+import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.declared import TeamRow
 from hornbeamreach.tables.jobs import NO_RESOURCES, JobRow, JobTables, Resources
 
 # A deferrable job that has waited this long gets the priority of an urgent one.
@@ -17,11 +23,12 @@
 # that a team with a long shortage does not displace the others.
 DEFICIT_WINDOW_MS = 2_000
 MAX_DEFICIT_FACTOR = 2.0
+DEFAULT_WEIGHT = 1.0
 
 
 @define(kw_only=True)
 class TeamUsage:
-    """Hold the resources that each team's started jobs have reserved in one pool."""
+    """Hold the resources that each team's jobs have reserved in one pool."""
 
     total: Resources
     by_team: dict[str, Resources] = field(factory=dict)
@@ -44,6 +51,14 @@
         """Add resources that a team reserves."""
         self.by_team[team] = self.by_team.get(team, NO_RESOURCES).plus(amount)
 
+    def remove(self, team: str, amount: Resources) -> None:
+        """Remove resources that a team no longer reserves, and a team that reserves none."""
+        left = self.by_team.get(team, NO_RESOURCES).minus(amount)
+        if left == NO_RESOURCES:
+            self.by_team.pop(team, None)
+        else:
+            self.by_team[team] = left
+
 
 def pool_usage(tables: JobTables, pool: str) -> TeamUsage:
     """Return a pool's capacity, and each team's reservations and deficit."""
@@ -51,8 +66,7 @@
     for worker in tables.workers.values():
         if worker.pool == pool:
             total = total.plus(worker.capacity)
-    deficits = {team: deficit for (name, team), deficit in tables.deficits.items() if name == pool}
-    usage = TeamUsage(total=total, deficits=deficits)
+    usage = TeamUsage(total=total, deficits=dict(tables.deficits.get(pool, {})))
     for job in tables.started.values():
         worker = tables.workers.get(job.worker)
         if worker is not None and worker.pool == pool:
@@ -108,9 +122,8 @@
         for team, job_ids in by_team.items():
             job = None if (queue, team) in blocked else _first_ready(tables, job_ids, now_ms)
             if job is not None:
-                team_row = state.table.teams.get(team)
                 aged = now_ms - job.enqueued_ms >= DEFERRABLE_AGE_MS
-                weight = team_row.weight if team_row else 1.0
+                weight = team_weight(state.table.teams.get(team))
                 found.append(Candidate(job=job, weight=weight, aged=aged))
     return found
 
@@ -123,12 +136,76 @@
     return None
 
 
+def team_weight(row: TeamRow | None) -> float:
+    """Return a team's weight; a team without a row, or with weight 0, counts as weight 1."""
+    return row.weight if row is not None and row.weight > 0 else DEFAULT_WEIGHT
+
+
+def team_weights(rows: Mapping[str, TeamRow], teams: Iterable[str]) -> dict[str, float]:
+    """Return the weights of some teams."""
+    return {team: team_weight(rows.get(team)) for team in sorted(teams)}
+
+
+def max_min_shares(
+    weights: Mapping[str, float],
+    wanted: Mapping[str, float] | None = None,
+    kept: Mapping[str, float] | None = None,
+) -> dict[str, float]:
+    """Divide a pool by weight; no team gets more than it wants or less than it keeps.
+
+    What a team does not want is divided among the others. `wanted` defaults to everything and
+    `kept`, what can't be taken back from a team, to nothing.
+    """
+    least = {team: (kept or {}).get(team, 0.0) for team in weights}
+    most = {team: max(least[team], (wanted or {}).get(team, math.inf)) for team in weights}
+    if sum(most.values()) <= 1.0:
+        return most
+    # A team's share is `weight * level` between `least` and `most`. The level is raised, from one
+    # of these bounds to the next, until the shares add up to the pool.
+    bounds = [(least[team] / weight, weight) for team, weight in weights.items()]
+    bounds += [(most[team] / weight, -weight) for team, weight in weights.items()]
+    level, slope, divided = 0.0, 0.0, sum(least.values())
+    for bound, slope_change in sorted(bounds):
+        if slope > 0 and divided + slope * (bound - level) >= 1.0:
+            break
+        if math.isinf(bound):
+            break
+        divided += slope * (bound - level)
+        level, slope = bound, slope + slope_change
+    if slope > 0 and divided < 1.0:
+        level += (1.0 - divided) / slope
+    return {
+        team: min(most[team], max(least[team], weight * level)) for team, weight in weights.items()
+    }
+
+
 def entitled_shares(state: ControlState, active: set[str]) -> dict[str, float]:
     """Return the shares of a pool that active teams are entitled to by weight."""
-    rows = state.table.teams
-    known = sorted(team for team in active if team in rows)
-    total = sum(rows[team].weight for team in known)
-    return {team: rows[team].weight / total for team in known}
+    return max_min_shares(team_weights(state.table.teams, active))
+
+
+def accumulate_deficits(
+    deficits: dict[str, float],
+    entitled: Mapping[str, float],
+    held: Mapping[str, float],
+    waiting: set[str],
+    elapsed_ms: int,
+) -> None:
+    """Add each team's shortfall, its entitled less its held share, to its deficit.
+
+    Without waiting teams no team is short of capacity, so there are no deficits.
+    """
+    for team in list(deficits):
+        if not waiting or team not in entitled:
+            del deficits[team]
+    if not waiting:
+        return
+    for team, entitlement in entitled.items():
+        deficit = deficits.get(team, 0.0) + (entitlement - held.get(team, 0.0)) * elapsed_ms
+        max_deficit = entitlement * DEFICIT_WINDOW_MS * MAX_DEFICIT_FACTOR
+        # A team that doesn't wait has all that it needs.
+        upper_bound = max_deficit if team in waiting else 0.0
+        deficits[team] = max(-max_deficit, min(upper_bound, deficit))
 
 
 def update_deficits(tables: JobTables, state: ControlState, now_ms: int) -> None:
@@ -151,18 +228,7 @@
         if job_ids
     }
     usage = pool_usage(tables, pool)
-    entitlements = entitled_shares(state, queued_teams | set(usage.by_team))
-    for key in [key for key in tables.deficits if key[0] == pool and key[1] not in entitlements]:
-        del tables.deficits[key]
-    if not queued_teams:
-        # Without queued jobs, no team is short of capacity.
-        for team in entitlements:
-            tables.deficits.pop((pool, team), None)
-        return
-    for team, entitlement in entitlements.items():
-        deficit = tables.deficits.get((pool, team), 0.0)
-        deficit += (entitlement - usage.dominant_share(team)) * elapsed_ms
-        max_deficit = entitlement * DEFICIT_WINDOW_MS * MAX_DEFICIT_FACTOR
-        # A team without queued jobs has all that it needs.
-        upper_bound = max_deficit if team in queued_teams else 0.0
-        tables.deficits[(pool, team)] = max(-max_deficit, min(upper_bound, deficit))
+    entitled = entitled_shares(state, queued_teams | set(usage.by_team))
+    held = {team: usage.dominant_share(team) for team in entitled}
+    accumulate_deficits(usage.deficits, entitled, held, queued_teams, elapsed_ms)
+    tables.deficits[pool] = usage.deficits
--- a/src/hornbeamreach/systems/task_order.py
+++ b/src/hornbeamreach/systems/task_order.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 
 from attrs import define
@@ -31,6 +32,23 @@
     work_core_ms: int
 
 
+class Standing(enum.IntEnum):
+    """List what a step is to its caller; whatever team it is of, a lower one goes first."""
+
+    LASTING = 0
+    # The job can be on time, or late and still of use.
+    USEFUL = 1
+    USELESS = 2
+
+
+def standing(step: PendingStep) -> Standing:
+    """Return what a step is to its caller."""
+    if step.lasting:
+        return Standing.LASTING
+    is_useful = step.slack_ms >= 0 or step.useful_ms >= 0
+    return Standing.USEFUL if is_useful else Standing.USELESS
+
+
 OrderingPolicy = Callable[[PendingStep], tuple]
 ordering_policies: Registry[OrderingPolicy] = Registry("task order")
 
--- a/src/hornbeamreach/tables/declared.py
+++ b/src/hornbeamreach/tables/declared.py
@@ -36,7 +36,8 @@
 
     weight: float = column(
         unit="ratio",
-        doc="Part of the fleet that the team is entitled to when everything is full.",
+        doc="Part of the fleet that the team is entitled to when everything is full; a team"
+        " without a row, or declared with 0, counts as 1.",
         effect=Effect.NEUTRAL,
         validator=weight,
     )
--- a/src/hornbeamreach/tables/jobs.py
+++ b/src/hornbeamreach/tables/jobs.py
@@ -104,9 +104,9 @@
     workers: dict[str, WorkerRow] = field(factory=dict)
     # queue -> team -> ids of queued jobs, oldest first
     queued: dict[str, dict[str, deque[str]]] = field(factory=dict)
-    # (pool, team) -> how far the team was below its entitled share, integrated over time, in
+    # pool -> team -> how far the team was below its entitled share, integrated over time, in
     # share ms
-    deficits: dict[tuple[str, str], float] = field(factory=dict)
+    deficits: dict[str, dict[str, float]] = field(factory=dict)
     deficits_updated_ms: int | None = None
 
     def enqueue(self, job: JobRow, *, first: bool = False) -> None:
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -113,6 +113,8 @@
     expected_ms: int = 0
     # VM of the minion; empty if unknown.
     vm: str = ""
+    # Pool in which the run counts for its team's share.
+    pool: str = ""
     # The start order was sent, so the run may have begun.
     ordered: bool = False
     # Minimum time that the run was at work before this scheduler began.
