--- a/benches/step_load.py
+++ b/benches/step_load.py
@@ -1,7 +1,8 @@
 """Simulate the busy period of the users' queues in virtual time, with the real planner.
 
 Prints the credit of each task ordering, on a pool of fixed size and on one that receives the
-spare VMs, and the shares and credit of teams with each share order. Run it with `python -m benches.step_load`.
+spare VMs, and the shares and credit of teams with each share order. Run it with
+`python -m benches.step_load`.
 """
 
 from __future__ import annotations
--- a/src/hornbeamreach/cli/main.py
+++ b/src/hornbeamreach/cli/main.py
@@ -288,6 +288,11 @@
             return
         for status in statuses:
             print_line(_status_line(status))
+            for team, share in status.get("team_shares", {}).items():
+                print_line(
+                    f"  {team}: used {share['used_cores']} of {share['due_cores']} cores due"
+                    f" in full pools ({share['attained']:.0%})"
+                )
 
     def explain(self, subject: str, json: bool = False) -> None:
         """Explain why a request or job waits, ran or was refused, and where.
@@ -353,12 +358,15 @@
     if "unreachable" in status:
         return f"{status['address']}: {status['unreachable']}"
     if "replica" in status:
-        phases = [f"{vm} {phase}" for vm, phase in status["vms"].items() if phase != "in_service"]
-        out = ", ".join(phases) or "all VMs in service"
-        return (
+        line = (
             f"{status['replica']}: {status['role']} of term {status['term']}, "
-            f"version {status['version']}, index {status['applied_index']}, {out}"
+            f"version {status['version']}, index {status['applied_index']}"
         )
+        if "vms" not in status:
+            return line
+        phases = [f"{vm} {phase}" for vm, phase in status["vms"].items() if phase != "in_service"]
+        out = ", ".join(phases) or "all VMs in service"
+        return f"{line}, {out}"
     return (
         f"{status['entry']}: {'ready' if status['ready'] else 'not ready'}, "
         f"version {status['version']}, {status['calls']} calls, {status['jobs']} jobs"
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -47,6 +47,8 @@
     """Hold one pool's minions while its starts are selected."""
 
     pool: str
+    # All minions of the pool, and those that starts may use.
+    members: list[Minion]
     minions: list[Minion]
     # Needs that fit on no minion of the pool; further starts only reduce the free capacity.
     too_large: list[Resources] = field(factory=list)
@@ -103,7 +105,8 @@
             ]
             if usable:
                 queued.sort(key=lambda item: item[0])
-                self._plan_pool(PoolPlan(pool=pool, minions=usable), queued, starts, now_ms)
+                plan = PoolPlan(pool=pool, members=members[pool], minions=usable)
+                self._plan_pool(plan, queued, starts, now_ms)
         return starts
 
     def _plan_pool(
@@ -130,6 +133,7 @@
         """Start steps in their order; in a full pool, those within their team's share first."""
         turns = self.fleet.shares.order(
             plan.pool,
+            plan.members,
             plan.minions,
             [_share_request(step, job, level) for _, step, job, level in queued],
             self.fleet.proposed.state.table.teams,
@@ -141,14 +145,14 @@
                     break
                 starts += self._start_step(plan, job, step, now_ms, self.placement)
             return
-        # Needs of the first step of each team that found no room within its share.
+        # What the first step of each team that found no room within its share needs on one minion.
         passed_over: dict[str, Resources] = {}
         borrowing: PoolPlan | None = None
         for turn in turns:
             if len(starts) >= MAX_STARTS_PER_PLAN:
                 break
             _, step, job, _ = queued[turn.position]
-            needs = job.spec.steps[step.step].needs
+            spec = job.spec.steps[step.step]
             if turn.end - turn.first < len(step.indexes):
                 step = attrs.evolve(step, indexes=step.indexes[turn.first : turn.end])
             if turn.borrowed and borrowing is None:
@@ -159,9 +163,14 @@
                     too_large=list(plan.too_large),
                 )
             used_plan = borrowing if turn.borrowed and borrowing is not None else plan
-            starts += self._start_step(used_plan, job, step, now_ms, self.placement)
-            if not turn.borrowed and plan.is_known_not_to_fit(needs):
-                passed_over.setdefault(job.team, needs)
+            found = self._start_step(used_plan, job, step, now_ms, self.placement)
+            starts += found
+            if turn.borrowed:
+                continue
+            if spec.gang and not found:
+                passed_over.setdefault(job.team, spec.needs.times(spec.count))
+            elif plan.is_known_not_to_fit(spec.needs):
+                passed_over.setdefault(job.team, spec.needs)
 
     def _split_suspects(
         self, queued: list[QueuedStep], usable: list[Minion]
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import trio
 from attrs import define, field
 
@@ -101,6 +103,7 @@
                 log.info("leadership lost during a scheduling pass: {}", group.exceptions[0])
             finally:
                 self.scheduler = self.queue_service = None
+                self.metrics.set_attainment({})
             await trio.sleep(seconds(RESTART_PAUSE_MS))
 
     async def _apply_earlier_proposals(self) -> None:
@@ -126,6 +129,25 @@
             raise NotLeaderError(self.replica.leader_address())
         return scheduler
 
+    def describe(self) -> dict[str, Any]:
+        """Return this replica's status as plain data; the leader's has the shares of teams."""
+        state, core, scheduler = self.replica.state, self.replica.core, self.scheduler
+        leads = scheduler is not None and scheduler.is_current()
+        return {
+            "replica": self.replica.node_id,
+            "role": core.role.value,
+            "leader": core.leader,
+            "term": core.term,
+            "members": self.replica.members(),
+            "applied_index": state.applied_index,
+            "version": state.workload.declared_version,
+            "team_shares": (
+                scheduler.share_report.describe(self.clock.now_ms())
+                if scheduler is not None and leads
+                else {}
+            ),
+        }
+
     # Handlers
 
     async def on_queue_call(self, call: QueueCall) -> QueueAnswer:
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -23,6 +23,7 @@
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.ports import AdmissionPort, MinionPort, UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.share_report import ShareReport
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.fleet.waiting_jobs import WaitingJobs
 from hornbeamreach.logs import part_logger
@@ -92,6 +93,7 @@
         self.uncommitted_proposals = 0
         self.tickets_requested: set[tuple[str, int, int]] = set()
         self.waiting_jobs = WaitingJobs(scheduler=self)
+        self.share_report = ShareReport(scheduler=self)
 
     # State
 
@@ -393,6 +395,7 @@
         self._check_schedules(wall_ms)
         self._forget_old(now_ms, wall_ms)
         self.waiting_jobs.tick(now_ms, wall_ms)
+        self.share_report.tick(now_ms)
         unrecorded = any(m.listed_end > m.recorded_end for m in self.fleet.minions.values())
         if self.fleet.ready or self.fleet.unrecorded_ends or unrecorded:
             self.notify()
--- a/src/hornbeamreach/fleet/team_shares.py
+++ b/src/hornbeamreach/fleet/team_shares.py
@@ -44,11 +44,12 @@
     # Shares held since the end of the latest pass.
     held: dict[str, float] = field(factory=dict)
 
-    def set_total(self, minions: Iterable[Minion]) -> None:
-        """Set the pool's capacity to that of some minions."""
+    def set_total(self, members: Iterable[Minion], usable: Sequence[Minion]) -> None:
+        """Set the pool's capacity: that of usable minions, and what is used of the others."""
+        usable_ids = {minion.minion_id for minion in usable}
         cpu_millis = memory_mb = accelerators = 0
-        for minion in minions:
-            capacity = minion.report.capacity
+        for minion in members:
+            capacity = minion.report.capacity if minion.minion_id in usable_ids else minion.used
             cpu_millis += capacity.cpu_millis
             memory_mb += capacity.memory_mb
             accelerators += capacity.accelerators
@@ -99,7 +100,8 @@
     def order(
         self,
         pool: str,
-        minions: Iterable[Minion],
+        members: Iterable[Minion],
+        usable: Sequence[Minion],
         requests: Sequence[ShareRequest],
         rows: Mapping[str, TeamRow],
         now_ms: int,
@@ -111,7 +113,7 @@
         """
         shares = self.pools.setdefault(pool, PoolShares())
         self._settle(shares, now_ms)
-        shares.set_total(minions)
+        shares.set_total(members, usable)
         demands = _team_demands(shares, requests)
         if len(demands) < 2 or not _is_full(shares, requests):
             shares.usage.deficits.clear()
--- a/src/hornbeamreach/metrics.py
+++ b/src/hornbeamreach/metrics.py
@@ -25,6 +25,11 @@
         self.gauges = aioprometheus.Gauge(
             "hornbeamreach_state", "Present sizes and indexes by name.", registry=self.registry
         )
+        self.attainment = aioprometheus.Gauge(
+            "hornbeamreach_team_attainment",
+            "Share of full pools that a team used against what it was due, over 10 s.",
+            registry=self.registry,
+        )
         self.refusal_counts: dict[str, int] = {}
         self.retry_counts: dict[str, int] = {}
 
@@ -53,6 +58,12 @@
         """Set a gauge to its current value."""
         self.gauges.set({"name": name}, value)
 
+    def set_attainment(self, ratios: dict[str, float]) -> None:
+        """Set the attainment of these teams, and drop all other teams."""
+        self.attainment.values.clear()
+        for team, ratio in ratios.items():
+            self.attainment.set({"team": team}, ratio)
+
     def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
         """Render all metrics in a format of the Accept header; return the body and its headers."""
         return aioprometheus.render(self.registry, accepts)
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -122,7 +122,9 @@
                 timing=current.timing,
             )
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
-            app = OperatorApp(settings=current, finder=finder, metrics=metrics)
+            app = OperatorApp(
+                settings=current, finder=finder, metrics=metrics, describe=service.describe
+            )
             server = LinkServer(address=current.link_address, secret=secret, handlers=handlers)
             nursery.start_soon(watch_signals, signals, stop, settings)
             nursery.start_soon(watch_settings, settings, discovery.add_addresses)
--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define
@@ -46,6 +47,8 @@
     settings: PlatformSettings
     finder: LeaderFinder
     metrics: Metrics
+    # Returns this replica's status as plain data.
+    describe: Callable[[], dict[str, Any]] = dict
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -83,6 +86,8 @@
             case "GET", ["config", "read"]:
                 reply = await self._ask_leader(ReadDeclaration())
                 return (200, reply.text) if reply.version else (HTTP_UNAVAILABLE, {})
+            case "GET", ["operator", "v1", "status"]:
+                return 200, self.describe()
             case "POST", ["wave-start"]:
                 return await self._start_wave(body)
             case "GET", ["wave-get", number] if WAVE_NUMBER_PATTERN.fullmatch(number):
--- a/src/hornbeamreach/systems/share_order.py
+++ b/src/hornbeamreach/systems/share_order.py
@@ -20,7 +20,7 @@
 
 # At most this fraction of a pool's minions is kept for steps that were passed over, as what they
 # keep free does no work meanwhile.
-MAX_KEPT_FRACTION = 0.25
+MAX_KEPT_FRACTION = 0.1
 
 
 @define(kw_only=True)
--- a/src/hornbeamreach/tables/resources.py
+++ b/src/hornbeamreach/tables/resources.py
@@ -21,6 +21,14 @@
             accelerators=self.accelerators + other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return a multiple."""
+        return Resources(
+            cpu_millis=self.cpu_millis * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+        )
+
     def minus(self, other: Resources) -> Resources:
         """Return the difference."""
         return Resources(
