--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -206,6 +206,13 @@
         assert finder.requests[0].text == text
         assert send_request(app, "GET", "/config/read")[2] == builders.platform_configuration()
 
+    def test_the_status_of_the_replica_is_returned_without_asking_the_leader(self):
+        app, finder = make_operator_app()
+        app.describe = lambda: {"team_shares": {"a": {"attained": 0.5}}}
+        status, _, body = send_request(app, "GET", "/operator/v1/status")
+        assert (status, body) == (200, app.describe())
+        assert not finder.requests
+
     def test_an_invalid_configuration_is_not_forwarded(self):
         app, finder = make_operator_app()
         data = builders.platform_configuration()
--- a/tests/test_team_shares.py
+++ b/tests/test_team_shares.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import statistics
+from types import SimpleNamespace
 
 import orjson
 import pytest
@@ -16,6 +17,8 @@
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.share_report import SHORT_RATIO, ShareReport
+from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.decoding import decode_declaration
 from hornbeamreach.systems.fair_share import max_min_shares, team_weight
 from hornbeamreach.systems.share_order import share_orders
@@ -232,6 +235,21 @@
         assert pool.mean_cores("a", "b") == pytest.approx([40, 8], abs=4)
 
 
+class TestReport:
+    def test_a_declared_team_that_gets_less_than_its_share_is_shown_and_noted(self):
+        pool = SharedPool(policy="by_urgency", urgent=1, b=10)
+        # A team without a row takes part, but is not shown: callers choose no metric's name.
+        for team in ("b", "urgent", "undeclared"):
+            pool.send(team, jobs=240)
+        pool.run(2_000)
+        metrics = Metrics()
+        report = ShareReport(scheduler=SimpleNamespace(fleet=pool.fleet, metrics=metrics))
+        report.tick(pool.now_ms)
+        assert report.short_teams == {"b"}
+        assert set(report.describe(pool.now_ms)) == {"b", "urgent"}
+        assert metrics.attainment.get({"team": "b"}) < SHORT_RATIO
+
+
 class TestTakeover:
     def test_a_leader_that_is_killed_at_a_peak_loses_no_job_and_shows_attainment(self):
         trio.run(self.kill_leader_at_peak, clock=MockClock(autojump_threshold=0))
