--- a/benches/turn_load.py
+++ b/benches/turn_load.py
@@ -37,6 +37,7 @@
 from hornbeamreach.systems.pool_moves import pool_movers
 from hornbeamreach.systems.run_times import RunTimeHistory, run_time_estimators
 from hornbeamreach.systems.task_order import ordering_policies
+from hornbeamreach.systems.vm_drains import drain_policies
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.declared import DeclaredTable, PoolRow, QueueRow
 from hornbeamreach.tables.minions import Minion, MinionReport, ReservedRun, RunPhase
@@ -130,6 +131,7 @@
     mover: str
     ordering: str
     estimator: str
+    drains: str = "none"
     jobs: list[tuple[int, SimulatedJob]]
     now_ms: int = 0
     moves: int = 0
@@ -170,10 +172,14 @@
             fleet=self.fleet,
             began_ms=-10_000,
             clock=SimpleNamespace(now_ms=lambda: self.now_ms, wall_ms=lambda: self.now_ms),
+            metrics=SimpleNamespace(event=lambda name: None),
         )
         inventory = VmInventory(scheduler=scheduler, port=None)
         self.vm_moves = VmMoves(
-            scheduler=scheduler, inventory=inventory, mover=pool_movers.get(self.mover)
+            scheduler=scheduler,
+            inventory=inventory,
+            mover=pool_movers.get(self.mover),
+            drain_policy=drain_policies.get(self.drains),
         )
         for pool, count in zip(
             [*names, STANDBY], [*self.profile.pool_vms, self.profile.standby_vms], strict=True
@@ -266,7 +272,9 @@
             self.vm_ms += in_pools * MOVER_INTERVAL_MS
             used = sum(minion.used.cpu_millis for minion in self.fleet.minions.values())
             self.busy_core_ms += used * MOVER_INTERVAL_MS / VM_CAPACITY.cpu_millis
-        for move in self.vm_moves.mover(demands):
+        moves = self.vm_moves.mover(demands)
+        self.vm_moves.drain_vms(minions, demands, self.now_ms)
+        for move in moves:
             self.moves += self.now_ms < self.profile.day_ms
             inventory.pending_orders[move.vm] = self.now_ms
             self.vm_moves.arriving[move.vm] = move.pool
@@ -383,13 +391,19 @@
     mover: str,
     ordering: str,
     estimator: str = "learnt",
+    drains: str = "none",
     seed: int = 1,
     load: float = 1.0,
 ) -> DayResult:
     """Simulate one day and return its result."""
     jobs = generate_day(profile, seed, load)
     return TurnSimulation(
-        profile=profile, mover=mover, ordering=ordering, estimator=estimator, jobs=jobs
+        profile=profile,
+        mover=mover,
+        ordering=ordering,
+        estimator=estimator,
+        drains=drains,
+        jobs=jobs,
     ).run()
 
 
--- a/src/hornbeamreach/fleet/pool_needs.py
+++ b/src/hornbeamreach/fleet/pool_needs.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.systems.job_progress import USEFUL_DURATION_FACTOR, objective_ms
 from hornbeamreach.tables.workload import StepJob
 
 
@@ -25,20 +26,42 @@
         is_closed = minion.suspects or minion.minion_id in fleet.held_minions
         taken = minion.report.capacity if is_closed else minion.used
         running[pool] = running.get(pool, 0) + taken.cpu_millis
+    for runs in fleet.unattached_runs.values():
+        # A new scheduler has not heard from their minions yet, but counts their VMs.
+        for run in runs.values():
+            job = fleet.job(run.job_id)
+            if job is not None:
+                pool = fleet.pool_of(job)
+                running[pool] = running.get(pool, 0) + run.needs.cpu_millis
     return running
 
 
-def queued_cpu(fleet: FleetState) -> dict[str, int]:
-    """Sum the CPU of tasks that may start by pool, in 1/1000 cores."""
-    queued: dict[str, int] = {}
+@define(kw_only=True)
+class QueuedCpu:
+    """Hold the CPU of a pool's tasks that may start, in 1/1000 cores."""
+
+    total: int = 0
+    # Of that, tasks of jobs whose results come too late to be of use.
+    late: int = 0
+
+
+def queued_cpu(fleet: FleetState, wall_ms: int) -> dict[str, QueuedCpu]:
+    """Sum the CPU of tasks that may start by pool."""
+    queued: dict[str, QueuedCpu] = {}
+    queues = fleet.proposed.state.table.queues
     for job_id, steps in fleet.ready.items():
         job = fleet.job(job_id)
         if job is None:
             continue
-        pool = fleet.pool_of(job)
+        sums = queued.setdefault(fleet.pool_of(job), QueuedCpu())
+        target_ms = objective_ms(job.spec, queues.get(job.queue))
         for step in steps:
-            needs = job.spec.steps[step.step].needs.cpu_millis
-            queued[pool] = queued.get(pool, 0) + needs * len(step.indexes)
+            spec = job.spec.steps[step.step]
+            amount = spec.needs.cpu_millis * len(step.indexes)
+            since_ms = job.spec.due_ms(step.occurrence) if job.spec.timed else job.accepted_ms
+            sums.total += amount
+            if not spec.lasting and wall_ms - since_ms > USEFUL_DURATION_FACTOR * target_ms:
+                sums.late += amount
     return queued
 
 
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -16,7 +16,16 @@
 from hornbeamreach.fleet.vm_inventory import VmInventory
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.demand_forecast import Forecaster, forecasters
-from hornbeamreach.systems.pool_moves import PoolDemand, PoolDemands, PoolMover, VmMove, pool_movers
+from hornbeamreach.systems.pool_moves import (
+    PoolDemand,
+    PoolDemands,
+    PoolMover,
+    VmMove,
+    pool_movers,
+    useful_shortfall,
+)
+from hornbeamreach.systems.suspect_isolation import empty_in_ms
+from hornbeamreach.systems.vm_drains import DrainCandidate, DrainPolicy, drain_policies
 from hornbeamreach.tables.minions import Minion
 
 if TYPE_CHECKING:
@@ -25,6 +34,7 @@
 log = part_logger("moves")
 
 TICK_MS = 200
+MAX_LOGGED_VMS = 20
 # More than a move takes, which is 1.5 s and a heartbeat. A list requested half this long after
 # an order shows its effect; after a rejected order, the VM gets no other one for this long.
 ARRIVAL_MS = 4_000
@@ -47,8 +57,11 @@
 
     scheduler: StepScheduler
     inventory: VmInventory
-    mover: PoolMover = field(factory=lambda: pool_movers.get("follow_forecast"))
+    mover: PoolMover = field(factory=lambda: pool_movers.get("useful_first"))
     forecaster: Forecaster = field(factory=lambda: forecasters.get("arrival_rate"))
+    drain_policy: DrainPolicy = field(factory=lambda: drain_policies.get("late_work_yields"))
+    # VMs that take no new work, for another pool.
+    drained: set[str] = field(factory=set)
     # Target pool of VMs that are being moved, by VM.
     arriving: dict[str, str] = field(factory=dict)
     idle_since_ms: dict[str, int] = field(factory=dict)
@@ -72,6 +85,7 @@
         demands = self.pool_demands(minions, now_ms)
         moves = self.mover(demands)
         _log_moves(demands, moves)
+        self.drain_vms(minions, demands, now_ms)
         for move in moves:
             minion = minions.get(move.vm)
             if minion is not None and minion.report.pool == move.source:
@@ -104,13 +118,55 @@
                     # A move with an unknown outcome has not taken effect by now.
                     minion.cordoned = False
 
+    # Drains
+
+    def drain_vms(self, minions: dict[str, Minion], demands: PoolDemands, now_ms: int) -> None:
+        """Let the VMs that the policy chooses take no new work, and return the others."""
+        candidates = [
+            DrainCandidate(vm=vm, pool=minion.report.pool, empty_in_ms=empty_in_ms(minion, now_ms))
+            for vm, minion in minions.items()
+            if minion.runs and self._may_drain(vm, minion)
+        ]
+        chosen = set(self.drain_policy(demands, candidates))
+        # A VM that has become empty is offered to the mover in its pool's idle ones.
+        for vm in self.drained - chosen:
+            if vm in minions:
+                minions[vm].yielding = False
+        for vm in chosen - self.drained:
+            minions[vm].yielding = True
+        if chosen - self.drained:
+            log.bind(
+                machines=sorted(chosen - self.drained)[:MAX_LOGGED_VMS],
+                pools=dict(Counter(minions[vm].report.pool for vm in chosen)),
+                late={
+                    p: d.late_cpu_millis for p, d in demands.by_pool.items() if d.late_cpu_millis
+                },
+                wanted={
+                    p: missing
+                    for p, d in demands.by_pool.items()
+                    if (missing := useful_shortfall(d))
+                },
+            ).info("{} VMs take no new work, for other pools", len(chosen))
+            self.scheduler.metrics.event("vm_drained_for_move")
+        self.drained = chosen
+
+    def _may_drain(self, vm: str, minion: Minion) -> bool:
+        """Return whether a VM may move once its short tasks have ended."""
+        is_ending = minion.report.leaving or minion.report.draining
+        if is_ending or minion.cordoned or minion.suspects:
+            return False
+        if vm in self.inventory.pending_orders or not self.inventory.may_order(vm):
+            return False
+        return not any(run.lasting for run in minion.runs.values())
+
     # Demand
 
     def pool_demands(self, minions: dict[str, Minion], now_ms: int) -> PoolDemands:
         """Return each pool's VMs and the demand on it."""
         table = self.scheduler.proposed.state.table
         fleet = self.scheduler.fleet
-        running, queued, lasting = running_cpu(fleet), queued_cpu(fleet), lasting_needs(fleet)
+        running, lasting = running_cpu(fleet), lasting_needs(fleet)
+        queued = queued_cpu(fleet, self.scheduler.clock.wall_ms())
         arrivals = fleet.arrivals
         rates = arrivals.measure(now_ms)
         shortfall = self._pools_with_shortfall(now_ms)
@@ -136,7 +192,9 @@
                 vm_cpu_millis=max(
                     (minion.report.capacity.cpu_millis for _, minion in members), default=0
                 ),
-                demand_cpu_millis=running.get(pool, 0) + queued.get(pool, 0),
+                demand_cpu_millis=running.get(pool, 0)
+                + (queued[pool].total if pool in queued else 0),
+                late_cpu_millis=queued[pool].late if pool in queued else 0,
                 running_cpu_millis=running.get(pool, 0),
                 lasting_cpu_millis=lasting[pool].cpu_millis if pool in lasting else 0,
                 forecast_cpu_millis=(
--- a/src/hornbeamreach/systems/pool_moves.py
+++ b/src/hornbeamreach/systems/pool_moves.py
@@ -2,7 +2,8 @@
 
 Load pattern: in turn, each queue's demand rises to about five times its mean for some seconds.
 That is more than its pool holds, while the other pools idle. A move takes some seconds and
-ends the runs on the VM.
+ends the runs on the VM. A peak above what the whole fleet holds leaves a backlog that comes too
+late to be of use; it must not keep VMs from the queue whose demand rises next.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import math
 from collections.abc import Callable
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.registry import Registry
@@ -48,6 +50,8 @@
     # Of that demand, what runs already and what runs until it is cancelled.
     running_cpu_millis: int = 0
     lasting_cpu_millis: int = 0
+    # Of what is queued, tasks of jobs whose results come too late to be of use.
+    late_cpu_millis: int = 0
     # Forecast demand of arriving jobs when a VM that is moved now can work; 0 for no forecast.
     forecast_cpu_millis: int = 0
     # Minimum number of VMs, whatever the demand.
@@ -87,6 +91,27 @@
     return math.ceil(filled + HEADROOM_FACTOR * math.sqrt(filled))
 
 
+def vms_for_useful_work(demand: PoolDemand) -> int:
+    """Return how many VMs a pool needs once its short tasks have ended, without its late work."""
+    if not demand.vm_cpu_millis:
+        return demand.minimum
+    queued = demand.demand_cpu_millis - demand.running_cpu_millis - demand.late_cpu_millis
+    expected = demand.lasting_cpu_millis + max(queued, demand.forecast_cpu_millis)
+    filled = expected / demand.vm_cpu_millis
+    return max(demand.minimum, math.ceil(filled + HEADROOM_FACTOR * math.sqrt(filled)))
+
+
+def useful_shortfall(demand: PoolDemand) -> int:
+    """Return how many more VMs a pool needs for work that is of use."""
+    if demand.standby:
+        return 0
+    useful = attrs.evolve(
+        demand, demand_cpu_millis=demand.demand_cpu_millis - demand.late_cpu_millis
+    )
+    needed = max(demand.minimum, vms_for_demand(useful))
+    return max(0, needed - demand.vms - demand.arriving)
+
+
 @define(frozen=True, kw_only=True)
 class VmMove:
     """Move a VM to another pool."""
@@ -142,6 +167,33 @@
     return _assign_vms(demands, shortfalls, surpluses, standby_after_ms)
 
 
+@pool_movers.register("useful_first")
+def useful_first(demands: PoolDemands) -> list[VmMove]:
+    """Follow the forecast, but serve late work only with VMs that no useful work needs."""
+    claims = {pool: useful_shortfall(demand) for pool, demand in demands.by_pool.items()}
+    has_late_work = any(demand.late_cpu_millis for demand in demands.by_pool.values())
+    if not has_late_work or not any(claims.values()):
+        return follow_forecast(demands)
+    by_pool = {}
+    for pool, demand in demands.by_pool.items():
+        # While a claim is open, a pool keeps no idle VM for its late work.
+        kept = demand.demand_cpu_millis - demand.late_cpu_millis
+        by_pool[pool] = attrs.evolve(demand, demand_cpu_millis=kept)
+    moves = follow_forecast(PoolDemands(by_pool=by_pool))
+    moved = {move.vm for move in moves}
+    rest = {
+        pool: attrs.evolve(
+            demand,
+            idle=tuple(item for item in demand.idle if item[0] not in moved),
+            arriving=demand.arriving + sum(move.pool == pool for move in moves),
+            vms=demand.vms - sum(move.source == pool for move in moves),
+        )
+        for pool, demand in demands.by_pool.items()
+    }
+    spare = {pool: d for pool, d in rest.items() if not useful_shortfall(d)}
+    return moves if len(spare) < len(rest) else moves + follow_forecast(PoolDemands(by_pool=rest))
+
+
 def _assign_vms(
     demands: PoolDemands,
     shortfalls: dict[str, int],
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -116,6 +116,7 @@
         and not minion.report.leaving
         and not minion.cordoned
         and not minion.fenced
+        and not minion.yielding
         and minion.polled_ms >= 0
         and minion.failed_calls == 0
         and not minion.is_silent(now_ms)
--- a/src/hornbeamreach/systems/wait_obstacles.py
+++ b/src/hornbeamreach/systems/wait_obstacles.py
@@ -17,6 +17,7 @@
     DRAINING = "draining"
     CORDONED = "cordoned"
     FENCED = "fenced"
+    YIELDING = "yielding"
     NOT_POLLED = "not_polled"
     UNANSWERED = "unanswered"
     SILENT = "silent"
@@ -38,6 +39,7 @@
         (Obstacle.DRAINING, report.draining),
         (Obstacle.CORDONED, minion.cordoned),
         (Obstacle.FENCED, minion.fenced),
+        (Obstacle.YIELDING, minion.yielding),
         (Obstacle.NOT_POLLED, minion.polled_ms < 0),
         (Obstacle.UNANSWERED, minion.failed_calls > 0),
         (Obstacle.SILENT, minion.is_silent(now_ms)),
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -170,6 +170,8 @@
     cordoned: bool = False
     # The minion has refused this scheduler's fencing token and accepted none since.
     fenced: bool = False
+    # The minion takes no new work, so that its VM can move to another pool.
+    yielding: bool = False
     # A maintenance wave is still to take its VM.
     awaits_maintenance: bool = False
     # Percentage of full speed at which the minion's fillers should run, and when it was set.
