--- a/src/hornbeamreach/systems/pool_moves.py
+++ b/src/hornbeamreach/systems/pool_moves.py
@@ -91,25 +91,32 @@
     return math.ceil(filled + HEADROOM_FACTOR * math.sqrt(filled))
 
 
-def vms_for_useful_work(demand: PoolDemand) -> int:
-    """Return how many VMs a pool needs once its short tasks have ended, without its late work."""
-    if not demand.vm_cpu_millis:
-        return demand.minimum
+def without_late_work(demand: PoolDemand) -> PoolDemand:
+    """Return a pool's demand once its short tasks have ended, without its late work.
+
+    A pool with late work runs mostly tasks of late jobs, as useful ones start first.
+    """
+    if not demand.late_cpu_millis:
+        return demand
     queued = demand.demand_cpu_millis - demand.running_cpu_millis - demand.late_cpu_millis
-    expected = demand.lasting_cpu_millis + max(queued, demand.forecast_cpu_millis)
-    filled = expected / demand.vm_cpu_millis
-    return max(demand.minimum, math.ceil(filled + HEADROOM_FACTOR * math.sqrt(filled)))
+    return attrs.evolve(
+        demand,
+        demand_cpu_millis=demand.lasting_cpu_millis + queued,
+        running_cpu_millis=demand.lasting_cpu_millis,
+        late_cpu_millis=0,
+    )
+
+
+def vms_for_useful_work(demand: PoolDemand) -> int:
+    """Return how many VMs a pool needs for work that is of use."""
+    return max(demand.minimum, vms_for_demand(without_late_work(demand)))
 
 
 def useful_shortfall(demand: PoolDemand) -> int:
     """Return how many more VMs a pool needs for work that is of use."""
     if demand.standby:
         return 0
-    useful = attrs.evolve(
-        demand, demand_cpu_millis=demand.demand_cpu_millis - demand.late_cpu_millis
-    )
-    needed = max(demand.minimum, vms_for_demand(useful))
-    return max(0, needed - demand.vms - demand.arriving)
+    return max(0, vms_for_useful_work(demand) - demand.vms - demand.arriving)
 
 
 @define(frozen=True, kw_only=True)
@@ -170,15 +177,10 @@
 @pool_movers.register("useful_first")
 def useful_first(demands: PoolDemands) -> list[VmMove]:
     """Follow the forecast, but serve late work only with VMs that no useful work needs."""
-    claims = {pool: useful_shortfall(demand) for pool, demand in demands.by_pool.items()}
     has_late_work = any(demand.late_cpu_millis for demand in demands.by_pool.values())
-    if not has_late_work or not any(claims.values()):
+    if not has_late_work or not any(map(useful_shortfall, demands.by_pool.values())):
         return follow_forecast(demands)
-    by_pool = {}
-    for pool, demand in demands.by_pool.items():
-        # While a claim is open, a pool keeps no idle VM for its late work.
-        kept = demand.demand_cpu_millis - demand.late_cpu_millis
-        by_pool[pool] = attrs.evolve(demand, demand_cpu_millis=kept)
+    by_pool = {pool: without_late_work(demand) for pool, demand in demands.by_pool.items()}
     moves = follow_forecast(PoolDemands(by_pool=by_pool))
     moved = {move.vm for move in moves}
     rest = {
@@ -190,8 +192,9 @@
         )
         for pool, demand in demands.by_pool.items()
     }
-    spare = {pool: d for pool, d in rest.items() if not useful_shortfall(d)}
-    return moves if len(spare) < len(rest) else moves + follow_forecast(PoolDemands(by_pool=rest))
+    if any(map(useful_shortfall, rest.values())):
+        return moves
+    return moves + follow_forecast(PoolDemands(by_pool=rest))
 
 
 def _assign_vms(
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -8,6 +8,7 @@
 
 from hornbeamreach.control.workload_commands import AcceptJob
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.fleet.pool_needs import running_cpu
 from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState, VmOrderAnswer
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.vm_inventory import VmInventory
@@ -20,7 +21,9 @@
     VmMove,
     follow_forecast,
     follow_turns,
+    useful_first,
 )
+from hornbeamreach.systems.vm_drains import DrainCandidate, drain_none, late_work_yields
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.declared import PoolRow
 
@@ -201,3 +204,80 @@
         new_move = VmMove(vm="m-0", source="pool-a", pool="spare")
         trio.run(vm_moves._move, new_move, minion)
         assert gone_minions == ["i-0"]
+
+
+class TestLateWork:
+    """A backlog that comes too late to be of use kept all VMs from the queue that rises next."""
+
+    def late_pool(self, **fields) -> PoolDemand:
+        figures = {"vms": 10, "demand_cpu_millis": 460_000, "running_cpu_millis": 160_000}
+        return demand("late", **{**figures, "late_cpu_millis": 300_000, **fields})
+
+    def rising_pool(self, **fields) -> PoolDemand:
+        figures = {"vms": 2, "demand_cpu_millis": 120_000, "running_cpu_millis": 32_000}
+        return demand("rising", **{**figures, **fields})
+
+    def demands(self, *items: PoolDemand) -> PoolDemands:
+        return PoolDemands(by_pool={item.pool: item for item in items})
+
+    def test_idle_vms_go_to_useful_work_first(self):
+        idle = tuple((f"m-{number}", 0) for number in range(4))
+        spare = demand("spare", standby=True, vms=4, idle=idle)
+        demands = self.demands(self.late_pool(), self.rising_pool(), spare)
+        assert {move.pool for move in follow_forecast(demands)} == {"late"}
+        assert {move.pool for move in useful_first(demands)} == {"rising"}
+
+    def test_late_work_gets_what_useful_work_leaves(self):
+        idle = tuple((f"m-{number}", 0) for number in range(20))
+        spare = demand("spare", standby=True, vms=20, idle=idle)
+        moves = useful_first(self.demands(self.late_pool(), self.rising_pool(), spare))
+        assert {move.pool for move in moves} == {"rising", "late"}
+        assert len({move.vm for move in moves}) == len(moves)
+
+    def test_without_late_work_moves_are_those_of_the_forecast(self):
+        spare = demand("spare", standby=True, vms=1, idle=(("m-1", 0),))
+        demands = self.demands(self.late_pool(late_cpu_millis=0), self.rising_pool(), spare)
+        assert useful_first(demands) == follow_forecast(demands)
+
+    def test_busy_vms_of_late_work_are_drained_the_soonest_empty_first(self):
+        demands = self.demands(self.late_pool(minimum=3), self.rising_pool())
+        candidates = [
+            DrainCandidate(vm=f"m-{number}", pool="late", empty_in_ms=100 * (10 - number))
+            for number in range(10)
+        ]
+        candidates.append(DrainCandidate(vm="own", pool="rising", empty_in_ms=0))
+        chosen = late_work_yields(demands, candidates)
+        assert drain_none(demands, candidates) == []
+        assert chosen == [f"m-{number}" for number in range(9, 9 - len(chosen), -1)]
+        # The rising pool's need is met, and the other one keeps what it needs at least.
+        assert 0 < len(chosen) <= 7
+
+    def test_no_vm_is_drained_while_idle_ones_are_enough(self):
+        idle = tuple((f"m-{number}", 0) for number in range(20))
+        spare = demand("spare", standby=True, vms=20, idle=idle)
+        demands = self.demands(self.late_pool(), self.rising_pool(), spare)
+        candidate = DrainCandidate(vm="m-30", pool="late", empty_in_ms=0)
+        assert late_work_yields(demands, [candidate]) == []
+
+    def test_a_drained_vm_takes_no_new_work_until_the_need_is_over(self):
+        moves = make_vm_moves(5_000)
+        moves.scheduler.metrics = SimpleNamespace(event=lambda name: None)
+        minion = moves.scheduler.fleet.minions["i-0"]
+        minion.reserve(builders.run())
+        minions = {"m-0": minion}
+        moves.drain_policy = lambda demands, candidates: [item.vm for item in candidates]
+        moves.drain_vms(minions, PoolDemands(), 5_000)
+        assert minion.yielding
+        moves.drain_policy = drain_none
+        moves.drain_vms(minions, PoolDemands(), 5_200)
+        assert not minion.yielding
+
+    def test_runs_of_minions_not_heard_from_count_as_demand(self):
+        # A new scheduler counted the VMs of the platform's list, but not the runs on them.
+        moves = make_vm_moves(5_000)
+        fleet = moves.scheduler.fleet
+        run = builders.run(job_id=next(iter(fleet.proposed.workload.jobs)))
+        fleet.unattached_runs["i-9"] = {run.name: run}
+        before = running_cpu(fleet)["pool-a"]
+        fleet.unattached_runs.clear()
+        assert before - running_cpu(fleet)["pool-a"] == run.needs.cpu_millis
