--- a/src/hornbeamreach/systems/pool_moves.py
+++ b/src/hornbeamreach/systems/pool_moves.py
@@ -2,7 +2,8 @@
 
 Load pattern: in turn, each queue's demand rises to about five times its mean for some seconds.
 That is more than its pool holds, while the other pools idle. A move takes some seconds and
-ends the runs on the VM.
+ends the runs on the VM. A peak above what the whole fleet holds leaves a backlog that comes too
+late to be of use; it must not keep VMs from the queue whose demand rises next.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import math
 from collections.abc import Callable
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.registry import Registry
@@ -48,6 +50,8 @@
     # Of that demand, what runs already and what runs until it is cancelled.
     running_cpu_millis: int = 0
     lasting_cpu_millis: int = 0
+    # Of what is queued, tasks of jobs whose results come too late to be of use.
+    late_cpu_millis: int = 0
     # Forecast demand of arriving jobs when a VM that is moved now can work; 0 for no forecast.
     forecast_cpu_millis: int = 0
     # Minimum number of VMs, whatever the demand.
@@ -87,6 +91,34 @@
     return math.ceil(filled + HEADROOM_FACTOR * math.sqrt(filled))
 
 
+def without_late_work(demand: PoolDemand) -> PoolDemand:
+    """Return a pool's demand once its short tasks have ended, without its late work.
+
+    A pool with late work runs mostly tasks of late jobs, as useful ones start first.
+    """
+    if not demand.late_cpu_millis:
+        return demand
+    queued = demand.demand_cpu_millis - demand.running_cpu_millis - demand.late_cpu_millis
+    return attrs.evolve(
+        demand,
+        demand_cpu_millis=demand.lasting_cpu_millis + queued,
+        running_cpu_millis=demand.lasting_cpu_millis,
+        late_cpu_millis=0,
+    )
+
+
+def vms_for_useful_work(demand: PoolDemand) -> int:
+    """Return how many VMs a pool needs for work that is of use."""
+    return max(demand.minimum, vms_for_demand(without_late_work(demand)))
+
+
+def useful_shortfall(demand: PoolDemand) -> int:
+    """Return how many more VMs a pool needs for work that is of use."""
+    if demand.standby:
+        return 0
+    return max(0, vms_for_useful_work(demand) - demand.vms - demand.arriving)
+
+
 @define(frozen=True, kw_only=True)
 class VmMove:
     """Move a VM to another pool."""
@@ -142,6 +174,29 @@
     return _assign_vms(demands, shortfalls, surpluses, standby_after_ms)
 
 
+@pool_movers.register("useful_first")
+def useful_first(demands: PoolDemands) -> list[VmMove]:
+    """Follow the forecast, but serve late work only with VMs that no useful work needs."""
+    has_late_work = any(demand.late_cpu_millis for demand in demands.by_pool.values())
+    if not has_late_work or not any(map(useful_shortfall, demands.by_pool.values())):
+        return follow_forecast(demands)
+    by_pool = {pool: without_late_work(demand) for pool, demand in demands.by_pool.items()}
+    moves = follow_forecast(PoolDemands(by_pool=by_pool))
+    moved = {move.vm for move in moves}
+    rest = {
+        pool: attrs.evolve(
+            demand,
+            idle=tuple(item for item in demand.idle if item[0] not in moved),
+            arriving=demand.arriving + sum(move.pool == pool for move in moves),
+            vms=demand.vms - sum(move.source == pool for move in moves),
+        )
+        for pool, demand in demands.by_pool.items()
+    }
+    if any(map(useful_shortfall, rest.values())):
+        return moves
+    return moves + follow_forecast(PoolDemands(by_pool=rest))
+
+
 def _assign_vms(
     demands: PoolDemands,
     shortfalls: dict[str, int],
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -118,6 +118,7 @@
         and not minion.report.leaving
         and not minion.cordoned
         and not minion.fenced
+        and not minion.yielding
         and minion.polled_ms >= 0
         and minion.failed_calls == 0
         and not minion.is_silent(now_ms)
--- a/src/hornbeamreach/systems/wait_obstacles.py
+++ b/src/hornbeamreach/systems/wait_obstacles.py
@@ -18,6 +18,7 @@
     EVACUATED = "evacuated"
     CORDONED = "cordoned"
     FENCED = "fenced"
+    YIELDING = "yielding"
     NOT_POLLED = "not_polled"
     UNANSWERED = "unanswered"
     SILENT = "silent"
@@ -42,6 +43,7 @@
         (Obstacle.EVACUATED, report.data_center in evacuated),
         (Obstacle.CORDONED, minion.cordoned),
         (Obstacle.FENCED, minion.fenced),
+        (Obstacle.YIELDING, minion.yielding),
         (Obstacle.NOT_POLLED, minion.polled_ms < 0),
         (Obstacle.UNANSWERED, minion.failed_calls > 0),
         (Obstacle.SILENT, minion.is_silent(now_ms)),
