Let a task wait for the rack of its data while it gains by it

Cause: a far place was only a cost in the choice of a minion. A task that names the rack of its data, a rack-local step or a gang started elsewhere at once though a place in the rack was free a moment later. It took remote-factor times as long there, and at a peak that room was missing for all: callers got results late.

The planner asks once it has found a far place, in each pass; gangs and rack-local steps are decided as a whole. The factor comes from the settings; without it nothing changes. A far run is expected to take longer, so that the learnt run times of its queue are not distorted.

Left out after trials: other work avoiding racks that tasks wait for, and learnt run times in the order of steps.

--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -8,12 +8,14 @@
 from attrs import define, field
 
 from hornbeamreach.fleet.fleet_state import FleetState, build_run
+from hornbeamreach.fleet.near_waits import NearTurn, NearWaits, PoolRacks
 from hornbeamreach.fleet.suspect_turns import SuspectTurns
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.job_progress import (
     USEFUL_DURATION_FACTOR,
     ReadyStep,
     objective_ms,
+    queued_since_ms,
     remaining_critical_path_ms,
     work_core_ms,
 )
@@ -44,6 +46,8 @@
     too_large: list[Resources] = field(factory=list)
     # Jobs with suspects in the pool: they may find room that other jobs don't.
     suspect_jobs: set[str] = field(factory=set)
+    # What is known of the racks that steps ask for.
+    racks: PoolRacks = field(factory=PoolRacks)
 
     def is_known_not_to_fit(self, needs: Resources) -> bool:
         """Return whether needs that are no larger already failed to fit."""
@@ -58,6 +62,8 @@
     ordering: OrderingPolicy = field(factory=lambda: ordering_policies.get("useful_first"))
     placement: PlacementPolicy = field(factory=lambda: placement_policies.get("best_fit"))
     metrics: Metrics | None = None
+    remote_factor: float = 1.0
+    near_waits: NearWaits = field(init=False)
     turns: SuspectTurns = field(init=False)
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
@@ -65,12 +71,16 @@
 
     def __attrs_post_init__(self) -> None:
         self.turns = SuspectTurns(fleet=self.fleet, policy=self.placement, metrics=self.metrics)
+        self.near_waits = NearWaits(
+            fleet=self.fleet, remote_factor=self.remote_factor, metrics=self.metrics
+        )
 
     def plan(self, now_ms: int, wall_ms: int) -> list[ReservedRun]:
         """Reserve the runs that can start now and return them."""
         fleet = self.fleet
         fleet.refresh_ready(wall_ms)
         self.turns.begin_pass()
+        self.near_waits.begin_pass(now_ms, wall_ms)
         by_pool: dict[str, list[QueuedStep]] = {}
         for job_id, steps in fleet.ready.items():
             job = fleet.job(job_id)
@@ -109,6 +119,7 @@
         held = self.fleet.held_minions
         plan.minions = [m for m in usable if m.minion_id not in held] if held else usable
         plan.suspect_jobs = {job_id for minion in usable for job_id in minion.suspects}
+        plan.racks = PoolRacks(minions=plan.minions, queued=others, too_large=plan.too_large)
         for _, step, job in others:
             if len(starts) >= MAX_STARTS_PER_PLAN:
                 break
@@ -164,7 +175,7 @@
         """Describe a ready step for the ordering policy."""
         spec = job.spec.steps[step.step]
         queue = self.fleet.proposed.state.table.queues.get(job.queue)
-        queued_since_ms = job.spec.due_ms(step.occurrence) if job.spec.timed else job.accepted_ms
+        since_ms = queued_since_ms(job, step.occurrence)
         target_ms = objective_ms(job.spec, queue)
         remaining_ms = remaining_critical_path_ms(job, step.occurrence)
         return PendingStep(
@@ -172,9 +183,9 @@
             lasting=spec.lasting,
             filler=spec.filler,
             begun=bool(job.tasks),
-            slack_ms=queued_since_ms + target_ms - wall_ms - remaining_ms,
-            useful_ms=queued_since_ms + USEFUL_DURATION_FACTOR * target_ms - wall_ms - remaining_ms,
-            waited_ms=wall_ms - queued_since_ms,
+            slack_ms=since_ms + target_ms - wall_ms - remaining_ms,
+            useful_ms=since_ms + USEFUL_DURATION_FACTOR * target_ms - wall_ms - remaining_ms,
+            waited_ms=wall_ms - since_ms,
             work_core_ms=work_core_ms(job.spec),
         )
 
@@ -198,6 +209,9 @@
             return []
         starts: list[ReservedRun] = []
         siblings = self.fleet.count_siblings(job, step.occurrence, step.step)
+        asks_for_rack = not suspect and self.near_waits.applies(spec)
+        near: NearTurn | None = None
+        request: PlacementRequest | None = None
         for index in step.indexes:
             key = task_key(step.occurrence, step.step, index)
             if self.fleet.find_run(job.job_id, key) is not None:
@@ -216,16 +230,28 @@
                 key=key,
                 suspect=suspect,
             )
-            run = self._start_task(plan, job, request, now_ms, placement)
+            if asks_for_rack:
+                if near is None:
+                    near = self.near_waits.turn(plan.racks, job, step, request)
+                    asks_for_rack = near is not None
+                if near is not None:
+                    request = attrs.evolve(request, near_rack=near.rack)
+            run = self._start_task(plan, job, request, now_ms, placement, near)
+            if run is None and near is not None and near.is_held(key):
+                continue
             if run is None:
                 # The step's other tasks have the same needs.
                 break
             starts.append(run)
             siblings[run.minion] = siblings.get(run.minion, 0) + 1
-        if spec.gang and len(starts) < len(step.indexes):
+        if spec.gang and (
+            len(starts) < len(step.indexes)
+            or (near is not None and request is not None and near.holds_gang(starts, request))
+        ):
             self._release(starts)
             return []
         if starts:
+            self.near_waits.finish(job, step, starts)
             self.fleet.stale_jobs.add(job.job_id)
         if spec.gang:
             self._align_gang(job, step, starts)
@@ -247,9 +273,12 @@
         request: PlacementRequest,
         now_ms: int,
         placement: PlacementPolicy,
+        near: NearTurn | None = None,
     ) -> ReservedRun | None:
         fleet, key = self.fleet, request.key
-        minion = placement(request, plan.minions)
+        minion = near.same_minion(request) if near is not None else None
+        if minion is None:
+            minion = placement(request, plan.minions)
         if minion is None:
             if not request.constrained:
                 plan.too_large.append(request.needs)
@@ -267,6 +296,10 @@
         row = fleet.proposed.state.table.teams.get(job.team)
         if not fleet.team_use.allows(job.team, row, run.charged):
             return None
+        if near is not None and near.holds_back(request, minion):
+            return None
+        if near is not None and minion.report.rack != near.rack:
+            run.expected_ms = int(run.expected_ms * self.remote_factor)
         run.checkpoint = task.checkpoint if task else ""
         fleet.reserve(run)
         return run
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -81,7 +81,9 @@
         self.fleet.recover_runs(self.began_ms)
         self.crashes = CrashRecorder(self)
         self.crashes.recover()
-        self.planner = Planner(fleet=self.fleet, metrics=metrics)
+        self.planner = Planner(
+            fleet=self.fleet, metrics=metrics, remote_factor=timing.remote_factor
+        )
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
--- a/src/hornbeamreach/fleet/timing.py
+++ b/src/hornbeamreach/fleet/timing.py
@@ -7,7 +7,7 @@
 
 @define(frozen=True, kw_only=True)
 class FleetTiming:
-    """Hold the scheduler's timeouts and intervals in ms, and shares of them."""
+    """Hold the scheduler's timeouts and intervals in ms, and factors."""
 
     # A minion kills its runs this long after it was last reached. Must exceed two changes of the
     # leader, 1.5 s each; the runs of a dead minion restart only after it.
@@ -33,6 +33,9 @@
     ended_job_retention_ms: int = 130_000
     # Tickets are requested again after this share of their validity.
     ticket_refresh_share: float = 0.7
+    # How many times as long a task takes outside the rack that it asks for; 1.0 if this is unknown,
+    # and then no task waits for a rack.
+    remote_factor: float = 1.0
 
     @property
     def recovered_lease_ms(self) -> int:
--- a/src/hornbeamreach/platform/settings.py
+++ b/src/hornbeamreach/platform/settings.py
@@ -123,4 +123,5 @@
     return FleetTiming(
         lease_ms=int(max_lease_ms * LEASE_FRACTION),
         ended_job_retention_ms=int(fields.number(bounds, "status_s", 120) * MS_PER_S * 1.1),
+        remote_factor=fields.number(bounds, "remote-factor", 1.0),
     )
--- a/src/hornbeamreach/systems/job_progress.py
+++ b/src/hornbeamreach/systems/job_progress.py
@@ -101,6 +101,11 @@
     return sum(step.count * step.cpu_millis * step.estimate_ms // 1_000 for step in spec.steps)
 
 
+def queued_since_ms(job: StepJob, occurrence: int) -> int:
+    """Return the wall time from which the target duration of an occurrence counts."""
+    return job.spec.due_ms(occurrence) if job.spec.timed else job.accepted_ms
+
+
 def objective_ms(spec: StepJobSpec, queue: QueueRow | None) -> int:
     """Return the target duration of a job in ms, from its submission or its due time."""
     slack = queue.slack_factor if queue else DEFAULT_SLACK_FACTOR
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -36,6 +36,8 @@
     avoided_racks: frozenset[str] = frozenset()
     job_id: str = ""
     key: str = ""
+    # Rack outside of which the task takes longer; empty if the step's columns alone decide.
+    near_rack: str = ""
     # Minions have crashed under the task: it may share a minion with its own job only.
     suspect: bool = False
 
@@ -88,7 +90,8 @@
 
 def _cost(request: PlacementRequest, minion: Minion) -> tuple:
     step = request.step
-    remote = bool(step.data_rack) and minion.report.rack != step.data_rack
+    rack = request.near_rack or step.data_rack
+    remote = bool(rack) and minion.report.rack != rack
     split = step.same_rack and bool(request.racks) and minion.report.rack not in request.racks
     return (
         int(minion.minion_id in request.avoided),
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -210,6 +210,13 @@
         assert settings.link_address_of("10.2.0.18:8345") == "10.2.0.18:7000"
         assert settings.timing.lease_ms == 4_000
         assert settings.grace_ms == 6_000
+        # Without the factor no task waits for a rack.
+        assert settings.timing.remote_factor == 1.0
+
+    def test_the_factor_of_remote_racks_is_decoded(self):
+        bounds = {"remote-factor": 2.5}
+        settings = decode_settings({**builders.platform_settings(), "bounds": bounds})
+        assert settings.timing.remote_factor == 2.5
 
     @pytest.mark.parametrize(
         ("change", "field"),
