Plan changed pools in slices, and pace the leader's polls by its lag

Cause: a planning pass covered all pools on each event and ran to its end within one step of the event loop, so polls, renewals of leases and answers to callers waited behind it for 100 ms and more. After a takeover all minions were polled at once, and each missing run had a log line of its own.

Change: an event marks the pools in which a start may have become possible; a pass plans these in slices of 20 ms, and proposes the starts of a slice before the next one begins. A meter of the loop's lag (`loop_lag_ms`) paces polls and leaves out what can wait above 300 ms.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -17,7 +17,7 @@
 from hornbeamreach.systems.run_times import RunTimeHistory
 from hornbeamreach.systems.stragglers import record_run_failure
 from hornbeamreach.systems.suspect_isolation import is_suspect, suspect_tasks
-from hornbeamreach.systems.team_limits import TeamResourceUse
+from hornbeamreach.systems.team_limits import TeamResourceUse, has_limits
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import (
@@ -58,6 +58,9 @@
     runs_by_job: dict[str, dict[str, ReservedRun]] = field(factory=dict)
     # Jobs whose ready steps must be computed again.
     stale_jobs: set[str] = field(factory=set)
+    # Pools in which a start may have become possible since they were last planned.
+    changed_pools: set[str] = field(factory=set)
+    all_pools_changed: bool = False
     unrecorded_ends: list[UnrecordedEnd] = field(factory=list)
     # Ended runs under which a crash is to be counted, and runs whose tasks are cleared.
     unrecorded_crashes: list[ReservedRun] = field(factory=list)
@@ -136,10 +139,14 @@
         minion = self.minions.get(run.minion)
         if minion is not None:
             minion.release(run.name)
+            self.changed_pools.add(minion.report.pool)
             self._record_outcome(minion, run, end, now_ms)
         self.unattached_runs.get(run.minion, {}).pop(run.name, None)
         self.team_use.remove(run.team, run.charged)
         self.shares.remove(run)
+        if has_limits(self.proposed.state.table.teams.get(run.team)):
+            # The team's jobs may wait in any pool.
+            self.all_pools_changed = True
         runs = self.runs_by_job[run.job_id]
         del runs[run.key]
         if not runs:
@@ -223,6 +230,12 @@
 
     # Ready steps
 
+    def take_changed_pools(self) -> set[str] | None:
+        """Return the pools in which a start may have become possible, None for all."""
+        changed = None if self.all_pools_changed else self.changed_pools
+        self.all_pools_changed, self.changed_pools = False, set()
+        return changed
+
     def refresh_ready(self, wall_ms: int) -> None:
         """Recompute the ready steps of stale jobs."""
         for job_id in self.stale_jobs:
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -149,6 +149,7 @@
         if scheduler.fleet.find_run(run.job_id, run.key) is not run:
             return
         if reply.answer is StartAnswer.STARTED:
+            minion.renewed_until_ms = max(minion.renewed_until_ms, order.lease_until_ms)
             self._on_started(run, minion)
         else:
             self._on_rejected(run, minion, reply.answer)
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -19,12 +19,14 @@
 )
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.filler_pacing import FULL_PACE_PERCENT
+from hornbeamreach.systems.overload import PollState, poll_delay_ms
 from hornbeamreach.systems.relay_choice import poll_pause_ms
 from hornbeamreach.systems.stragglers import (
     STRAGGLER_PAUSE_MS,
     RunObservation,
     StragglerKind,
     has_measurable_speed,
+    may_be_straggler,
     straggler_kind,
     typical_run_ms,
 )
@@ -42,8 +44,9 @@
 MAX_POLL_PAUSE_MS = 600
 # Recording an end takes tens of ms; after this the lease is renewed without waiting for it.
 MAX_RECORD_WAIT_MS = 1_000
-
-
+# A poll that waits for the event loop checks its lag again after this.
+LAG_CHECK_INTERVAL_MS = 100
+MAX_LOGGED_RUNS = 20
 UNKNOWN_OUTCOME_PHASES = frozenset({RunPhase.UNKNOWN, RunPhase.STOPPING})
 
 
@@ -89,7 +92,46 @@
                     while minion.listed_end > minion.recorded_end:
                         await self.wake.wait()
                         self.wake = trio.Event()
-            await self._poll(minion)
+            await self._wait_for_time(minion)
+            if self.scheduler.fleet.minions.get(self.minion_id) is not minion:
+                continue
+            if minion.polled_ms < 0 and not minion.failed_calls:
+                turn = await self.scheduler.first_polls.begin(minion)
+                # A later incarnation may have been heard of meanwhile.
+                if self.scheduler.fleet.minions.get(self.minion_id) is minion:
+                    await self._poll(minion)
+                turn.set()
+            else:
+                await self._poll(minion)
+
+    async def _wait_for_time(self, minion: Minion) -> None:
+        """Wait while the event loop is late and the minion's poll can wait."""
+        scheduler = self.scheduler
+        began_ms = scheduler.clock.now_ms()
+        while not self.stopped and scheduler.fleet.minions.get(self.minion_id) is minion:
+            lag_ms = scheduler.loop_lag.lag_ms
+            state = self._poll_state(minion, lag_ms, scheduler.clock.now_ms() - began_ms)
+            delay_ms = poll_delay_ms(scheduler.overload(lag_ms), state)
+            if not delay_ms:
+                return
+            with trio.move_on_after(seconds(min(delay_ms, LAG_CHECK_INTERVAL_MS))):
+                await self.wake.wait()
+            self.wake = trio.Event()
+
+    def _poll_state(self, minion: Minion, lag_ms: int, waited_ms: int) -> PollState:
+        runs = minion.runs.values()
+        left_ms = minion.renewed_until_ms - minion.min_clock_ms(self.scheduler.clock.now_ms())
+        return PollState(
+            unsettled=minion.polled_ms < 0
+            or minion.failed_calls > 0
+            or minion.fenced
+            or minion.report.leaving
+            or any(run.phase in UNKNOWN_OUTCOME_PHASES for run in runs),
+            lease_left_ms=left_ms if minion.runs or minion.foreign_runs else None,
+            lease_ms=self.scheduler.timing.lease_ms,
+            lag_ms=lag_ms,
+            waited_ms=waited_ms,
+        )
 
     def _needs_poll(self, minion: Minion) -> bool:
         if minion.report.leaving and not minion.runs:
@@ -116,14 +158,15 @@
         recorded_end = minion.recorded_end
         with trio.CancelScope() as scope:
             wait_ms = self._wait_ms(minion)
+            # Granting leases to a silent minion would delay their lapse forever.
+            lease_until_ms = None if minion.failed_calls else scheduler.extend_lease(minion)
             self.poll_scope = scope if wait_ms else None
             try:
                 result = await self.port.poll(
                     minion.report,
                     token=token,
                     recorded_end=recorded_end,
-                    # Granting leases to a silent minion would delay their lapse forever.
-                    lease_until_ms=None if minion.failed_calls else scheduler.extend_lease(minion),
+                    lease_until_ms=lease_until_ms,
                     wait_ms=wait_ms,
                 )
             except UnknownOutcomeError as exc:
@@ -141,6 +184,7 @@
                 self.poll_scope = None
         if not scope.cancelled_caught:
             minion.acknowledged_end = max(minion.acknowledged_end, recorded_end)
+            minion.renewed_until_ms = max(minion.renewed_until_ms, lease_until_ms or 0)
             self._on_result(minion, result, sent_ms, token)
 
     async def _on_unknown_outcome(self, minion: Minion, exc: UnknownOutcomeError) -> None:
@@ -186,6 +230,9 @@
                     )
                 )
             return
+        if minion.failed_calls or minion.fenced or minion.polled_ms < 0:
+            # It may get work again.
+            scheduler.fleet.changed_pools.add(minion.report.pool)
         if minion.failed_calls:
             log.bind(minion=minion.minion_id, tries=minion.failed_calls).info(
                 "minion answers again"
@@ -206,7 +253,7 @@
         self._end_missing_runs(minion, running, sent_ms, token)
         scheduler.orders.pace_fillers(minion)
         self._stop_stragglers(minion, now_ms)
-        scheduler.notify()
+        scheduler.notify_of_changes()
 
     def _record_end(self, minion: Minion, ended: EndedTask, now_ms: int) -> None:
         if ended.number <= minion.listed_end:
@@ -244,7 +291,9 @@
             run.crash = None
             if run.suspect and run.lasting:
                 self.scheduler.crashes.clear_if_at_work(run, now_ms)
-        minion.set_foreign_runs(foreign)
+        if foreign or minion.foreign_runs:
+            self.scheduler.fleet.changed_pools.add(minion.report.pool)
+            minion.set_foreign_runs(foreign)
 
     def _mark_running(self, run: ReservedRun) -> None:
         job = self.scheduler.fleet.job(run.job_id)
@@ -257,6 +306,8 @@
         for run in list(minion.runs.values()):
             if run.lasting or run.phase is not RunPhase.RUNNING or run.pace != FULL_PACE_PERCENT:
                 continue
+            if not may_be_straggler(now_ms - run.started_ms, run.percent):
+                continue
             observation = RunObservation(
                 percent=run.percent,
                 since_start_ms=now_ms - run.started_ms,
@@ -295,12 +346,20 @@
         """End runs that are missing from a poll sent after their outcome was known."""
         if token != self.scheduler.fencing_token(minion):
             return
-        for run in list(minion.runs.values()):
-            if (run.name, run.run) in running or not self._outcome_known_before(run, sent_ms):
-                continue
-            log.bind(request=run.job_id, task=run.key, run=run.run, minion=run.minion).info(
-                "run is not there, phase {}", run.phase.value
-            )
+        missing = [
+            run
+            for run in minion.runs.values()
+            if (run.name, run.run) not in running and self._outcome_known_before(run, sent_ms)
+        ]
+        if not missing:
+            return
+        log.bind(
+            minion=minion.minion_id,
+            count=len(missing),
+            recovered=sum(run.recovered for run in missing),
+            runs=[[run.name, run.run, run.phase.value] for run in missing[:MAX_LOGGED_RUNS]],
+        ).info("runs are not there")
+        for run in missing:
             self.scheduler.fleet.end_run(run, RunEnd.LOST)
 
     def _outcome_known_before(self, run: ReservedRun, sent_ms: int) -> bool:
--- a/src/hornbeamreach/fleet/near_waits.py
+++ b/src/hornbeamreach/fleet/near_waits.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
 
 import attrs
 from attrs import define, field
@@ -26,6 +27,9 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, StepSpec, task_key
 
+if TYPE_CHECKING:
+    from hornbeamreach.fleet.planner import QueuedStep
+
 log = part_logger("near_waits")
 
 StepName = tuple[str, int, int]
@@ -51,7 +55,7 @@
     """Hold a pool's queue and the estimates for its racks within a planning pass."""
 
     minions: list[Minion] = field(factory=list)
-    queued: list[tuple] = field(factory=list)
+    queued: Sequence[QueuedStep] = ()
     # Needs that fit on no minion of the pool.
     too_large: list[Resources] = field(factory=list)
     forecasts: dict[str, RackForecast] = field(factory=dict)
@@ -74,7 +78,8 @@
         """Sum up what the waiting tasks need that may fit, up to the whole pool."""
         enough = sum(minion.report.capacity.cpu_millis for minion in self.minions)
         total = 0
-        for _, step, job, *_ in self.queued:
+        for item in self.queued:
+            step, job = item.step, item.job
             needs = job.spec.steps[step.step].needs
             if any(needs_too_large.fits_in(needs) for needs_too_large in self.too_large):
                 continue
--- a/src/hornbeamreach/fleet/relayed_minion_port.py
+++ b/src/hornbeamreach/fleet/relayed_minion_port.py
@@ -84,6 +84,9 @@
     # When each minion was last called; its size counts the minions in use.
     last_call_ms: dict[str, int] = field(factory=dict, init=False)
     wake: trio.Event = field(factory=trio.Event, init=False)
+    # The followers as of a time: the calls of a burst share one look at them.
+    known_followers: list[Follower] = field(factory=list, init=False)
+    followers_ms: int = field(default=-1, init=False)
 
     def __attrs_post_init__(self) -> None:
         # A result for an earlier process at this address must not match a call of this process.
@@ -184,9 +187,11 @@
     def _relay_for(self, minion: str) -> str | None:
         now_ms = self.clock.now_ms()
         self.last_call_ms[minion] = now_ms
+        if now_ms != self.followers_ms:
+            self.known_followers, self.followers_ms = self.followers(), now_ms
         return choose_relay(
             minion,
-            self.followers(),
+            self.known_followers,
             self.backoff,
             minions=len(self.last_call_ms),
             now_ms=now_ms,
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -18,8 +18,10 @@
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.evacuations import Evacuations
+from hornbeamreach.fleet.first_polls import FirstPolls
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.job_admission import JobAdmission
+from hornbeamreach.fleet.loop_lag import LoopLag
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.planner import Planner
@@ -31,7 +33,14 @@
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.job_progress import next_due_ms
-from hornbeamreach.tables.minions import Minion, MinionReport, ReservedRun, RunPhase
+from hornbeamreach.systems.overload import Effort, overload_policies
+from hornbeamreach.tables.minions import (
+    MAX_CAPACITY_AGE_MS,
+    Minion,
+    MinionReport,
+    ReservedRun,
+    RunPhase,
+)
 from hornbeamreach.tables.workload import RunEnd
 from hornbeamreach.verdict import Reason, Verdict
 
@@ -40,6 +49,9 @@
 # Ends and starts within this span share one log append: about the time of a sync and a round
 # trip, and a hundredth of a task.
 COALESCE_MS = 10
+# Pause between two slices of a planning pass. A message takes several steps of the event loop, so
+# a single one between slices would delay it by as many slices.
+SLICE_PAUSE_MS = 2
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_JOBS = 500
@@ -87,9 +99,13 @@
         self.planner = Planner(
             fleet=self.fleet, metrics=metrics, remote_factor=timing.remote_factor
         )
+        self.loop_lag = LoopLag(clock=clock, metrics=metrics)
+        self.overload = overload_policies.get("by_lag")
+        self.last_effort = Effort()
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
+        self.first_polls = FirstPolls(scheduler=self)
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
         self.last_cleanup_ms = self.began_ms
@@ -128,6 +144,10 @@
         minion.lease_until_ms = max(minion.lease_until_ms, until_ms)
         return minion.lease_until_ms
 
+    def effort(self) -> Effort:
+        """Return how much optional work the loop has time for."""
+        return self.overload(self.loop_lag.lag_ms)
+
     # Proposals
 
     def propose(self, command: WorkloadCommand) -> PendingProposal:
@@ -164,6 +184,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self._plan_forever)
+            nursery.start_soon(self.loop_lag.run)
             while self.is_current():
                 self._tick()
                 await trio.sleep(seconds(TICK_MS))
@@ -172,19 +193,31 @@
         log.bind(term=self.term).info("scheduling ends: this replica no longer leads")
 
     def notify(self) -> None:
-        """Schedule a planning pass, which batches changes for `COALESCE_MS`."""
+        """Schedule a planning pass of all pools, which batches changes for `COALESCE_MS`."""
+        self.fleet.all_pools_changed = True
         self.wake.set()
 
+    def notify_of_changes(self) -> None:
+        """Schedule a planning pass if runs have ended or pools have changed."""
+        fleet = self.fleet
+        if fleet.unrecorded_ends or fleet.changed_pools or fleet.all_pools_changed:
+            self.wake.set()
+
     async def _plan_forever(self) -> None:
         while True:
             await self.wake.wait()
             await trio.sleep(seconds(COALESCE_MS))
             self.wake = trio.Event()
-            self._plan_and_propose()
+            self._plan_slice(begins=True)
+            while self.planner.pending and self.is_current():
+                await trio.sleep(seconds(SLICE_PAUSE_MS))
+                self._plan_slice(begins=False)
 
-    def _plan_and_propose(self) -> None:
+    def _plan_slice(self, *, begins: bool) -> None:
+        """Record what has ended, and start the runs of one slice of the planning pass."""
         if not self.is_current():
             return
+        began_ms, slice_ms = self.clock.now_ms(), self.effort().slice_ms
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
         fleet = self.fleet
         ended, fleet.unrecorded_ends = fleet.unrecorded_ends, []
@@ -211,8 +244,15 @@
             # The planner reads the proposed state, so the ends must be applied first.
             self.proposed.apply(changes)
             fleet.stale_jobs.update(changed_jobs)
+            fleet.changed_pools.update(
+                fleet.pool_of(job) for job_id in changed_jobs if (job := fleet.job(job_id))
+            )
             self.crashes.on_counted(crashed, wall_ms)
-        starts = self.planner.plan(now_ms, wall_ms)
+        if begins:
+            self.planner.begin_pass(now_ms, wall_ms)
+        starts = self.planner.plan_slice(
+            now_ms, wall_ms, lambda: self.clock.now_ms() - began_ms >= slice_ms
+        )
         self._request_tickets()
         if not changed_jobs and not starts:
             if not self.uncommitted_proposals:
@@ -283,8 +323,11 @@
         if is_new and job is not None:
             self.fleet.record_arrival(job, self.clock.now_ms())
         self.fleet.stale_jobs.add(command.job_id)
-        self.next_schedule_ms = None
-        self.notify()
+        if command.spec.timed:
+            self.next_schedule_ms = None
+        if job is not None:
+            self.fleet.changed_pools.add(self.fleet.pool_of(job))
+        self.notify_of_changes()
         await self._wait_for_commit(proposal)
 
     async def cancel_job(self, command: CancelJob) -> None:
@@ -325,6 +368,8 @@
         if minion is not None and _is_older(report, minion):
             return
         now_ms = self.clock.now_ms()
+        if minion is None or _may_serve_more(minion, report, now_ms):
+            self.fleet.changed_pools.add(report.pool)
         if minion is None or minion.report.born_ms != report.born_ms:
             minion = self._add_incarnation(report, minion, now_ms)
         elif report.draining and not minion.report.draining:
@@ -336,7 +381,7 @@
         minion.note_report_clock(report.clock_ms, now_ms)
         if not minion.clock_received_ms and report.clock_ms:
             minion.minion_clock_ms, minion.clock_received_ms = report.clock_ms, now_ms
-        self.notify()
+        self.notify_of_changes()
 
     def _add_incarnation(self, report: MinionReport, earlier: Minion | None, now_ms: int) -> Minion:
         minion = Minion(report=report, last_report_ms=now_ms)
@@ -390,11 +435,13 @@
 
     def _tick(self) -> None:
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
+        self._log_effort()
         for minion in list(self.fleet.minions.values()):
+            if not minion.runs or not self._lease_lapsed(minion, now_ms):
+                continue
             # A run whose order isn't sent yet extends the lease when the order is sent.
             ordered = [run for run in minion.runs.values() if run.phase is not RunPhase.RESERVED]
-            if ordered and self._lease_lapsed(minion, now_ms):
-                self._end_lapsed_runs(ordered, minion.minion_id)
+            self._end_lapsed_runs(ordered, minion.minion_id)
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
                 self._end_lapsed_runs(list(runs.values()), minion_id)
@@ -407,6 +454,25 @@
         if self.fleet.ready or self.fleet.unrecorded_ends or unrecorded:
             self.notify()
 
+    def _log_effort(self) -> None:
+        effort, before = self.effort(), self.last_effort
+        if effort.urgent_polls_only != before.urgent_polls_only:
+            self.last_effort = effort
+            self.metrics.event("urgent_polls_only" if effort.urgent_polls_only else "all_polls")
+            log.bind(
+                term=self.term,
+                lag_ms=self.loop_lag.lag_ms,
+                minions=len(self.fleet.minions),
+                ready_jobs=len(self.fleet.ready),
+                pause_ms=effort.poll_pause_ms,
+                slice_ms=effort.slice_ms,
+                moves=effort.moves,
+            ).info(
+                "event loop is late, only urgent polls are sent"
+                if effort.urgent_polls_only
+                else "event loop is in time, all polls are sent"
+            )
+
     def _lease_lapsed(self, minion: Minion, now_ms: int) -> bool:
         if minion.polled_ms < 0 and now_ms - self.began_ms < self.timing.recovered_lease_ms:
             # An earlier scheduler may have granted a lease that is unknown here.
@@ -513,6 +579,23 @@
     return minion.gone or report.sequence < known.sequence
 
 
+def _may_serve_more(minion: Minion, report: MinionReport, now_ms: int) -> bool:
+    """Return whether a report may allow starts that the minion's latest one did not allow."""
+    known = minion.report
+    differs = (
+        report.born_ms != known.born_ms
+        or report.pool != known.pool
+        or report.capacity != known.capacity
+        or report.draining != known.draining
+        or report.leaving != known.leaving
+        or report.cold_ms != known.cold_ms
+        or report.labels != known.labels
+    )
+    return (
+        differs or minion.is_silent(now_ms) or minion.capacity_age_ms(now_ms) > MAX_CAPACITY_AGE_MS
+    )
+
+
 def _log_capacity(minion: Minion, report: MinionReport) -> None:
     log.bind(
         minion=report.minion,
--- a/src/hornbeamreach/fleet/suspect_turns.py
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -120,15 +120,17 @@
     metrics: Metrics | None = None
     # Since when the suspects of a step have found no minion.
     waiting_since_ms: dict[StepName, int] = field(factory=dict)
-    # What was held before the present pass.
+    # What was held in the present pool before it was planned.
     held_before: dict[str, str] = field(factory=dict)
+    members: set[str] = field(factory=set)
     # Minions with suspects in the present pool, and when minions become empty, in this pass.
     exclusive: set[str] = field(factory=set)
     empty_in: dict[str, int] = field(factory=dict)
 
     def begin_pass(self) -> None:
-        """Release what is held, and forget the waits of steps without suspects."""
-        self.held_before, self.fleet.held_minions = self.fleet.held_minions, {}
+        """Release what no suspect waits for, and forget the waits of steps without suspects."""
+        held = self.fleet.held_minions
+        self.fleet.held_minions = {m: job for m, job in held.items() if self._is_wanted(m, job)}
         self.empty_in.clear()
         if self.waiting_since_ms:
             waiting = {
@@ -139,8 +141,22 @@
             for name in self.waiting_since_ms.keys() - waiting:
                 del self.waiting_since_ms[name]
 
+    def _is_wanted(self, minion_id: str, job_id: str) -> bool:
+        minion, job = self.fleet.minions.get(minion_id), self.fleet.job(job_id)
+        if minion is None or job is None or job_id not in self.fleet.suspect_tasks:
+            return False
+        return self.fleet.pool_of(job) == minion.report.pool
+
+    def release_pool(self, minions: list[Minion]) -> None:
+        """Release what is held in a pool that is planned now."""
+        held = self.fleet.held_minions
+        self.held_before = {
+            m.minion_id: held.pop(m.minion_id) for m in minions if m.minion_id in held
+        }
+
     def begin_pool(self, minions: list[Minion]) -> None:
-        """Note which of a pool's minions have suspects."""
+        """Note a pool's minions, and which of them have suspects."""
+        self.members = {m.minion_id for m in minions}
         self.exclusive = {m.minion_id for m in minions if m.suspects}
 
     def turn(self, job: StepJob, step: ReadyStep, now_ms: int, *, idle: bool) -> SuspectTurn:
@@ -189,7 +205,11 @@
     def count_exclusive(self, request: PlacementRequest) -> int:
         """Count the minions with suspects, and those held for suspects of other jobs."""
         held = self.fleet.held_minions
-        others = (minion for minion, job_id in held.items() if job_id != request.job_id)
+        others = (
+            minion
+            for minion, job_id in held.items()
+            if job_id != request.job_id and minion in self.members
+        )
         return len(self.exclusive) + sum(1 for minion in others if minion not in self.exclusive)
 
     def _hold(
@@ -220,7 +240,8 @@
         held = self.fleet.held_minions
         for minion in minions:
             name = minion.minion_id
-            if self.held_before.get(name) == job_id and len(held) < turn.limit(minions):
+            held_here = len(self.members & held.keys())
+            if self.held_before.get(name) == job_id and held_here < turn.limit(minions):
                 held.setdefault(name, job_id)
 
     def _log_held(self, turn: SuspectTurn, request: PlacementRequest, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -81,7 +81,7 @@
                 now_ms = self.scheduler.clock.now_ms()
                 if self.scheduler.nursery is None or not await self.inventory.refresh():
                     continue
-                if self.scheduler.is_current():
+                if self.scheduler.is_current() and self.scheduler.effort().moves:
                     self._tick(nursery, now_ms)
 
     def _tick(self, nursery: trio.Nursery, now_ms: int) -> None:
--- /dev/null
+++ b/src/hornbeamreach/systems/overload.py
@@ -0,0 +1,89 @@
+"""Decide how much optional work the scheduler does while its event loop is late.
+
+Load pattern: queues take turns in peaking at five times their mean, and at the same time a leader
+takes over and polls all minions. Polls, planning and moves of VMs then take longer than there is
+processor time, and heartbeats, answers to callers and renewals of leases wait behind them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+
+from hornbeamreach.registry import Registry
+
+# Delays an answer by about as much as coalescing and a disk sync do.
+SLICE_MS = 20
+SHORT_SLICE_MS = 10
+# Timers are this late by collections of garbage and by other processes, without any backlog.
+TOLERATED_LAG_MS = 50
+# Two heartbeats of control: above it answers to callers are late, so what can wait is left out.
+URGENT_ONLY_LAG_MS = 300
+# Above it the demand that moves follow is out of date. Below, moves are what ends a backlog.
+NO_MOVES_LAG_MS = 2_000
+
+
+@define(frozen=True, kw_only=True)
+class Effort:
+    """Hold how much optional work the scheduler does."""
+
+    # Pause between two polls of a minion.
+    poll_pause_ms: int = 0
+    # Polls only renew leases and settle unknown outcomes.
+    urgent_polls_only: bool = False
+    slice_ms: int = SLICE_MS
+    # Whether VMs are moved between pools.
+    moves: bool = True
+
+
+@define(frozen=True, kw_only=True)
+class PollState:
+    """Hold what decides how long a minion's next poll may wait."""
+
+    # The minion is not known yet, doesn't answer, leaves, or has a run with an unknown outcome.
+    unsettled: bool
+    # Remaining lease of the minion's runs; None if it has none.
+    lease_left_ms: int | None
+    lease_ms: int
+    lag_ms: int
+    waited_ms: int = 0
+
+
+OverloadPolicy = Callable[[int], Effort]
+overload_policies: Registry[OverloadPolicy] = Registry("overload policy")
+
+
+@overload_policies.register("none")
+def none(lag_ms: int) -> Effort:
+    """Do all work whatever the lag is, as a baseline."""
+    return Effort()
+
+
+@overload_policies.register("by_lag")
+def by_lag(lag_ms: int) -> Effort:
+    """Pause polls by the lag and shorten slices, and above 300 ms leave out what can wait."""
+    if lag_ms <= TOLERATED_LAG_MS:
+        return Effort()
+    urgent = lag_ms > URGENT_ONLY_LAG_MS
+    return Effort(
+        poll_pause_ms=min(lag_ms, URGENT_ONLY_LAG_MS),
+        urgent_polls_only=urgent,
+        slice_ms=SHORT_SLICE_MS,
+        moves=lag_ms <= NO_MOVES_LAG_MS,
+    )
+
+
+def poll_delay_ms(effort: Effort, state: PollState) -> int:
+    """Return how much longer a minion's next poll waits.
+
+    It never waits once the lease lapses within half of its term: a timer may fire late by the
+    lag, so that is added.
+    """
+    if state.unsettled:
+        return 0
+    left_ms = state.lease_ms if state.lease_left_ms is None else state.lease_left_ms
+    until_renewal_ms = max(0, left_ms - state.lease_ms // 2 - state.lag_ms)
+    if effort.urgent_polls_only:
+        return until_renewal_ms
+    return max(0, min(until_renewal_ms, effort.poll_pause_ms - state.waited_ms))
--- a/src/hornbeamreach/systems/stragglers.py
+++ b/src/hornbeamreach/systems/stragglers.py
@@ -59,6 +59,11 @@
     )
 
 
+def may_be_straggler(since_start_ms: int, percent: int) -> bool:
+    """Return whether a run is old enough to be called a straggler, and not done."""
+    return since_start_ms >= min(STALL_TIMEOUT_MS, MIN_MEASURED_MS) and percent < FULL_PERCENT
+
+
 def straggler_kind(observation: RunObservation) -> StragglerKind | None:
     """Return why a run should be restarted on another minion, or None."""
     if observation.percent >= FULL_PERCENT:
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -84,10 +84,53 @@
 @placement_policies.register("best_fit")
 def best_fit(request: PlacementRequest, minions: list[Minion]) -> Minion | None:
     """Choose the fullest minion that fits, near the data and without recent failures."""
+    if _is_plain(request):
+        return _plain_best_fit(request, minions)
     suitable = [minion for minion in minions if fits(request, minion)]
     return min(suitable, key=lambda minion: _cost(request, minion), default=None)
 
 
+def _is_plain(request: PlacementRequest) -> bool:
+    """Return whether only failures, cold starts and free capacity tell the minions apart."""
+    step = request.step
+    return not (
+        request.constrained
+        or request.avoided
+        or request.avoided_racks
+        or step.data_rack
+        or step.same_rack
+        or step.lasting
+        or step.filler
+    )
+
+
+def _plain_best_fit(request: PlacementRequest, minions: list[Minion]) -> Minion | None:
+    """Choose as `_cost` does for a plain request.
+
+    Most tasks are plain, and the costs of all minions were two fifths of the leader's time, so
+    this builds no object for a minion.
+    """
+    needs, job_id = request.needs, request.job_id
+    cpu_millis, memory_mb, accelerators = needs.amounts()
+    found, lowest = None, (0, 0)
+    for minion in minions:
+        report, used = minion.report, minion.used
+        capacity = report.capacity
+        free = capacity.cpu_millis - used.cpu_millis
+        if (
+            cpu_millis > free
+            or memory_mb > capacity.memory_mb - used.memory_mb
+            or accelerators > capacity.accelerators - used.accelerators
+            or minion.has_unknown_use
+            or (minion.suspects and minion.has_other_suspects(job_id))
+        ):
+            continue
+        drawbacks = 2 * len(minion.failing_jobs) + (report.cold_ms > 0)
+        if found is None or (free < lowest[1] if drawbacks == lowest[0] else drawbacks < lowest[0]):
+            found, lowest = minion, (drawbacks, free)
+    return found
+
+
 def _cost(request: PlacementRequest, minion: Minion) -> tuple:
     step = request.step
     rack = request.near_rack or step.data_rack
--- a/src/hornbeamreach/systems/team_limits.py
+++ b/src/hornbeamreach/systems/team_limits.py
@@ -8,6 +8,11 @@
 from hornbeamreach.tables.resources import Resources
 
 
+def has_limits(row: TeamRow | None) -> bool:
+    """Return whether a team's resources are limited."""
+    return row is not None and bool(row.max_cpu_millis or row.max_memory_mb or row.max_accelerators)
+
+
 @define(kw_only=True)
 class TeamResourceUse:
     """Hold the resources of each team's reserved runs, including fillers' CPU."""
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -165,6 +165,8 @@
     report_clock_received_ms: int = 0
     # End of the latest lease granted, on the minion's clock.
     lease_until_ms: int = 0
+    # End of the latest lease that the minion is known to have received.
+    renewed_until_ms: int = 0
     suspect_until_ms: int = 0
     failed_calls: int = 0
     # Jobs whose runs failed here since the last successful run.
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 from collections.abc import Iterator
 
 from attrs import define, field
@@ -40,7 +41,7 @@
     # 0 for no limit.
     may_miss: int = 0
 
-    @property
+    @functools.cached_property
     def needs(self) -> Resources:
         """Return the capacity that one task takes on a minion."""
         return Resources(
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,157 @@
+"""Lag of the event loop, and the work that the scheduler leaves out because of it."""
+
+from __future__ import annotations
+
+import trio
+
+from hornbeamreach.clock import Clock
+from hornbeamreach.fleet.loop_lag import INTERVAL_MS, WINDOW_MS, LoopLag
+from hornbeamreach.fleet.planner import Planner
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.overload import PollState, overload_policies, poll_delay_ms
+
+from . import builders
+from .fakes import run_virtual
+from .step_fleet import StepFleet
+
+LEASE_MS = 4_000
+# Processor time of one poll.
+POLL_MS = 0.35
+MINIONS = 179
+
+
+def replay_polls(policy: str, duration_ms: int = 4_000) -> tuple[float, int]:
+    """Poll busy minions from a loop that is late by its backlog of polls.
+
+    Return the lag at the end, and the shortest lease left.
+    """
+    leases = [LEASE_MS * number // MINIONS for number in range(MINIONS)]
+    leases = [max(left, LEASE_MS // 2) for left in leases]
+    waited = [0] * MINIONS
+    backlog_ms, shortest = 400.0, LEASE_MS
+    step_ms = 50
+    for _ in range(0, duration_ms, step_ms):
+        backlog_ms = max(0.0, backlog_ms - step_ms)
+        effort = overload_policies.get(policy)(int(backlog_ms))
+        for number in range(MINIONS):
+            leases[number] -= step_ms
+            waited[number] += step_ms
+            shortest = min(shortest, leases[number])
+            state = PollState(
+                unsettled=False,
+                lease_left_ms=leases[number],
+                lease_ms=LEASE_MS,
+                lag_ms=int(backlog_ms),
+                waited_ms=waited[number],
+            )
+            if not poll_delay_ms(effort, state):
+                leases[number], waited[number] = LEASE_MS, 0
+                backlog_ms += POLL_MS
+    return backlog_ms, shortest
+
+
+class TestPollsUnderLag:
+    def test_polls_give_way_to_a_backlog_and_leases_are_renewed_in_time(self):
+        """Guards against polls that keep the loop late, and against runs killed by that."""
+        baseline_lag_ms, _ = replay_polls("none")
+        lag_ms, shortest_lease_ms = replay_polls("by_lag")
+        assert baseline_lag_ms > 1_000
+        assert lag_ms < 300
+        assert shortest_lease_ms > LEASE_MS // 4
+
+    def test_a_lease_is_renewed_however_late_the_loop_is(self):
+        """Guards against a renewal that is due only when the late timer fires."""
+        for lag_ms in (0, 400, 3_000, 60_000):
+            effort = overload_policies.get("by_lag")(lag_ms)
+            state = PollState(
+                unsettled=False, lease_left_ms=1_999, lease_ms=LEASE_MS, lag_ms=lag_ms
+            )
+            assert poll_delay_ms(effort, state) == 0
+
+    def test_a_loop_that_is_in_time_does_all_work(self):
+        assert overload_policies.get("by_lag")(20) == overload_policies.get("none")(20)
+
+
+class TestLoopLag:
+    def test_lag_is_the_maximum_of_the_last_second(self):
+        now_ms = [0]
+        lag = LoopLag(clock=Clock(monotonic=lambda: now_ms[0]), metrics=Metrics())
+        lag.due_ms = INTERVAL_MS
+        now_ms[0] = INTERVAL_MS + 700
+        assert lag.lag_ms == 700, "a timer that is due counts before it fires"
+        lag.record(now_ms[0])
+        lag.due_ms = now_ms[0] + INTERVAL_MS
+        now_ms[0] += INTERVAL_MS + 10
+        lag.record(now_ms[0])
+        lag.due_ms = None
+        assert lag.lag_ms == 700
+        now_ms[0] += WINDOW_MS - 20
+        assert lag.lag_ms == 10
+
+
+class TestFleetUnderLag:
+    def test_runs_outlive_a_loop_that_stays_late(self):
+        """Guards against leases that lapse, and tasks that don't end, while polls are rare."""
+
+        async def scenario() -> None:
+            fleet = StepFleet(minion_count=4)
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                scheduler = await fleet.wait_for_scheduler()
+                scheduler.loop_lag.late.append((1 << 40, 500))
+                assert scheduler.effort().urgent_polls_only
+                await fleet.submit("job-1", builders.step_job(builders.step(8)), 9_000)
+                polls_before = fleet.minions.poll_count
+                await fleet.wait_for_state("job-1", "completed")
+                polls = fleet.minions.poll_count - polls_before
+                assert polls < 4 * 12
+                assert len(fleet.minions.history) == 8
+                assert not fleet.find_violations()
+                nursery.cancel_scope.cancel()
+
+        run_virtual(scenario)
+
+
+class TestPlanningSlices:
+    def test_starts_of_a_slice_are_proposed_and_the_loop_runs_before_the_next(self):
+        """Guards against a pass that delays heartbeats and answers for its whole length."""
+
+        async def scenario() -> list[str]:
+            fleet, events = StepFleet(minion_count=2), []
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                scheduler = await fleet.wait_for_scheduler()
+                submit = scheduler.replica.submit
+
+                async def note_loop() -> None:
+                    events.append("loop")
+
+                class OneStepPlanner(Planner):
+                    def plan_slice(self, now_ms, wall_ms, is_over):
+                        nursery.start_soon(note_loop)
+                        starts = super().plan_slice(now_ms, wall_ms, lambda: True)
+                        events.extend(["slice"] if starts else [])
+                        return starts
+
+                def note_submit(command):
+                    events.extend(["proposed"] if getattr(command, "starts", None) else [])
+                    return submit(command)
+
+                scheduler.planner = OneStepPlanner(fleet=scheduler.fleet)
+                scheduler.replica.submit = note_submit
+                for number in range(6):
+                    nursery.start_soon(
+                        fleet.submit, f"job-{number}", builders.step_job(builders.step(1))
+                    )
+                for number in range(6):
+                    await fleet.wait_for_state(f"job-{number}", "completed")
+                assert not fleet.find_violations()
+                nursery.cancel_scope.cancel()
+            return events
+
+        events = run_virtual(scenario)
+        slices = [index for index, event in enumerate(events) if event == "slice"]
+        assert len(slices) == 6
+        for index, following in zip(slices, slices[1:], strict=False):
+            assert events[index + 1] == "proposed"
+            assert "loop" in events[index:following]
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from hornbeamreach.control.workload_commands import AcceptJob
+import random
+
+import attrs
+
+from hornbeamreach.control.workload_commands import AcceptJob, CancelJob
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.proposed_state import ProposedState
-from hornbeamreach.systems.task_placement import best_fit
+from hornbeamreach.systems.task_placement import PlacementRequest, best_fit
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepSpec
@@ -96,3 +100,54 @@
         for name in ("i-1", "i-2"):
             planner.fleet.minions[name].awaits_maintenance = True
         assert {run.minion for run in planner.plan(NOW_MS, NOW_MS)} == {"i-0"}
+
+
+class TestSlices:
+    """A pass that isn't divided blocks heartbeats, polls and answers for its whole length."""
+
+    def test_a_pass_goes_on_behind_the_step_that_ended_the_slice(self):
+        planner = make_planner(*(builders.step(1, cpu_millis=1_000) for _ in range(5)))
+        planner.fleet.all_pools_changed = True
+        planner.begin_pass(NOW_MS, NOW_MS)
+        slices = []
+        while planner.pending:
+            slices.append(planner.plan_slice(NOW_MS, NOW_MS, lambda: True))
+        assert [len(starts) for starts in slices] == [1] * 5
+        assert len({run.job_id for starts in slices for run in starts}) == 5
+
+    def test_a_job_that_is_cancelled_between_slices_is_not_started(self):
+        planner = make_planner(builders.step(1), builders.step(1))
+        planner.fleet.all_pools_changed = True
+        planner.begin_pass(NOW_MS, NOW_MS)
+        planner.plan_slice(NOW_MS, NOW_MS, lambda: True)
+        job_id = f"{1:016x}"
+        planner.fleet.proposed.apply(CancelJob(job_id=job_id, at_ms=NOW_MS))
+        planner.fleet.stale_jobs.add(job_id)
+        assert planner.plan_slice(NOW_MS, NOW_MS) == []
+
+    def test_a_pool_in_which_nothing_has_changed_is_not_planned(self):
+        planner = make_planner(builders.step(40, cpu_millis=2_000))
+        plan_starts(planner)
+        planner.begin_pass(NOW_MS, NOW_MS)
+        assert not planner.pending
+        planner.fleet.changed_pools.add("pool-a")
+        planner.begin_pass(NOW_MS, NOW_MS)
+        assert planner.pending
+
+
+def test_the_short_search_for_a_minion_agrees_with_the_full_one():
+    """The planner would place tasks differently if the two forms of best fit diverged."""
+    rng = random.Random(5)
+    for _ in range(300):
+        minions = []
+        for number in range(6):
+            minion = builders.minion(f"i-{number}", capacity=Resources(cpu_millis=8_000))
+            minion.used = Resources(cpu_millis=rng.randrange(0, 9_000, 500))
+            minion.failing_jobs = set(rng.sample("abc", rng.choice((0, 0, 1, 2))))
+            minion.report = attrs.evolve(minion.report, cold_ms=rng.choice((0, 0, 500)))
+            minions.append(minion)
+        step = builders.step(1, cpu_millis=1_500, memory_mb=0)
+        request = PlacementRequest(step=step, needs=step.needs, job_id="j")
+        # A rack without minions makes the request take the full search and changes no cost.
+        full = attrs.evolve(request, avoided_racks=frozenset({"elsewhere"}))
+        assert best_fit(request, minions) is best_fit(full, minions)
