Spread refused callers by the work that is expected back

In a burst of 300 jobs all 188 refused callers were told 1 s, returned together and were refused again together (test_jobs_beyond_what_can_be_useful_are_refused_and_accepted_later failed).

Change: the work of refused callers that have not returned yet lengthens the Retry-After of the next ones. The decision to refuse is unchanged.

--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -21,6 +21,7 @@
     objective_ms,
     work_core_ms,
 )
+from hornbeamreach.systems.queued_work import JobWork
 from hornbeamreach.systems.refused_callers import RefusedCallers
 from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.workload import StepJobSpec
@@ -82,11 +83,18 @@
         if decision.accepted:
             waited_ms = self.refused.waited_ms(job_id, now_ms)
             decision = attrs.evolve(decision, waited_ms=waited_ms)
-            if self.refused.remove(job_id):
+            if self.refused.remove(job_id, now_ms):
                 scheduler.metrics.event("job_accepted_after_refusal")
             self._note_accepted(row.pool, now_ms)
             return decision
-        self.refused.add(job_id, now_ms)
+        work = JobWork(
+            pool=row.pool,
+            team=team,
+            rank=row.rank,
+            core_ms=work_core_ms(spec) * scheduler.fleet.run_times.factor(queue),
+            until_ms=now_ms + decision.retry_after_ms,
+        )
+        self.refused.add(job_id, work, now_ms)
         self._note_refused(job_id, row.pool, request, decision, now_ms)
         return decision
 
@@ -127,6 +135,7 @@
             lendable_cpu_millis=lendable,
             loop_lag_ms=loop_lag.lag_ms if loop_lag is not None else 0.0,
             waiting_callers=len(self.refused.first_ms),
+            expected_core_ms=self.refused.expected_core_ms(row.pool, row.rank, now_ms),
         )
 
     # Capacity
--- a/src/hornbeamreach/systems/admission.py
+++ b/src/hornbeamreach/systems/admission.py
@@ -52,8 +52,10 @@
     cpu_millis: int = 0
     lendable_cpu_millis: int = 0
     loop_lag_ms: float = 0.0
-    # Callers that were refused before and are expected again.
+    # Callers that were refused before and are expected again, and the work of those of the pool
+    # that have not returned yet.
     waiting_callers: int = 0
+    expected_core_ms: float = 0.0
 
 
 @define(frozen=True, kw_only=True)
@@ -100,11 +102,16 @@
     excess_ms = end_ms - request.useful_ms
     if excess_ms <= 0:
         return JobDecision(accepted=True, ahead_core_ms=ahead_core_ms, end_ms=end_ms)
+    # Callers that return at the same time would be refused again together.
+    until_served_ms = drain_ms(
+        request.expected_core_ms, request.cpu_millis, request.lendable_cpu_millis
+    )
+    retry_after_ms = (excess_ms + until_served_ms) * RETRY_MARGIN
     return JobDecision(
         accepted=False,
         ahead_core_ms=ahead_core_ms,
         end_ms=end_ms,
-        retry_after_ms=round(min(max(excess_ms * RETRY_MARGIN, MIN_RETRY_MS), MAX_RETRY_MS)),
+        retry_after_ms=round(min(max(retry_after_ms, MIN_RETRY_MS), MAX_RETRY_MS)),
         detail=f"would end after {end_ms:.0f} ms, is useful for {request.useful_ms:.0f} ms",
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -84,13 +84,13 @@
                 if decision.accepted:
                     serving.append((first_ms, job_id))
                     queued.update(job_id, work(until_ms=first_ms + USEFUL_MS), now_ms)
-                    if callers.remove(job_id):
+                    if callers.remove(job_id, now_ms):
                         admitted.append((first_ms, now_ms))
                         returned.add(job_id)
                 else:
                     after_ms = -(-decision.retry_after_ms // 1_000) * 1_000
                     returning.append((now_ms + after_ms, job_id, first_ms))
-                    callers.add(job_id, now_ms)
+                    callers.add(job_id, work(until_ms=now_ms + after_ms), now_ms)
         self.left = [job_id for _, job_id in serving]
         self.refused = len(callers.first_ms)
         return useful, admitted
@@ -111,8 +111,8 @@
 
     def test_a_refused_caller_keeps_its_place(self):
         callers = RefusedCallers()
-        callers.add("1", 1_000)
-        callers.add("1", 3_000)
+        callers.add("1", work(), 1_000)
+        callers.add("1", work(), 3_000)
         assert callers.waited_ms("1", 4_000) == 3_000
         assert callers.waited_ms("2", 4_000) == 0
 
@@ -170,7 +170,7 @@
     def test_the_table_of_refused_callers_is_bounded(self):
         callers = RefusedCallers()
         for number in range(MAX_ENTRIES + 5):
-            callers.add(str(number), number)
-        assert len(callers.first_ms) == MAX_ENTRIES
+            callers.add(str(number), work(), number)
+        assert len(callers.first_ms) == len(callers.expected.jobs) == MAX_ENTRIES
         callers.expire(MAX_ENTRIES + 4 + RETENTION_MS)
-        assert not callers.first_ms
+        assert not callers.first_ms and not callers.expected.jobs
