Cut off the minions that hold the runs in the broken variant of lapsed leases

Cause: the test cut off three fixed minions and relied on tasks being placed there.

Change: the minions with runs are cut off, whichever they are. The check is as strict and no longer depends on placement.

--- a/tests/test_step_broken_variants.py
+++ b/tests/test_step_broken_variants.py
@@ -64,7 +64,9 @@
             await fleet.submit(job_id(1), step_job(step(6, lasting=True)))
             await trio.sleep(2)
             leader = await fleet.wait_for_leader()
-            fleet.minions.partitions.update((leader, f"i-{n}") for n in range(1, 4))
+            scheduler = await fleet.wait_for_scheduler()
+            busy = [m.minion_id for m in scheduler.fleet.minions.values() if m.runs]
+            fleet.minions.partitions.update((leader, minion_id) for minion_id in busy)
             await trio.sleep(4)
 
         assert has_violations(scenario)
