List all errors of a table, and name a missing column once

Cause: structuring and the check of references stopped at the first error, so a check of a file would need one attempt per error. The path of a missing column named it twice ("teams.a.max_running.max_running: missing"), because its key was added to a location that already ended in it.

Change: `converters.structuring_errors` and `table_file.inconsistencies` yield all errors; `structure` and `check_consistency` raise the first, in the order as before. A value of the wrong type is reported as such, not with the text of an exception of cattrs.

Result: the same row gives "teams.a.max_running: missing". test_state_machine, test_platform_decoding, test_change_effect, test_operator_client and test_broken_variants pass unchanged.

--- a/src/hornbeamreach/converters.py
+++ b/src/hornbeamreach/converters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 from types import UnionType
 from typing import Any, TypeVar, Union, get_args, get_origin
 
@@ -34,35 +35,56 @@
     try:
         return strict_converter.structure(data, kind)
     except (ClassValidationError, IterableValidationError) as exc:
-        path, message = _first_error(exc, "")
-        raise error(message, path=path, source=source) from None
+        first = next(_errors(exc, ()))
+        raise error(first.message, path=".".join(first.location), source=source) from None
     except (ValueError, TypeError) as exc:
         raise error(str(exc), source=source) from None
 
 
-def _first_error(exc: BaseException, path: str) -> tuple[str, str]:
-    if isinstance(exc, ForbiddenExtraKeysError):
-        extra = sorted(exc.extra_fields)[0]
-        return _join_path(path, extra), "unknown key"
-    if isinstance(exc, (ClassValidationError, IterableValidationError)):
-        inner = exc.exceptions[0]
-        return _first_error(inner, _join_path(path, _location_from_notes(inner)))
-    if isinstance(exc, KeyError):
-        return _join_path(path, str(exc.args[0])), "missing"
-    return _join_path(path, getattr(exc, "field", "")), str(exc)
+@attrs.define(frozen=True, kw_only=True)
+class StructuringError:
+    """Describe an invalid value; `location` holds the keys that lead to it."""
+
+    location: tuple[str, ...]
+    message: str
 
 
-def _join_path(path: str, name: str) -> str:
-    return f"{path}.{name}" if path and name else path or name
+def structuring_errors(data: Any, kind: type) -> list[StructuringError]:
+    """List the errors for which plain data can't be structured.
 
+    Of the validators of one object, only the first that fails is listed.
+    """
+    try:
+        strict_converter.structure(data, kind)
+    except (ClassValidationError, IterableValidationError, ValueError, TypeError) as exc:
+        return list(_errors(exc, ()))
+    return []
 
-def _location_from_notes(exc: BaseException) -> str:
+
+def _errors(exc: BaseException, location: tuple[str, ...]) -> Iterator[StructuringError]:
+    if isinstance(exc, ForbiddenExtraKeysError):
+        for extra in sorted(exc.extra_fields):
+            yield StructuringError(location=(*location, extra), message="unknown key")
+    elif isinstance(exc, (ClassValidationError, IterableValidationError)):
+        for inner in exc.exceptions:
+            yield from _errors(inner, (*location, *_location_from_notes(inner)))
+    elif isinstance(exc, KeyError):
+        yield StructuringError(location=location, message="missing")
+    elif isinstance(exc, (AttributeError, TypeError)):
+        # cattrs raises these where it expects a table or a list and finds another type.
+        yield StructuringError(location=location, message="not of the expected type")
+    else:
+        name = getattr(exc, "field", "")
+        yield StructuringError(location=(*location, name) if name else location, message=str(exc))
+
+
+def _location_from_notes(exc: BaseException) -> tuple[str, ...]:
     for note in getattr(exc, "__notes__", []):
         name = getattr(note, "name", None)
         if name is None:
-            name = getattr(note, "index", "")
-        return str(name)
-    return ""
+            name = getattr(note, "index", None)
+        return () if name is None else (str(name),)
+    return ()
 
 
 def unwrap_optional(kind: Any) -> type:
--- a/src/hornbeamreach/tables/table_file.py
+++ b/src/hornbeamreach/tables/table_file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 )
 
 DEPLOYMENT_KEY = "deployment"
+REFERENCED_KINDS = {"pool": "pools", "open_team": "teams"}
 
 
 def load_toml(path: str | Path, *, error: type[InvalidInputError] = TableError) -> dict[str, Any]:
@@ -35,9 +37,14 @@
 
 def load_table(path: str | Path) -> DeclaredTable:
     """Read and check a table file, ignoring any deployment section; raise TableError if invalid."""
+    return table_from_dict(load_table_data(path), source=str(path))
+
+
+def load_table_data(path: str | Path) -> dict[str, Any]:
+    """Read a table file without checking its rows, ignoring any deployment section."""
     data = load_toml(path)
     data.pop(DEPLOYMENT_KEY, None)
-    return table_from_dict(data, source=str(path))
+    return data
 
 
 def table_from_dict(data: dict[str, Any], *, source: str = "") -> DeclaredTable:
@@ -61,41 +68,63 @@
         raise TableError(exc.message, path=path) from None
 
 
+@define(frozen=True, kw_only=True)
+class Inconsistency:
+    """Describe an invalid name or a dangling reference in a row."""
+
+    kind: str
+    name: str
+    column: str
+    message: str
+
+
 def check_consistency(table: DeclaredTable) -> None:
     """Raise TableError at the first invalid name or dangling reference."""
+    for found in inconsistencies(table):
+        path = ".".join(part for part in (found.kind, found.name, found.column) if part)
+        raise TableError(found.message, path=path)
+
+
+def inconsistencies(table: DeclaredTable) -> Iterator[Inconsistency]:
+    """Yield the invalid names and dangling references of a table."""
     for kind in ROW_CLASSES:
         for name in table.rows(kind):
-            _check_name(kind, name)
+            yield from _check_name(kind, name)
     for kind in ("services", "queues", "vms"):
-        for name, row in table.rows(kind).items():
-            _check_reference(f"{kind}.{name}.pool", row.pool, table.pools, "pool")
-    _check_teams(table)
-    _check_open_queues(table)
+        for name in table.rows(kind):
+            yield from _check_reference(table, kind, name, "pool")
+    yield from _check_teams(table)
+    yield from _check_open_queues(table)
 
 
-def _check_name(kind: str, name: str) -> None:
+def _check_name(kind: str, name: str) -> Iterator[Inconsistency]:
     try:
         validators.name(None, None, name)
     except ValueError as exc:
-        raise TableError(str(exc), path=f"{kind}.{name}") from None
+        yield Inconsistency(kind=kind, name=name, column="", message=str(exc))
 
 
-def _check_reference(path: str, name: str, rows: dict[str, Any], noun: str) -> None:
-    if name not in rows:
-        raise TableError(f"{name!r} is not a declared {noun}", path=path)
+def _check_reference(
+    table: DeclaredTable, kind: str, name: str, column: str
+) -> Iterator[Inconsistency]:
+    referenced_kind, target = REFERENCED_KINDS[column], getattr(table.rows(kind)[name], column)
+    if target not in table.rows(referenced_kind):
+        message = f"{target!r} is not a declared {referenced_kind.removesuffix('s')}"
+        yield Inconsistency(kind=kind, name=name, column=column, message=message)
 
 
-def _check_teams(table: DeclaredTable) -> None:
+def _check_teams(table: DeclaredTable) -> Iterator[Inconsistency]:
     data_centers = table.data_centers()
     for name, team in table.teams.items():
         if team.home not in data_centers:
-            raise TableError(f"no VM stands in {team.home!r}", path=f"teams.{name}.home")
+            message = f"no VM stands in {team.home!r}"
+            yield Inconsistency(kind="teams", name=name, column="home", message=message)
 
 
-def _check_open_queues(table: DeclaredTable) -> None:
+def _check_open_queues(table: DeclaredTable) -> Iterator[Inconsistency]:
     for name, queue in table.queues.items():
         if queue.open or queue.open_team:
-            _check_reference(f"queues.{name}.open_team", queue.open_team, table.teams, "team")
+            yield from _check_reference(table, "queues", name, "open_team")
 
 
 @define(frozen=True, kw_only=True)
