Check a table file before it is sent

Cause: an operator learned of errors one by one from refused changes, and of rows that can never match or limits that contradict each other not at all.

Change: `hornbeamreach table check FILE [--json]` reports errors and warnings, each kind found by one pure function in `systems/table_findings.py`, and the differences from the version in force, or why no control replica could be asked. It exits with 0, 1 for errors and 3 for warnings alone; a file that is no TOML exits with 2 as for the other commands.

The needs, labels and spread of tasks are declared with each job, so a team's cap of processor or memory is not compared with them.

--- a/src/hornbeamreach/cli/main.py
+++ b/src/hornbeamreach/cli/main.py
@@ -19,6 +19,7 @@
     print_line,
 )
 from hornbeamreach.cli.profile import load_profile
+from hornbeamreach.cli.table_check import check_table_file
 from hornbeamreach.converters import structure, to_plain
 from hornbeamreach.demo.deployment import sha256
 from hornbeamreach.demo.scenario import run_demo
@@ -85,7 +86,7 @@
 
 
 class TableCommands:
-    """Show, compare, apply and export the declared table."""
+    """Show, check, compare, apply and export the declared table."""
 
     def show(self, kind: str = "", json: bool = False) -> None:
         """Show the table in force, with a section for each kind and a column for each setting.
@@ -122,6 +123,23 @@
         if not differences:
             print_line("no differences")
 
+    def check(self, file: str, json: bool = False) -> None:
+        """Check a file without sending it, and show what applying it would change.
+
+        The exit code is 1 if control would refuse the file, and 3 if there are only warnings.
+
+        Args:
+            file: a table in TOML.
+            json: print JSON.
+        """
+        result = check_table_file(file, lambda: _fetch_table(_client()))
+        if json:
+            print_json(result)
+        else:
+            for line in result.lines():
+                print_line(line)
+        sys.exit(result.exit_code())
+
     def apply(self, file: str, operation: str = "", json: bool = False) -> None:
         """Make the table equal to a file; a change is in force everywhere once it is accepted.
 
--- a/src/hornbeamreach/cli/output.py
+++ b/src/hornbeamreach/cli/output.py
@@ -12,6 +12,7 @@
 
 EXIT_REFUSED = 1
 EXIT_INVALID_INPUT = 2
+EXIT_WARNINGS = 3
 
 
 def print_line(line: str) -> None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -52,6 +52,10 @@
     return VmRow(**{**defaults, "data_center": data_center, "rack": rack, **columns})
 
 
+def queue(**columns: Any) -> QueueRow:
+    return QueueRow(**{"pool": "main", **columns})
+
+
 def table(**kinds: Any) -> DeclaredTable:
     """Return a valid table: two teams, and one pool of six VMs in three data centres."""
     defaults: dict[str, Any] = {
@@ -61,7 +65,7 @@
             "quotes": ServiceRow(pool="main", idempotent=True, deadline_ms=5_000),
             "bookings": ServiceRow(pool="main", deadline_ms=5_000),
         },
-        "queues": {"reports": QueueRow(pool="main")},
+        "queues": {"reports": queue()},
         "vms": {
             f"{data_center}-w{number}": vm(data_center, f"r{number}")
             for data_center in DATA_CENTERS
