Send a slow leader each request and each batch of entries once

Cause: a leader that was short of processor time got more work the slower it was. An entry asked another replica after 600 ms, was redirected to the same leader and sent the request again, ten times within 2 s in the new test. Each repeat of a submission appended the job to the log again. The library's pings on links stopped with an error once a round trip took longer than the interval between them. Callers saw 504 and late starts.

Change: while an attempt is open, the same leader is not asked again in the same term; other replicas are still asked for a newer one. Repeated submissions wait for the first one's entry, or are answered from the committed state. A batch is resent once the reply to a later heartbeat shows that it was lost. The interval between pings is longer than their timeout.

--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -477,9 +477,6 @@
             for member in self.followers():
                 peer = self._peer(member)
                 peer.next_index = min(peer.next_index, self.log.last_index + 1)
-                if self.now_ms - peer.in_flight_sent_ms >= HEARTBEAT_INTERVAL_MS:
-                    # The batch in flight may be lost: resend what follows the last known match.
-                    peer.in_flight_index = 0
             self._broadcast(heartbeat=True)
 
     def _broadcast(self, *, heartbeat: bool = False) -> None:
@@ -617,7 +614,14 @@
         peer = self._peer(message.source)
         peer.acked_sent_ms = max(peer.acked_sent_ms, message.sent_ms)
         peer.sync_ms = message.sync_ms
-        if not message.success or message.match_index >= peer.in_flight_index:
+        # Links keep the order of messages and a follower answers in order, so the reply to a later
+        # heartbeat shows that a batch was lost. Resending by time would multiply the work of
+        # replicas that are only slow.
+        if (
+            not message.success
+            or message.match_index >= peer.in_flight_index
+            or message.sent_ms > peer.in_flight_sent_ms
+        ):
             peer.in_flight_index = 0
         if not message.success:
             peer.next_index = max(peer.match_index, min(message.match_index, peer.next_index)) + 1
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -111,6 +111,7 @@
         self.last_cleanup_ms = self.began_ms
         self.next_schedule_ms: int | None = None
         self.uncommitted_proposals = 0
+        self.uncommitted_jobs: dict[str, PendingProposal] = {}
         self.tickets_requested: set[tuple[str, int, int]] = set()
         self.waiting_jobs = WaitingJobs(scheduler=self)
         self.evacuations = Evacuations(scheduler=self)
@@ -315,8 +316,20 @@
         """Propose a job and wait until it is committed; raise errors like `commit`.
 
         The job is planned even if the waiting task is cancelled, as it is when the connection
-        that the call came over is lost.
+        that the call came over is lost. A repeat adds nothing to the log: callers repeat most when
+        the leader has the least time for it.
         """
+        if command.job_id in self.replica.state.workload.jobs and self.is_current():
+            return
+        proposal = self.uncommitted_jobs.get(command.job_id)
+        if proposal is None:
+            proposal = self.uncommitted_jobs[command.job_id] = self._propose_job(command)
+        try:
+            await self._wait_for_commit(proposal)
+        finally:
+            self.uncommitted_jobs.pop(command.job_id, None)
+
+    def _propose_job(self, command: AcceptJob) -> PendingProposal:
         is_new = self.fleet.job(command.job_id) is None
         proposal = self.propose(command)
         job = self.fleet.job(command.job_id)
@@ -328,7 +341,7 @@
         if job is not None:
             self.fleet.changed_pools.add(self.fleet.pool_of(job))
         self.notify_of_changes()
-        await self._wait_for_commit(proposal)
+        return proposal
 
     async def cancel_job(self, command: CancelJob) -> None:
         """Propose a cancellation and wait until it is committed; raise errors like `commit`.
--- a/src/hornbeamreach/link/leader_finder.py
+++ b/src/hornbeamreach/link/leader_finder.py
@@ -30,7 +30,8 @@
 log = part_logger("finder")
 
 # A leader replies within tens of ms; with a slow disk or a lost packet it takes up to this. After
-# that the next replica is asked, while a late answer still counts.
+# that the next replica is asked, while a late answer still counts. A leader that is only slow gets
+# the request once: repeats would make it slower for all callers.
 ATTEMPT_TIMEOUT_MS = 600
 RETRY_DELAY_MS = 60
 # Elections take up to 2 s. Without a leader for longer than this, control has no majority, and a
@@ -78,10 +79,15 @@
                 remaining_ms = began_ms + timeout_ms - now_ms
                 if remaining_ms <= 0 or self._is_hopeless(request, began_ms, now_ms):
                     break
-                address = self.leader or self._next_replica()
-                attempt = request.start(address, self._checked_term(message, address))
-                copy = self._bind(message, address)
-                nursery.start_soon(self._send, request, attempt, copy, remaining_ms, any_replica)
+                address = self.leader or self._next_replica(request)
+                term = self._checked_term(message, address)
+                attempt = request.open_attempt(address, term)
+                if attempt is None:
+                    attempt = request.start(address, term)
+                    copy = self._bind(message, address)
+                    nursery.start_soon(
+                        self._send, request, attempt, copy, remaining_ms, any_replica
+                    )
                 with trio.move_on_after(seconds(min(remaining_ms, ATTEMPT_TIMEOUT_MS))):
                     await attempt.ended.wait()
                 if not attempt.ended.is_set():
@@ -194,6 +200,12 @@
             log.bind(leader=replica).info("leader lost")
             self.leader = ""
 
-    def _next_replica(self) -> str:
-        self.position += 1
-        return self.replicas[self.position % len(self.replicas)]
+    def _next_replica(self, request: PendingRequest) -> str:
+        """Return the next replica in turn, one that has not been asked in vain if there is one."""
+        waiting = {attempt.address for attempt in request.open_attempts()}
+        for _ in self.replicas:
+            self.position += 1
+            address = self.replicas[self.position % len(self.replicas)]
+            if address not in waiting:
+                break
+        return address
--- a/src/hornbeamreach/link/pending_request.py
+++ b/src/hornbeamreach/link/pending_request.py
@@ -75,6 +75,13 @@
             self.uncertain.append(attempt)
         return attempt
 
+    def open_attempt(self, address: str, term: int) -> Attempt | None:
+        """Return an attempt to a replica in a term whose answer may still arrive."""
+        for attempt in self.attempts:
+            if (attempt.address, attempt.term) == (address, term) and not attempt.ended.is_set():
+                return attempt
+        return None
+
     def discard(self, attempt: Attempt, error: str) -> None:
         """Record that an attempt was not carried out and will not be."""
         self.last_error = error
--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -25,9 +25,10 @@
 NOTIFY, REQUEST, REPLY = 0, 1, 2
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 # A dead connection is detected within the sum of both, below the 3 s within which a VM must
-# stay connected.
-PING_INTERVAL_MS = 1_000
-PING_TIMEOUT_MS = 1_200
+# stay connected. The library waits for the interval less the latest round trip and stops its pings
+# with an error if that is negative, so the interval is the longer one.
+PING_INTERVAL_MS = 1_200
+PING_TIMEOUT_MS = 1_000
 OPEN_TIMEOUT_MS = 1_200
 CLOSE_TIMEOUT_MS = 500
 RECONNECT_DELAY_MS = 200
--- a/tests/test_leader_finder.py
+++ b/tests/test_leader_finder.py
@@ -183,6 +183,13 @@
         assert took_ms < 1_000
         assert len(sent) > 1
 
+    def test_a_leader_that_is_only_slow_gets_the_request_once(self):
+        # Repeats would multiply the work of a leader that has too little processor time.
+        redirect = (1, NotLeaderError("a:1", term=4))
+        result, _, sent = submit((2_000, answer(4)), *[redirect] * 3)
+        assert result == LeaderReply(reply=answer(4), repeated=False)
+        assert [address for address, _ in sent].count("a:1") == 1
+
     def test_two_late_refusals_are_conclusive_together(self):
         redirect = (1, NotLeaderError("a:1", term=4))
         result, _, _ = submit((1_200, answer(4, REFUSED)), redirect, (100, answer(4, REFUSED)))
--- a/tests/test_step_jobs.py
+++ b/tests/test_step_jobs.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from hornbeamreach.control.log_application import decode_command
 from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.workload_commands import AcceptJob, RecordRuns
 from hornbeamreach.exceptions import RefusedError
@@ -56,6 +57,20 @@
         fleet = run_scenario(scenario)
         assert len(fleet.minions.history) == 14
 
+    def test_repeated_submissions_add_one_entry_to_the_log(self):
+        """Callers repeat most when the leader is slow, so repeats must cost it little."""
+
+        async def scenario(fleet: StepFleet) -> None:
+            replica = (await fleet.wait_for_scheduler()).replica
+            async with trio.open_nursery() as callers:
+                for _ in range(5):
+                    callers.start_soon(fleet.submit, job_id(1), step_job(step(1)))
+            await fleet.submit(job_id(1), step_job(step(1)))
+            commands = [decode_command(entry) for entry in replica.core.log.entries]
+            assert [type(command) for command in commands].count(AcceptJob) == 1
+
+        run_scenario(scenario)
+
     def test_a_job_submitted_twice_runs_once(self):
         async def scenario(fleet: StepFleet) -> None:
             for _ in range(3):
