--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -431,7 +431,10 @@
             members=self.core.log.members_at(applied),
             data=encode_state(self.state),
         )
-        remaining = self.core.log.slice_from(applied + 1, len(self.core.log.entries))
+        # Entries that arrived during the latest sync are stored by the next one.
+        arrived = self.core.ready.entries
+        last = arrived[0].index - 1 if arrived else self.core.log.last_index
+        remaining = self.core.log.slice_from(applied + 1, last - applied)
         term, voted_for = self.core.term, self.core.voted_for
         await self.run_blocking(self.storage.save_snapshot, snapshot, remaining, term, voted_for)
         if snapshot.index > self.core.log.base_index:
