--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -662,9 +662,8 @@
             self.delivered_index = snapshot.index
             self.durable_index = max(self.durable_index, snapshot.index)
             self.ready.installed_snapshot = snapshot
-            self.ready.entries = [
-                entry for entry in self.ready.entries if entry.index > snapshot.index
-            ]
+            # The stored log is replaced as well, so it gets all entries that this one keeps.
+            self.ready.entries = list(self.log.entries)
         self._reply_append(message, success=True, match_index=snapshot.index)
 
     def compact(self, snapshot: Snapshot) -> None:
--- a/src/hornbeamreach/control/storage.py
+++ b/src/hornbeamreach/control/storage.py
@@ -84,10 +84,11 @@
         for item in batch:
             snapshot = item.ready.installed_snapshot
             if snapshot is not None:
-                # It replaces all earlier entries.
-                self._save_snapshot(snapshot, [], item.term, item.voted_for)
+                # It replaces what was stored or queued before; the entries are all that follow it.
+                self._save_snapshot(snapshot, item.ready.entries, item.term, item.voted_for)
                 records = []
-            records += _ready_records(item.ready)
+            else:
+                records += _ready_records(item.ready)
         if records:
             # One frame per batch: a torn batch is truncated as a whole and was never acknowledged.
             self.disk.append(LOG_FILE_NAME, encode_frame(records))
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -16,7 +16,12 @@
     ElectionTimer,
 )
 from hornbeamreach.control.raft import LEADER_LEASE_MS, RaftCore, Role
-from hornbeamreach.control.raft_messages import Snapshot
+from hornbeamreach.control.raft_messages import (
+    AppendRequest,
+    LogEntry,
+    Snapshot,
+    SnapshotRequest,
+)
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 
@@ -398,6 +403,42 @@
         assert all(b"lost" in [data for _, data in log] for log in cluster.applied.values())
 
 
+class TestInstalledSnapshots:
+    def test_acknowledged_entries_after_a_snapshot_survive_its_installation(self):
+        # The leader compacts its log while a batch that it has sent waits for an acknowledgement.
+        # The follower kept the entries after the snapshot in memory, but not on its disk.
+        cluster = Cluster()
+        cluster.settle()
+        leader = cluster.leader()
+        follower = next(core for core in cluster.cores.values() if core is not leader)
+        first = leader.log.last_index + 1
+        entries = [LogEntry(index=first + n, term=leader.term, data=b"%d" % n) for n in range(6)]
+        for message in (
+            AppendRequest(
+                previous_index=first - 1,
+                previous_term=leader.term,
+                commit_index=0,
+                entries=entries,
+                source=leader.node_id,
+                target=follower.node_id,
+                term=leader.term,
+                sent_ms=cluster.now_ms,
+            ),
+            SnapshotRequest(
+                snapshot=Snapshot(index=first + 2, term=leader.term, members=MEMBERS, data=b""),
+                source=leader.node_id,
+                target=follower.node_id,
+                term=leader.term,
+                sent_ms=cluster.now_ms,
+            ),
+        ):
+            follower.receive(message, cluster.now_ms)
+            cluster.process(follower.node_id)
+        assert follower.log.last_index == entries[-1].index
+        cluster.crash(follower.node_id)
+        assert cluster.cores[follower.node_id].log.last_index == entries[-1].index
+
+
 class TestMembership:
     def test_a_replica_is_added_and_catches_up_from_a_snapshot(self):
         cluster = Cluster()
