Send each member its heartbeat although another one can't be reached

Cause: the first member without a route ended each round of heartbeats, so that the members after it got none over UDP while one replica was cut off. An address that can't be encoded ended the thread, silently and for good. A busy leader lost its lease then, as without the thread.

Change: an error of a send concerns only that heartbeat.

Result: the test, with an address that can't be reached and one that can't be encoded, failed before (no heartbeat arrives) and passes now.

--- a/src/hornbeamreach/control/heartbeat_thread.py
+++ b/src/hornbeamreach/control/heartbeat_thread.py
@@ -98,8 +98,7 @@
                     wait_ms = min(max(next_send_ms - now_ms, MIN_WAIT_MS), IDLE_WAIT_MS)
                     self._receive(endpoint, wait_ms)
                 except OSError as exc:
-                    # A full link or an unreachable peer; the next heartbeat tries again.
-                    log.debug("heartbeat not exchanged: {}", exc)
+                    log.debug("no heartbeat received: {}", exc)
                     self.stopping.wait(ERROR_PAUSE_MS / 1_000)
 
     def _receive(self, endpoint: socket.socket, wait_ms: int) -> None:
@@ -119,7 +118,12 @@
             self._send(endpoint, reply)
 
     def _send(self, endpoint: socket.socket, message: Heartbeat) -> None:
-        address = self.address_of(message.target)
-        if address is not None:
-            host = address.rpartition(":")[0]
-            endpoint.sendto(encode_heartbeat(message, self.secret), (host, self.port))
+        try:
+            address = self.address_of(message.target)
+            if address is not None:
+                host = address.rpartition(":")[0]
+                endpoint.sendto(encode_heartbeat(message, self.secret), (host, self.port))
+        except Exception as exc:
+            # A full link, an unreachable peer, an address that can't be used, or members that the
+            # loop changes meanwhile. The next heartbeat tries again; the other members get theirs.
+            log.debug("heartbeat to {} not sent: {!r}", message.target, exc)
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -189,6 +189,30 @@
         assert threads["a"].dropped == 1
 
 
+    @pytest.mark.parametrize("bad_address", ["255.255.255.255:7000", f"{'x' * 64}.example:7000"])
+    def test_a_member_that_nothing_can_be_sent_to_costs_the_others_no_heartbeat(self, bad_address):
+        # The first error left out all members after it in each round, or ended the thread.
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.2", 0))
+            peer.settimeout(5)
+            liveness = Liveness(node_id="a", loop_progress_ms=Clock().now_ms())
+            liveness.publish(term=1, leader="a", members=("b", "c"))
+            thread = HeartbeatThread(
+                liveness=liveness,
+                clock=Clock(),
+                host="127.0.0.1",
+                port=peer.getsockname()[1],
+                secret=SECRET,
+                address_of={"b": bad_address, "c": "127.0.0.2:7000"}.get,
+            )
+            thread.start()
+            try:
+                heartbeats = [decode_heartbeat(peer.recv(1_024), SECRET) for _ in range(2)]
+            finally:
+                thread.stop()
+        assert [heartbeat.target for heartbeat in heartbeats] == ["c", "c"]
+
+
 class TestDisks:
     @pytest.mark.parametrize("seed", range(3))
     def test_a_stalled_disk_of_the_leader_delays_no_commit(self, seed):
