Extend the election timeout once per sync

Cause: each term or vote that a sync saves extended the election timeout by up to 1,000 ms. Since a sync covers all pending writes, a disk that stalls while several candidates raise the term delayed the next candidacy by several seconds, and callers had no leader for that long.

Change: a sync extends the timeout once, by at most 1,000 ms.

--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -347,8 +347,8 @@
     def _record_sync(self, batch: list[UnsavedReady], took_ms: int) -> None:
         for item in batch:
             self.core.mark_durable(item.ready.entries)
-            if item.ready.hard_state is not None:
-                self.core.mark_hard_state_durable(took_ms=took_ms)
+        if any(item.ready.hard_state is not None for item in batch):
+            self.core.mark_hard_state_durable(took_ms=took_ms)
         self.core.sync_ms = took_ms
         self._check_sync_time(took_ms)
 
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -17,8 +17,14 @@
     encode_heartbeat,
 )
 from hornbeamreach.control.liveness import MAX_LOOP_BLOCK_MS, Heartbeat, Liveness
-from hornbeamreach.control.raft import HEARTBEAT_INTERVAL_MS, Role
+from hornbeamreach.control.raft import (
+    HEARTBEAT_INTERVAL_MS,
+    MAX_VOTE_SAVING_EXTENSION_MS,
+    Ready,
+    Role,
+)
 from hornbeamreach.control.raft_messages import VoteRequest
+from hornbeamreach.control.storage import UnsavedReady
 
 from .builders import step, step_job
 from .step_fleet import StepFleet
@@ -243,3 +249,19 @@
             assert await fleet.wait_for_leader() == leader
 
         run_scenario(scenario)
+
+    def test_outputs_saved_with_one_sync_extend_the_election_timeout_once(self):
+        # Each term that had gathered during a stall added a second, so a voter stood much later.
+        async def scenario(fleet: StepFleet) -> None:
+            leader = await fleet.wait_for_leader()
+            follower = next(a for a in fleet.addresses if a != leader)
+            replica = fleet.control[follower].replica
+            due_ms = replica.core.election_timer.due_ms
+            batch = [
+                UnsavedReady(ready=Ready(hard_state=(n, None)), term=n, voted_for=None)
+                for n in range(5)
+            ]
+            replica._record_sync(batch, 3_000)
+            assert replica.core.election_timer.due_ms == due_ms + MAX_VOTE_SAVING_EXTENSION_MS
+
+        run_scenario(scenario)
