Count no capacity of evacuated data centres in admission

Cause: admission summed the processor capacity of all minions of a pool, also of those in an evacuated data centre, and lent out its idle ones. With two of three data centres evacuated, three times the work that could end while useful was accepted, so that all jobs ended too late together.

Change: minions of evacuated data centres don't count.

Result: the test failed before (96 instead of 32 cores) and passes now.

--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -146,10 +146,13 @@
 
     def _measure(self, now_ms: int) -> dict[str, PoolCapacity]:
         capacities: dict[str, PoolCapacity] = {}
+        evacuated = self.scheduler.proposed.workload.evacuated
         for minion in self.scheduler.fleet.minions.values():
             report = minion.report
             if minion.gone or report.leaving or report.draining or minion.is_silent(now_ms):
                 continue
+            if report.data_center in evacuated:
+                continue
             capacity = capacities.setdefault(report.pool, PoolCapacity())
             lasting = sum(run.needs.cpu_millis for run in minion.runs.values() if run.lasting)
             capacity.cpu_millis += max(0, report.capacity.cpu_millis - lasting)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -254,6 +254,21 @@
         run_job_scenario(scenario)
 
 
+class TestCapacity:
+    def test_admission_counts_no_vm_of_an_evacuated_data_centre(self):
+        # With two of three evacuated, three times the work that could end in time was accepted.
+        async def scenario(fleet):
+            admission = (await fleet.wait_for_scheduler()).job_admission
+            before = admission._measure(fleet.clock.now_ms())["pool-a"]
+            for name in ("dc1", "dc3"):
+                assert await fleet.change(name, begin=True)
+            after = admission._measure(fleet.clock.now_ms())["pool-a"]
+            assert after.cpu_millis == before.cpu_millis // 3
+            assert after.idle_cpu_millis == before.idle_cpu_millis // 3
+
+        play(scenario, load=False)
+
+
 LASTING = builders.step(count=6, cpu_millis=2_000, lasting=True, may_miss=1)
 
 
