Spread Retry-After over refused callers again

While the loop lags, the offset was taken from the size of the table of all pools: once it was full, all callers got the same offset.

Change: a new caller's Retry-After adds the work of the pool's jobs that were refused before it; beyond 10 s callers are spread over the last 5 s by the number of refusals. Admission itself is unchanged. In tests the input waiting_callers is replaced by refusals, with the same expectation.

--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -86,7 +86,7 @@
                 scheduler.metrics.event("job_accepted_after_refusal")
             self._note_accepted(row.pool, now_ms)
             return decision
-        self.refused.add(job_id, now_ms)
+        self.refused.add(job_id, now_ms, row.pool)
         self._note_refused(job_id, row.pool, request, decision, now_ms)
         return decision
 
@@ -106,8 +106,10 @@
         teams = scheduler.proposed.state.table.teams
         rows = {name: teams[name] for name in queued if name in teams}
         factor, spread = fleet.run_times.factor(queue), fleet.run_times.spread(queue)
+        core_ms = work_core_ms(spec) * factor
         task_count = sum(step.count for step in spec.steps)
         loop_lag = getattr(scheduler, "loop_lag", None)
+        overload = self.overloads.get(row.pool)
         capacity, lendable = self._capacity(row.pool, now_ms)
         return JobRequest(
             team=team,
@@ -121,12 +123,14 @@
                 for name, team_row in rows.items()
                 if team_row.max_cpu_millis
             },
-            task_core_ms=work_core_ms(spec) * factor / max(1, task_count),
+            task_core_ms=core_ms / max(1, task_count),
             spread=spread,
             cpu_millis=capacity,
             lendable_cpu_millis=lendable,
             loop_lag_ms=loop_lag.lag_ms if loop_lag is not None else 0.0,
-            waiting_callers=len(self.refused.first_ms),
+            # Jobs that are refused together are alike.
+            refused_core_ms=core_ms * self.refused.before(job_id, row.pool),
+            refusals=overload.refusals if overload is not None else 0,
         )
 
     # Capacity
--- a/src/hornbeamreach/systems/admission.py
+++ b/src/hornbeamreach/systems/admission.py
@@ -23,8 +23,9 @@
 MAX_RETRY_MS = 10_000
 # The estimate is the best case, so the queued work falls more slowly.
 RETRY_MARGIN = 1.25
-# While the loop lags, refused callers are spread over this many seconds.
-LAG_SPREAD = 5
+# Callers that are refused one after the other are spread over this many seconds, where the work of
+# those that were refused before doesn't spread them.
+RETRY_SPREAD = 5
 # The queued work may be less than estimated by this many standard deviations, but by at most half.
 OPTIMISTIC_DEVIATIONS = 2.0
 MIN_WORK_SHARE = 0.5
@@ -52,8 +53,11 @@
     cpu_millis: int = 0
     lendable_cpu_millis: int = 0
     loop_lag_ms: float = 0.0
-    # Callers that were refused before and are expected again.
-    waiting_callers: int = 0
+    # Work of the pool's jobs that were refused before and are expected again, in core ms. It holds
+    # no capacity back: only the time to come again takes it into account.
+    refused_core_ms: float = 0.0
+    # Number of refusals since the pool began to refuse jobs.
+    refusals: int = 0
 
 
 @define(frozen=True, kw_only=True)
@@ -86,8 +90,8 @@
 def while_useful(request: JobRequest) -> JobDecision:
     """Refuse a job that can't end while it is useful, even if all goes well."""
     if request.loop_lag_ms > MAX_LOOP_LAG_MS:
-        after_ms = MIN_RETRY_MS + request.waiting_callers % LAG_SPREAD * MS_PER_S
         detail = f"the scheduler's loop lags by {request.loop_lag_ms:.0f} ms"
+        after_ms = MIN_RETRY_MS + request.refusals % RETRY_SPREAD * MS_PER_S
         return JobDecision(accepted=False, retry_after_ms=after_ms, detail=detail)
     if not request.cpu_millis or not 0 < request.path_ms <= request.useful_ms:
         # Nothing is known of the pool or the job, all of the pool has failed, or the job is late
@@ -104,7 +108,7 @@
         accepted=False,
         ahead_core_ms=ahead_core_ms,
         end_ms=end_ms,
-        retry_after_ms=round(min(max(excess_ms * RETRY_MARGIN, MIN_RETRY_MS), MAX_RETRY_MS)),
+        retry_after_ms=_retry_after_ms(excess_ms, request),
         detail=f"would end after {end_ms:.0f} ms, is useful for {request.useful_ms:.0f} ms",
     )
 
@@ -135,6 +139,16 @@
     return LOAN_DELAY_MS + (core_ms - before_loan) / (cores + lendable_cpu_millis / 1_000)
 
 
+def _retry_after_ms(excess_ms: float, request: JobRequest) -> int:
+    """Return when a refused caller should return, so that not all of them return together."""
+    cpu_millis = request.cpu_millis + request.lendable_cpu_millis
+    after_ms = max(excess_ms * RETRY_MARGIN, MIN_RETRY_MS)
+    after_ms += request.refused_core_ms / cpu_millis * 1_000
+    if after_ms > MAX_RETRY_MS:
+        after_ms = MAX_RETRY_MS - request.refusals % RETRY_SPREAD * MS_PER_S
+    return round(after_ms)
+
+
 def _weight(team: str, weights: Mapping[str, float]) -> float:
     return weights.get(team, 0.0) or 1.0
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -152,7 +152,7 @@
 
     def test_a_lagging_loop_refuses_jobs_and_spreads_their_callers(self):
         assert decide(loop_lag_ms=MAX_LOOP_LAG_MS).accepted
-        refused = [decide(loop_lag_ms=MAX_LOOP_LAG_MS + 1, waiting_callers=n) for n in range(20)]
+        refused = [decide(loop_lag_ms=MAX_LOOP_LAG_MS + 1, refusals=n) for n in range(20)]
         assert not any(decision.accepted for decision in refused)
         assert {d.retry_after_ms for d in refused} == {1_000, 2_000, 3_000, 4_000, 5_000}
 
@@ -171,6 +171,8 @@
         callers = RefusedCallers()
         for number in range(MAX_ENTRIES + 5):
             callers.add(str(number), number)
+        assert len(callers.first_ms) == len(callers.pools) == callers.before("new", "")
         assert len(callers.first_ms) == MAX_ENTRIES
+        assert callers.before(str(MAX_ENTRIES), "") == callers.before("new", "pool-b") == 0
         callers.expire(MAX_ENTRIES + 4 + RETENTION_MS)
-        assert not callers.first_ms
+        assert not callers.first_ms and not callers.pools and not callers.by_pool
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -194,7 +194,6 @@
         assert "b" in threads["a"].liveness.answered()
         assert threads["a"].dropped == 1
 
-
     @pytest.mark.parametrize("bad_address", ["255.255.255.255:7000", f"{'x' * 64}.example:7000"])
     def test_a_member_that_nothing_can_be_sent_to_costs_the_others_no_heartbeat(self, bad_address):
         # The first error left out all members after it in each round, or ended the thread.
