Keep proposed crashes out of the committed state

Cause: the scheduler's copy of the state shares the list of the incarnations that crashed under a task, and counting a crash appended to it. A crash that the leader had only proposed was in its committed state at once, and twice after the commit, so the leader's state differed from that of the other replicas; a crash that was never committed could keep a task a suspect there.

Change: counting a crash builds a new list.

Result: the test failed before and passes now.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -253,7 +253,8 @@
     task.lapsed = None
     task.crashes += 1
     task.begun_crashes += begun
-    task.crashed_incarnations.append(incarnation)
+    # A new list: the scheduler's copy of the state shares the earlier one.
+    task.crashed_incarnations = [*task.crashed_incarnations, incarnation]
     history = CrashHistory(
         crashes=task.crashes,
         begun_crashes=task.begun_crashes,
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -12,6 +12,7 @@
 from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders, RecordRuns
 from hornbeamreach.fleet.crash_recorder import REPLACED
 from hornbeamreach.fleet.messages import QueueAction
+from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.standins.step_minions import SimulatedRun
 from hornbeamreach.systems.crash_evidence import (
@@ -180,6 +181,14 @@
         assert (job.state, job.ended_ms) == (StepJobState.FAILED, 9_000)
         assert job.failure_reason == "task 0.0.0 crashed 2 minions"
 
+    def test_a_proposed_crash_leaves_the_committed_state_as_it_is(self, state):
+        # The leader's committed state named an incarnation that the other replicas' didn't.
+        proposed = ProposedState.of(state)
+        crash(proposed.state, 1)
+        assert state.workload.jobs[DEADLY_JOB].tasks["0.0.0"].crashed_incarnations == []
+        crash(state, 1)
+        assert state.workload.jobs == proposed.workload.jobs
+
     @pytest.mark.parametrize("begun", [(False, True, True), (True, False, True), (False,) * 4])
     def test_a_job_fails_only_after_two_crashes_of_runs_that_had_begun(self, state, begun):
         # Orders to minions that were down already look alike; four of them count as two.
