Send no start once the scheduler is deposed

Cause: whether the scheduler still leads was read when the starts of a commit were released for sending, but each order is built and sent later, with a lease counted from then. A process that was suspended among several orders sent the rest after it resumed, under a lapsed leader's lease; a minion that the next leader hadn't reached yet started them, also in a data centre whose evacuation that leader had acknowledged.

Change: each order reads it again before it is built.

Result: the test failed before (6 orders instead of 1) and passes now.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -133,6 +133,9 @@
 
     async def _start(self, run: ReservedRun, minion: Minion) -> None:
         scheduler = self.scheduler
+        if not scheduler.is_current():
+            # The process was suspended since the start was released for sending.
+            return
         if scheduler.evacuations.is_evacuated(minion):
             # The evacuation was requested after the start was released for sending.
             run.ordered = False
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from types import SimpleNamespace
 
 import attrs
 import cbor2
@@ -13,6 +14,7 @@
 from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
 from hornbeamreach.exceptions import RefusedError
 from hornbeamreach.fleet.messages import ChangeEvacuation
+from hornbeamreach.fleet.ports import UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.link.leader_finder import NoLeaderError
 from hornbeamreach.standins import step_minions
@@ -148,6 +150,30 @@
 
         play(scenario)
 
+    def test_a_process_that_was_suspended_between_two_orders_sends_no_more(self):
+        # The orders of a commit are sent one after the other. After a suspension the rest went out
+        # with a fresh lease, while the next leader had acknowledged an evacuation.
+        async def scenario(fleet):
+            scheduler = await fleet.wait_for_scheduler()
+            sent = []
+
+            async def start(report, order):
+                sent.append(order.task)
+                # The process is suspended here, so that its lease lapses.
+                clock = SimpleNamespace(now_ms=lambda: fleet.clock.now_ms() + 60_000)
+                scheduler.replica.clock = clock
+                raise UnknownOutcomeError("suspended")
+
+            scheduler.orders.port = SimpleNamespace(
+                start=start, poll=scheduler.orders.port.poll, stop=scheduler.orders.port.stop
+            )
+            await fleet.submit("a" * 16, builders.step_job(builders.step(count=6)))
+            await trio.sleep(0.2)
+            assert len(sent) == 1
+            scheduler.replica.clock = fleet.clock
+
+        play(scenario, load=False)
+
     def test_an_acknowledged_request_survives_a_loss_of_all_power(self):
         async def scenario(fleet):
             assert await fleet.change("dc1", begin=True)
