Replace a leader whose link is cut while datagrams get through

Cause: answers to datagrams extend the lease. A leader whose connections to the others were silent kept it and its followers stood for no election, so that nothing was committed and callers got no answer until the connections worked again.

Change: the loop of a leader that no majority has answered over the link for 2 s makes no progress, and its thread stops as for a loop that hangs.

Result: the test failed before (no other leader within 8 s) and passes now.

--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -39,6 +39,9 @@
 SNAPSHOT_RESEND_INTERVAL_MS = 2_000
 # Saving a vote delays the next candidacy by at most this, however long the disk took.
 MAX_VOTE_SAVING_EXTENSION_MS = 1_000
+# A leader that no majority has answered over the link for this long can't commit anything, so its
+# loop counts as blocked although datagrams still get through.
+MAX_LINK_SILENCE_MS = 2_000
 
 
 class Role(enum.Enum):
@@ -58,6 +61,8 @@
     match_index: int = 0
     # When the latest request that the peer acknowledged was sent, on the leader's clock.
     acked_sent_ms: int = -1
+    # When the peer's latest reply over the link arrived.
+    link_reply_ms: int = -1
     snapshot_sent_ms: int | None = None
     # Last index of the batch in flight, 0 if there is none, and when it was sent.
     in_flight_index: int = 0
@@ -187,13 +192,23 @@
         """Advance the clock: start elections, send heartbeats, step down without a quorum."""
         with self.liveness.lock:
             self._advance_clock(now_ms)
-            self.liveness.loop_progress_ms = self.now_ms
+            if self.role is not Role.LEADER or self._has_working_link():
+                self.liveness.loop_progress_ms = self.now_ms
             if self.role is Role.LEADER:
                 self._tick_leader()
             elif self.now_ms >= self.election_timer.due_ms and self.node_id in self.members():
                 self._start_election(pre_vote=True)
             self._publish_role()
 
+    def _has_working_link(self) -> bool:
+        """Return whether a majority has answered this leader over the link a short while ago."""
+        reached = sum(
+            member == self.node_id
+            or self.now_ms - self._peer(member).link_reply_ms <= MAX_LINK_SILENCE_MS
+            for member in self.members()
+        )
+        return reached >= self._quorum()
+
     def _advance_clock(self, now_ms: int) -> None:
         """Advance the clock and take over what the heartbeats have shown since the last input."""
         self.now_ms = max(self.now_ms, now_ms)
@@ -458,7 +473,8 @@
         self.leader_since_ms = self.now_ms
         self.peers = {}
         for member in self._other_members():
-            self._peer(member).acked_sent_ms = self.now_ms
+            peer = self._peer(member)
+            peer.acked_sent_ms = peer.link_reply_ms = self.now_ms
         # Entries of earlier terms are committed only by committing a later one of this term.
         self._append(LogEntry(index=self.log.last_index + 1, term=self.term))
 
@@ -616,6 +632,7 @@
             return
         peer = self._peer(message.source)
         peer.acked_sent_ms = max(peer.acked_sent_ms, message.sent_ms)
+        peer.link_reply_ms = self.now_ms
         peer.sync_ms = message.sync_ms
         if not message.success or message.match_index >= peer.in_flight_index:
             peer.in_flight_index = 0
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -90,6 +90,17 @@
         others = [core for core in cluster.cores.values() if core is not leader]
         assert any(core.is_leader(cluster.now_ms) for core in others)
 
+    def test_a_leader_that_only_datagrams_reach_is_replaced(self, cluster):
+        # It kept its lease for as long as its link was cut, and nothing was committed.
+        leader = cluster.leader()
+        end_ms = cluster.now_ms + 8_000
+        while cluster.now_ms < end_ms:
+            exchange(cluster)
+            cluster.settle(HEARTBEAT_INTERVAL_MS // 15, cut_off=(leader.node_id,))
+        others = [core for core in cluster.cores.values() if core is not leader]
+        assert any(core.is_leader(cluster.now_ms) for core in others)
+        assert not leader.is_leader(cluster.now_ms)
+
     def test_a_suspended_leader_does_not_rely_on_its_old_lease(self, cluster):
         # The loop has read no clock since it was resumed.
         leader = cluster.leader()
