--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -347,8 +347,8 @@
     def _record_sync(self, batch: list[UnsavedReady], took_ms: int) -> None:
         for item in batch:
             self.core.mark_durable(item.ready.entries)
-            if item.ready.hard_state is not None:
-                self.core.mark_hard_state_durable(took_ms=took_ms)
+        if any(item.ready.hard_state is not None for item in batch):
+            self.core.mark_hard_state_durable(took_ms=took_ms)
         self.core.sync_ms = took_ms
         self._check_sync_time(took_ms)
 
@@ -431,7 +431,10 @@
             members=self.core.log.members_at(applied),
             data=encode_state(self.state),
         )
-        remaining = self.core.log.slice_from(applied + 1, len(self.core.log.entries))
+        # Entries that arrived during the latest sync are stored by the next one.
+        arrived = self.core.ready.entries
+        last = arrived[0].index - 1 if arrived else self.core.log.last_index
+        remaining = self.core.log.slice_from(applied + 1, last - applied)
         term, voted_for = self.core.term, self.core.voted_for
         await self.run_blocking(self.storage.save_snapshot, snapshot, remaining, term, voted_for)
         if snapshot.index > self.core.log.base_index:
--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -114,8 +114,10 @@
         teams = scheduler.proposed.state.table.teams
         rows = {name: teams[name] for name in queued if name in teams}
         factor, spread = fleet.run_times.factor(queue), fleet.run_times.spread(queue)
+        core_ms = work_core_ms(spec) * factor
         task_count = sum(step.count for step in spec.steps)
         loop_lag = getattr(scheduler, "loop_lag", None)
+        overload = self.overloads.get(row.pool)
         capacity, lendable = self._capacity(row.pool, now_ms)
         return JobRequest(
             team=team,
@@ -129,13 +131,13 @@
                 for name, team_row in rows.items()
                 if team_row.max_cpu_millis
             },
-            task_core_ms=work_core_ms(spec) * factor / max(1, task_count),
+            task_core_ms=core_ms / max(1, task_count),
             spread=spread,
             cpu_millis=capacity,
             lendable_cpu_millis=lendable,
             loop_lag_ms=loop_lag.lag_ms if loop_lag is not None else 0.0,
-            waiting_callers=len(self.refused.first_ms),
-            expected_core_ms=self.refused.expected_core_ms(row.pool, row.rank, now_ms),
+            refused_core_ms=self.refused.expected_core_ms(row.pool, row.rank, now_ms),
+            refusals=overload.refusals if overload is not None else 0,
         )
 
     # Capacity
@@ -155,10 +157,13 @@
 
     def _measure(self, now_ms: int) -> dict[str, PoolCapacity]:
         capacities: dict[str, PoolCapacity] = {}
+        evacuated = self.scheduler.proposed.workload.evacuated
         for minion in self.scheduler.fleet.minions.values():
             report = minion.report
             if minion.gone or report.leaving or report.draining or minion.is_silent(now_ms):
                 continue
+            if report.data_center in evacuated:
+                continue
             capacity = capacities.setdefault(report.pool, PoolCapacity())
             lasting = sum(run.needs.cpu_millis for run in minion.runs.values() if run.lasting)
             capacity.cpu_millis += max(0, report.capacity.cpu_millis - lasting)
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -17,8 +17,14 @@
     encode_heartbeat,
 )
 from hornbeamreach.control.liveness import MAX_LOOP_BLOCK_MS, Heartbeat, Liveness
-from hornbeamreach.control.raft import HEARTBEAT_INTERVAL_MS, Role
+from hornbeamreach.control.raft import (
+    HEARTBEAT_INTERVAL_MS,
+    MAX_VOTE_SAVING_EXTENSION_MS,
+    Ready,
+    Role,
+)
 from hornbeamreach.control.raft_messages import VoteRequest
+from hornbeamreach.control.storage import UnsavedReady
 
 from .builders import step, step_job
 from .step_fleet import StepFleet
@@ -84,6 +90,17 @@
         others = [core for core in cluster.cores.values() if core is not leader]
         assert any(core.is_leader(cluster.now_ms) for core in others)
 
+    def test_a_leader_that_only_datagrams_reach_is_replaced(self, cluster):
+        # It kept its lease for as long as its link was cut, and nothing was committed.
+        leader = cluster.leader()
+        end_ms = cluster.now_ms + 8_000
+        while cluster.now_ms < end_ms:
+            exchange(cluster)
+            cluster.settle(HEARTBEAT_INTERVAL_MS // 15, cut_off=(leader.node_id,))
+        others = [core for core in cluster.cores.values() if core is not leader]
+        assert any(core.is_leader(cluster.now_ms) for core in others)
+        assert not leader.is_leader(cluster.now_ms)
+
     def test_a_suspended_leader_does_not_rely_on_its_old_lease(self, cluster):
         # The loop has read no clock since it was resumed.
         leader = cluster.leader()
@@ -188,6 +205,29 @@
         assert "b" in threads["a"].liveness.answered()
         assert threads["a"].dropped == 1
 
+    @pytest.mark.parametrize("bad_address", ["255.255.255.255:7000", f"{'x' * 64}.example:7000"])
+    def test_a_member_that_nothing_can_be_sent_to_costs_the_others_no_heartbeat(self, bad_address):
+        # The first error left out all members after it in each round, or ended the thread.
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.2", 0))
+            peer.settimeout(5)
+            liveness = Liveness(node_id="a", loop_progress_ms=Clock().now_ms())
+            liveness.publish(term=1, leader="a", members=("b", "c"))
+            thread = HeartbeatThread(
+                liveness=liveness,
+                clock=Clock(),
+                host="127.0.0.1",
+                port=peer.getsockname()[1],
+                secret=SECRET,
+                address_of={"b": bad_address, "c": "127.0.0.2:7000"}.get,
+            )
+            thread.start()
+            try:
+                heartbeats = [decode_heartbeat(peer.recv(1_024), SECRET) for _ in range(2)]
+            finally:
+                thread.stop()
+        assert [heartbeat.target for heartbeat in heartbeats] == ["c", "c"]
+
 
 class TestDisks:
     @pytest.mark.parametrize("seed", range(3))
@@ -219,3 +259,19 @@
             assert await fleet.wait_for_leader() == leader
 
         run_scenario(scenario)
+
+    def test_outputs_saved_with_one_sync_extend_the_election_timeout_once(self):
+        # Each term that had gathered during a stall added a second, so a voter stood much later.
+        async def scenario(fleet: StepFleet) -> None:
+            leader = await fleet.wait_for_leader()
+            follower = next(a for a in fleet.addresses if a != leader)
+            replica = fleet.control[follower].replica
+            due_ms = replica.core.election_timer.due_ms
+            batch = [
+                UnsavedReady(ready=Ready(hard_state=(n, None)), term=n, voted_for=None)
+                for n in range(5)
+            ]
+            replica._record_sync(batch, 3_000)
+            assert replica.core.election_timer.due_ms == due_ms + MAX_VOTE_SAVING_EXTENSION_MS
+
+        run_scenario(scenario)
