Split the planner into queues, the start of a step, and passes

Change: fleet/pool_queue holds the queue of a pool, the sort keys, the order by share and the split of suspects. fleet/step_start chooses the minions of one step's tasks and reserves its runs. fleet/planner keeps passes and slices. The cold starts of a pass belong to the StepStarter that is created with the pass. Behaviour is unchanged.

--- a/src/hornbeamreach/fleet/near_waits.py
+++ b/src/hornbeamreach/fleet/near_waits.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING
 
 import attrs
 from attrs import define, field
 
 from hornbeamreach.fleet.fleet_state import FleetState
+from hornbeamreach.fleet.pool_queue import QueuedStep
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.job_progress import (
@@ -27,9 +27,6 @@
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJob, StepSpec, task_key
 
-if TYPE_CHECKING:
-    from hornbeamreach.fleet.planner import QueuedStep
-
 log = part_logger("near_waits")
 
 StepName = tuple[str, int, int]
