Move timed jobs and admission tickets out of the scheduler

Change: fleet/timed_jobs checks when an occurrence may be due, and fleet/ticket_requests requests the tickets that the planner lacks. Both receive the state, ports and callbacks that they use. Log lines keep the part's name "scheduler". Behaviour is unchanged.

--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -25,14 +25,15 @@
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.planner import Planner
-from hornbeamreach.fleet.ports import AdmissionPort, MinionPort, UnknownOutcomeError
+from hornbeamreach.fleet.ports import AdmissionPort, MinionPort
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.share_report import ShareReport
+from hornbeamreach.fleet.ticket_requests import TicketRequests
+from hornbeamreach.fleet.timed_jobs import TimedJobs
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.fleet.waiting_jobs import WaitingJobs
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.systems.job_progress import next_due_ms
 from hornbeamreach.systems.overload import Effort, overload_policies
 from hornbeamreach.tables.minions import (
     MAX_CAPACITY_AGE_MS,
@@ -58,14 +59,10 @@
 # Reports that a network partition delayed arrive seconds late; this is far above a partition of
 # one minute.
 GONE_MINION_RETENTION_MS = 120_000
-# Schedules are checked again after this when no occurrence is due earlier.
-SCHEDULE_CHECK_INTERVAL_MS = 60_000
 # A fencing token consists of the term, the number of the scheduler in this process, and a counter
 # for each minion; together they stay below 2^53, the largest whole number that JSON can hold.
 TOKEN_STEP_BITS = 16
 GENERATION_BITS = 12
-# The admission service accepts a list of at most this many minions.
-MAX_TICKET_MINIONS = 30
 
 
 class StepScheduler:
@@ -88,7 +85,6 @@
         self.clock = clock
         self.metrics = metrics
         self.timing = timing
-        self.admission_port = admission_port
         self.term = replica.core.term
         self.began_ms = clock.now_ms()
         self.proposed = ProposedState.of(replica.state)
@@ -109,9 +105,15 @@
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
         self.last_cleanup_ms = self.began_ms
-        self.next_schedule_ms: int | None = None
+        self.timed_jobs = TimedJobs(fleet=self.fleet)
         self.uncommitted_proposals = 0
-        self.tickets_requested: set[tuple[str, int, int]] = set()
+        self.ticket_requests = TicketRequests(
+            fleet=self.fleet,
+            port=admission_port,
+            metrics=metrics,
+            timing=timing,
+            notify=self.notify,
+        )
         self.waiting_jobs = WaitingJobs(scheduler=self)
         self.evacuations = Evacuations(scheduler=self)
         self.job_admission = JobAdmission(scheduler=self)
@@ -253,7 +255,8 @@
         starts = self.planner.plan_slice(
             now_ms, wall_ms, lambda: self.clock.now_ms() - began_ms >= slice_ms
         )
-        self._request_tickets()
+        assert self.nursery is not None
+        self.ticket_requests.request_missing(self.planner, self.nursery)
         if not changed_jobs and not starts:
             if not self.uncommitted_proposals:
                 self._mark_ends_recorded(listed_ends)
@@ -324,7 +327,7 @@
             self.fleet.record_arrival(job, self.clock.now_ms())
         self.fleet.stale_jobs.add(command.job_id)
         if command.spec.timed:
-            self.next_schedule_ms = None
+            self.timed_jobs.check_soon()
         if job is not None:
             self.fleet.changed_pools.add(self.fleet.pool_of(job))
         self.notify_of_changes()
@@ -445,7 +448,8 @@
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
                 self._end_lapsed_runs(list(runs.values()), minion_id)
-        self._check_schedules(wall_ms)
+        if self.timed_jobs.check(wall_ms):
+            self.notify()
         self._forget_old(now_ms, wall_ms)
         self.waiting_jobs.tick(now_ms, wall_ms)
         self.evacuations.tick(now_ms)
@@ -491,19 +495,6 @@
         for run in runs:
             self.fleet.end_run(run, RunEnd.LEASE_LAPSED)
 
-    def _check_schedules(self, wall_ms: int) -> None:
-        if self.next_schedule_ms is not None and self.next_schedule_ms > wall_ms:
-            return
-        due_times = [wall_ms + SCHEDULE_CHECK_INTERVAL_MS]
-        for job in self.proposed.workload.jobs.values():
-            if job.spec.timed and not job.ended:
-                self.fleet.stale_jobs.add(job.job_id)
-                due_ms = next_due_ms(job.spec, wall_ms)
-                if due_ms is not None:
-                    due_times.append(due_ms)
-        self.next_schedule_ms = min(due_times)
-        self.notify()
-
     def _forget_old(self, now_ms: int, wall_ms: int) -> None:
         if now_ms - self.last_cleanup_ms < FORGET_INTERVAL_MS:
             return
@@ -530,47 +521,6 @@
                 del self.fleet.minions[minion.minion_id]
                 self.pollers.pop(minion.minion_id).stop()
 
-    # Admission service
-
-    def _request_tickets(self) -> None:
-        missing = self.planner.missing_tickets - self.tickets_requested
-        self.planner.missing_tickets.clear()
-        for step_name in missing:
-            self.tickets_requested.add(step_name)
-            assert self.nursery is not None
-            self.nursery.start_soon(self._request_step_tickets, step_name)
-
-    async def _request_step_tickets(self, step_name: tuple[str, int, int]) -> None:
-        job = self.fleet.job(step_name[0])
-        if job is None or self.admission_port is None:
-            return
-        pool = self.fleet.pool_of(job)
-        members = [
-            minion
-            for minion in self.fleet.minions.values()
-            if minion.report.pool == pool and not self.evacuations.is_evacuated(minion)
-        ]
-        members.sort(key=lambda minion: -minion.free().cpu_millis)
-        minion_ids = [minion.minion_id for minion in members[:MAX_TICKET_MINIONS]]
-        try:
-            tickets = await self.admission_port.request_tickets(
-                f"{step_name[0]}.{step_name[1]}.{step_name[2]}", minion_ids
-            )
-        except UnknownOutcomeError as exc:
-            log.bind(request=step_name[0]).warning("no tickets from the admission service: {}", exc)
-            self.metrics.event("advice_unanswered")
-            await trio.sleep(seconds(self.timing.retry_ms))
-            self.tickets_requested.discard(step_name)
-            self.notify()
-            return
-        self.planner.tickets[step_name] = tickets
-        self.notify()
-        queue = self.proposed.state.table.queues.get(job.queue)
-        valid_ms = queue.advice_valid_ms if queue else 0
-        await trio.sleep(seconds(valid_ms * self.timing.ticket_refresh_share))
-        self.planner.tickets.pop(step_name, None)
-        self.tickets_requested.discard(step_name)
-
 
 def _is_older(report: MinionReport, minion: Minion) -> bool:
     known = minion.report
