Move the handling of minion reports out of the scheduler

Cause: fleet/step_scheduler.py had 560 lines, a fifth of them for reports of minions.

Change: fleet/minion_tracker handles reports, new incarnations, departures and minions that are gone. It receives the state, the recorder of crashes, the pollers and callbacks. The scheduler starts the pollers and passes reports on. Behaviour is unchanged.

Result: the scheduler has 464 lines.

--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -16,7 +16,7 @@
     WorkloadCommand,
 )
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
-from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
+from hornbeamreach.fleet.crash_recorder import CrashRecorder
 from hornbeamreach.fleet.evacuations import Evacuations
 from hornbeamreach.fleet.first_polls import FirstPolls
 from hornbeamreach.fleet.fleet_state import FleetState
@@ -24,6 +24,7 @@
 from hornbeamreach.fleet.loop_lag import LoopLag
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
+from hornbeamreach.fleet.minion_tracker import MinionTracker
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.ports import AdmissionPort, MinionPort
 from hornbeamreach.fleet.proposed_state import ProposedState
@@ -36,7 +37,6 @@
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.overload import Effort, overload_policies
 from hornbeamreach.tables.minions import (
-    MAX_CAPACITY_AGE_MS,
     Minion,
     MinionReport,
     ReservedRun,
@@ -56,9 +56,6 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_JOBS = 500
-# Reports that a network partition delayed arrive seconds late; this is far above a partition of
-# one minute.
-GONE_MINION_RETENTION_MS = 120_000
 # A fencing token consists of the term, the number of the scheduler in this process, and a counter
 # for each minion; together they stay below 2^53, the largest whole number that JSON can hold.
 TOKEN_STEP_BITS = 16
@@ -101,6 +98,17 @@
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
+        self.tracker = MinionTracker(
+            fleet=self.fleet,
+            clock=clock,
+            metrics=metrics,
+            crashes=self.crashes,
+            port=minion_port,
+            pollers=self.pollers,
+            start_poller=self._start_poller,
+            notify=self.notify,
+            notify_of_changes=self.notify_of_changes,
+        )
         self.first_polls = FirstPolls(scheduler=self)
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
@@ -360,79 +368,21 @@
 
     def on_leave(self, minion_id: str, born_ms: int) -> None:
         """Stop assigning work to a minion that shuts down; `born_ms` 0 means any incarnation."""
-        minion = self.fleet.minions.get(minion_id)
-        if minion is not None and born_ms in (0, minion.report.born_ms):
-            minion.report = _as_leaving(minion.report)
-            self.pollers[minion_id].poll_now()
+        self.tracker.on_leave(minion_id, born_ms)
 
     def on_report(self, report: MinionReport) -> None:
         """Record a minion's report, unless a newer one is known."""
-        minion = self.fleet.minions.get(report.minion)
-        if minion is not None and _is_older(report, minion):
-            return
-        now_ms = self.clock.now_ms()
-        if minion is None or _may_serve_more(minion, report, now_ms):
-            self.fleet.changed_pools.add(report.pool)
-        if minion is None or minion.report.born_ms != report.born_ms:
-            minion = self._add_incarnation(report, minion, now_ms)
-        elif report.draining and not minion.report.draining:
-            log.bind(minion=report.minion, left_ms=report.remaining_ms).info("minion is draining")
-        if report.capacity != minion.report.capacity:
-            _log_capacity(minion, report)
-        minion.report = report
-        minion.last_report_ms = now_ms
-        minion.note_report_clock(report.clock_ms, now_ms)
-        if not minion.clock_received_ms and report.clock_ms:
-            minion.minion_clock_ms, minion.clock_received_ms = report.clock_ms, now_ms
-        self.notify_of_changes()
-
-    def _add_incarnation(self, report: MinionReport, earlier: Minion | None, now_ms: int) -> Minion:
-        minion = Minion(report=report, last_report_ms=now_ms)
-        log.bind(minion=report.minion, pool=report.pool, born_ms=report.born_ms).info(
-            "minion heard"
-        )
-        if earlier is not None:
-            minion.token_step = earlier.token_step + 1
-            self._retire_incarnation(earlier)
-        self.crashes.on_report(report, is_first=earlier is None)
-        self.fleet.minions[report.minion] = minion
-        for run in list(self.fleet.unattached_runs.pop(report.minion, {}).values()):
-            # Its order may still reach the new incarnation: the first poll there decides.
-            run.born_ms = report.born_ms
-            minion.reserve(run)
-        if report.minion not in self.pollers:
-            poller = MinionPoller(scheduler=self, minion_id=report.minion, port=self.minion_port)
-            self.pollers[report.minion] = poller
-            assert self.nursery is not None
-            self.nursery.start_soon(poller.run)
-        self.pollers[report.minion].notify()
-        return minion
-
-    def _retire_incarnation(self, minion: Minion) -> None:
-        """Detach the runs of an incarnation, for the next one under the same id.
-
-        A start may have reached either incarnation, whatever the response was. The first poll of
-        the next one shows which runs are there.
-        """
-        self.crashes.on_incarnation_over(minion, REPLACED)
-        for run in list(minion.runs.values()):
-            minion.release(run.name)
-            if run.phase is not RunPhase.RESERVED:
-                run.phase = RunPhase.UNKNOWN
-            run.outcome_known_ms = self.clock.now_ms()
-            self.fleet.unattached_runs.setdefault(run.minion, {})[run.name] = run
+        self.tracker.on_report(report)
 
     def mark_minion_gone(self, minion: Minion, reason: str) -> None:
         """Mark a minion as gone and end all its runs, as crashed if there is evidence."""
-        log.bind(minion=minion.minion_id, runs=len(minion.runs)).info("minion is gone: {}", reason)
-        self.metrics.event(f"minion_gone_{reason}")
-        self.crashes.on_incarnation_over(minion, reason)
-        for run in list(minion.runs.values()):
-            self.fleet.end_run(run, RunEnd.LOST)
-        self.notify()
-        minion.report = _as_leaving(minion.report)
-        minion.gone = True
-        self.minion_port.forget(minion.minion_id)
+        self.tracker.mark_gone(minion, reason)
+
+    def _start_poller(self, minion_id: str) -> None:
+        poller = MinionPoller(scheduler=self, minion_id=minion_id, port=self.minion_port)
+        self.pollers[minion_id] = poller
+        assert self.nursery is not None
+        self.nursery.start_soon(poller.run)
 
     # Timers
 
@@ -499,7 +449,7 @@
         if now_ms - self.last_cleanup_ms < FORGET_INTERVAL_MS:
             return
         self.last_cleanup_ms = now_ms
-        self._forget_minions(now_ms)
+        self.tracker.forget_old(now_ms)
         self.crashes.forget_old(now_ms)
         ended_before_ms = wall_ms - self.timing.ended_job_retention_ms
         workload = self.proposed.workload
@@ -512,49 +462,3 @@
         old = [job_id for job_id in old if job_id not in self.fleet.runs_by_job]
         if old:
             self.propose(ForgetJobs(job_ids=old[:MAX_FORGOTTEN_JOBS]))
-
-    def _forget_minions(self, now_ms: int) -> None:
-        """Drop incarnations that ended too long ago for a late report to arrive."""
-        for minion in list(self.fleet.minions.values()):
-            silent_ms = now_ms - max(minion.last_report_ms, minion.clock_received_ms)
-            if minion.gone and not minion.runs and silent_ms > GONE_MINION_RETENTION_MS:
-                del self.fleet.minions[minion.minion_id]
-                self.pollers.pop(minion.minion_id).stop()
-
-
-def _is_older(report: MinionReport, minion: Minion) -> bool:
-    known = minion.report
-    if report.born_ms != known.born_ms:
-        return report.born_ms < known.born_ms
-    return minion.gone or report.sequence < known.sequence
-
-
-def _may_serve_more(minion: Minion, report: MinionReport, now_ms: int) -> bool:
-    """Return whether a report may allow starts that the minion's latest one did not allow."""
-    known = minion.report
-    differs = (
-        report.born_ms != known.born_ms
-        or report.pool != known.pool
-        or report.capacity != known.capacity
-        or report.draining != known.draining
-        or report.leaving != known.leaving
-        or report.cold_ms != known.cold_ms
-        or report.labels != known.labels
-    )
-    return (
-        differs or minion.is_silent(now_ms) or minion.capacity_age_ms(now_ms) > MAX_CAPACITY_AGE_MS
-    )
-
-
-def _log_capacity(minion: Minion, report: MinionReport) -> None:
-    log.bind(
-        minion=report.minion,
-        before=minion.report.capacity.amounts(),
-        after=report.capacity.amounts(),
-        used=minion.used.amounts(),
-        sequence=report.sequence,
-    ).info("minion's capacity has changed")
-
-
-def _as_leaving(report: MinionReport) -> MinionReport:
-    return attrs.evolve(report, leaving=True)
