Move the log appends of runs out of the scheduler

Cause: one slice of a planning pass collected ends, crashes and clearings, applied and proposed them, and planned, all in one method of the scheduler.

Change: fleet/run_recorder takes the unrecorded changes of runs, applies them to the proposed state and proposes them together with the starts of a slice. The scheduler keeps the slices, the tasks and the wait for the commit. Behaviour is unchanged.

--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
 import trio
 
 from hornbeamreach.clock import Clock, seconds
@@ -12,7 +11,6 @@
     AcceptJob,
     CancelJob,
     ForgetJobs,
-    RecordRuns,
     WorkloadCommand,
 )
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
@@ -28,6 +26,7 @@
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.ports import AdmissionPort, MinionPort
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.run_recorder import RunRecorder
 from hornbeamreach.fleet.share_report import ShareReport
 from hornbeamreach.fleet.ticket_requests import TicketRequests
 from hornbeamreach.fleet.timed_jobs import TimedJobs
@@ -109,6 +108,9 @@
             notify=self.notify,
             notify_of_changes=self.notify_of_changes,
         )
+        self.recorder = RunRecorder(
+            fleet=self.fleet, replica=replica, crashes=self.crashes, pollers=self.pollers
+        )
         self.first_polls = FirstPolls(scheduler=self)
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
@@ -229,35 +231,7 @@
             return
         began_ms, slice_ms = self.clock.now_ms(), self.effort().slice_ms
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
-        fleet = self.fleet
-        ended, fleet.unrecorded_ends = fleet.unrecorded_ends, []
-        listed_ends = [
-            (minion, minion.listed_end)
-            for minion in fleet.minions.values()
-            if minion.listed_end > minion.recorded_end
-        ]
-        crashed, fleet.unrecorded_crashes = fleet.unrecorded_crashes, []
-        clearings, fleet.unrecorded_clearings = fleet.unrecorded_clearings, []
-        changes = RecordRuns(
-            ends=[(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended],
-            crashes=[
-                (r.job_id, r.key, r.run, r.crash.solo, r.crash.begun)
-                for r in crashed
-                if r.crash is not None
-            ],
-            incarnations=[f"{r.minion}@{r.crash.born_ms}" for r in crashed if r.crash is not None],
-            cleared=[(r.job_id, r.key, r.run) for r in clearings],
-            at_ms=wall_ms,
-        )
-        changed_jobs = {item.job_id for item in (*ended, *crashed, *clearings)}
-        if changed_jobs:
-            # The planner reads the proposed state, so the ends must be applied first.
-            self.proposed.apply(changes)
-            fleet.stale_jobs.update(changed_jobs)
-            fleet.changed_pools.update(
-                fleet.pool_of(job) for job_id in changed_jobs if (job := fleet.job(job_id))
-            )
-            self.crashes.on_counted(crashed, wall_ms)
+        changes = self.recorder.take_changes(wall_ms)
         if begins:
             self.planner.begin_pass(now_ms, wall_ms)
         starts = self.planner.plan_slice(
@@ -265,19 +239,15 @@
         )
         assert self.nursery is not None
         self.ticket_requests.request_missing(self.planner, self.nursery)
-        if not changed_jobs and not starts:
+        if not changes.jobs and not starts:
             if not self.uncommitted_proposals:
-                self._mark_ends_recorded(listed_ends)
+                self.recorder.mark_ends_recorded(changes.listed_ends)
             return
         self.uncommitted_proposals += 1
-        reserved = [(r.job_id, r.key, r.run, r.minion, r.born_ms) for r in starts]
-        vms = {run.minion: run.vm for run in starts}
-        self.proposed.apply(RecordRuns(starts=reserved, vms=vms, at_ms=wall_ms))
-        proposal = self.replica.submit(attrs.evolve(changes, starts=reserved, vms=vms))
-        for job_id in changed_jobs:
+        proposal = self.recorder.propose(changes, starts, wall_ms)
+        for job_id in changes.jobs:
             self._stop_job_if_ended(job_id)
-        assert self.nursery is not None
-        self.nursery.start_soon(self._after_commit, proposal, listed_ends, starts)
+        self.nursery.start_soon(self._after_commit, proposal, changes.listed_ends, starts)
 
     async def _after_commit(
         self,
@@ -294,17 +264,9 @@
             return
         finally:
             self.uncommitted_proposals -= 1
-        self._mark_ends_recorded(listed_ends)
+        self.recorder.mark_ends_recorded(listed_ends)
         self.orders.send_starts(starts)
 
-    def _mark_ends_recorded(self, listed_ends: list[tuple[Minion, int]]) -> None:
-        for minion, number in listed_ends:
-            # A later incarnation under the same id numbers its ends from the start.
-            is_latest = self.fleet.minions.get(minion.minion_id) is minion
-            if is_latest and number > minion.recorded_end:
-                minion.recorded_end = number
-                self.pollers[minion.minion_id].notify()
-
     def _stop_job_if_ended(self, job_id: str) -> None:
         job = self.fleet.job(job_id)
         if job is None or not job.ended:
