--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
 import trio
 
 from hornbeamreach.clock import Clock, seconds
@@ -12,11 +11,10 @@
     AcceptJob,
     CancelJob,
     ForgetJobs,
-    RecordRuns,
     WorkloadCommand,
 )
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
-from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
+from hornbeamreach.fleet.crash_recorder import CrashRecorder
 from hornbeamreach.fleet.evacuations import Evacuations
 from hornbeamreach.fleet.first_polls import FirstPolls
 from hornbeamreach.fleet.fleet_state import FleetState
@@ -24,18 +22,20 @@
 from hornbeamreach.fleet.loop_lag import LoopLag
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
+from hornbeamreach.fleet.minion_tracker import MinionTracker
 from hornbeamreach.fleet.planner import Planner
-from hornbeamreach.fleet.ports import AdmissionPort, MinionPort, UnknownOutcomeError
+from hornbeamreach.fleet.ports import AdmissionPort, MinionPort
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.run_recorder import RunRecorder
 from hornbeamreach.fleet.share_report import ShareReport
+from hornbeamreach.fleet.ticket_requests import TicketRequests
+from hornbeamreach.fleet.timed_jobs import TimedJobs
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.fleet.waiting_jobs import WaitingJobs
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.systems.job_progress import next_due_ms
 from hornbeamreach.systems.overload import Effort, overload_policies
 from hornbeamreach.tables.minions import (
-    MAX_CAPACITY_AGE_MS,
     Minion,
     MinionReport,
     ReservedRun,
@@ -55,17 +55,10 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_JOBS = 500
-# Reports that a network partition delayed arrive seconds late; this is far above a partition of
-# one minute.
-GONE_MINION_RETENTION_MS = 120_000
-# Schedules are checked again after this when no occurrence is due earlier.
-SCHEDULE_CHECK_INTERVAL_MS = 60_000
 # A fencing token consists of the term, the number of the scheduler in this process, and a counter
 # for each minion; together they stay below 2^53, the largest whole number that JSON can hold.
 TOKEN_STEP_BITS = 16
 GENERATION_BITS = 12
-# The admission service accepts a list of at most this many minions.
-MAX_TICKET_MINIONS = 30
 
 
 class StepScheduler:
@@ -88,7 +81,6 @@
         self.clock = clock
         self.metrics = metrics
         self.timing = timing
-        self.admission_port = admission_port
         self.term = replica.core.term
         self.began_ms = clock.now_ms()
         self.proposed = ProposedState.of(replica.state)
@@ -105,14 +97,34 @@
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
+        self.tracker = MinionTracker(
+            fleet=self.fleet,
+            clock=clock,
+            metrics=metrics,
+            crashes=self.crashes,
+            port=minion_port,
+            pollers=self.pollers,
+            start_poller=self._start_poller,
+            notify=self.notify,
+            notify_of_changes=self.notify_of_changes,
+        )
+        self.recorder = RunRecorder(
+            fleet=self.fleet, replica=replica, crashes=self.crashes, pollers=self.pollers
+        )
         self.first_polls = FirstPolls(scheduler=self)
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
         self.last_cleanup_ms = self.began_ms
-        self.next_schedule_ms: int | None = None
+        self.timed_jobs = TimedJobs(fleet=self.fleet)
         self.uncommitted_proposals = 0
         self.uncommitted_jobs: dict[str, PendingProposal] = {}
-        self.tickets_requested: set[tuple[str, int, int]] = set()
+        self.ticket_requests = TicketRequests(
+            fleet=self.fleet,
+            port=admission_port,
+            metrics=metrics,
+            timing=timing,
+            notify=self.notify,
+        )
         self.waiting_jobs = WaitingJobs(scheduler=self)
         self.evacuations = Evacuations(scheduler=self)
         self.job_admission = JobAdmission(scheduler=self)
@@ -220,54 +232,23 @@
             return
         began_ms, slice_ms = self.clock.now_ms(), self.effort().slice_ms
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
-        fleet = self.fleet
-        ended, fleet.unrecorded_ends = fleet.unrecorded_ends, []
-        listed_ends = [
-            (minion, minion.listed_end)
-            for minion in fleet.minions.values()
-            if minion.listed_end > minion.recorded_end
-        ]
-        crashed, fleet.unrecorded_crashes = fleet.unrecorded_crashes, []
-        clearings, fleet.unrecorded_clearings = fleet.unrecorded_clearings, []
-        changes = RecordRuns(
-            ends=[(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended],
-            crashes=[
-                (r.job_id, r.key, r.run, r.crash.solo, r.crash.begun)
-                for r in crashed
-                if r.crash is not None
-            ],
-            incarnations=[f"{r.minion}@{r.crash.born_ms}" for r in crashed if r.crash is not None],
-            cleared=[(r.job_id, r.key, r.run) for r in clearings],
-            at_ms=wall_ms,
-        )
-        changed_jobs = {item.job_id for item in (*ended, *crashed, *clearings)}
-        if changed_jobs:
-            # The planner reads the proposed state, so the ends must be applied first.
-            self.proposed.apply(changes)
-            fleet.stale_jobs.update(changed_jobs)
-            fleet.changed_pools.update(
-                fleet.pool_of(job) for job_id in changed_jobs if (job := fleet.job(job_id))
-            )
-            self.crashes.on_counted(crashed, wall_ms)
+        changes = self.recorder.take_changes(wall_ms)
         if begins:
             self.planner.begin_pass(now_ms, wall_ms)
         starts = self.planner.plan_slice(
             now_ms, wall_ms, lambda: self.clock.now_ms() - began_ms >= slice_ms
         )
-        self._request_tickets()
-        if not changed_jobs and not starts:
+        assert self.nursery is not None
+        self.ticket_requests.request_missing(self.planner, self.nursery)
+        if not changes.jobs and not starts:
             if not self.uncommitted_proposals:
-                self._mark_ends_recorded(listed_ends)
+                self.recorder.mark_ends_recorded(changes.listed_ends)
             return
         self.uncommitted_proposals += 1
-        reserved = [(r.job_id, r.key, r.run, r.minion, r.born_ms) for r in starts]
-        vms = {run.minion: run.vm for run in starts}
-        self.proposed.apply(RecordRuns(starts=reserved, vms=vms, at_ms=wall_ms))
-        proposal = self.replica.submit(attrs.evolve(changes, starts=reserved, vms=vms))
-        for job_id in changed_jobs:
+        proposal = self.recorder.propose(changes, starts, wall_ms)
+        for job_id in changes.jobs:
             self._stop_job_if_ended(job_id)
-        assert self.nursery is not None
-        self.nursery.start_soon(self._after_commit, proposal, listed_ends, starts)
+        self.nursery.start_soon(self._after_commit, proposal, changes.listed_ends, starts)
 
     async def _after_commit(
         self,
@@ -284,17 +265,9 @@
             return
         finally:
             self.uncommitted_proposals -= 1
-        self._mark_ends_recorded(listed_ends)
+        self.recorder.mark_ends_recorded(listed_ends)
         self.orders.send_starts(starts)
 
-    def _mark_ends_recorded(self, listed_ends: list[tuple[Minion, int]]) -> None:
-        for minion, number in listed_ends:
-            # A later incarnation under the same id numbers its ends from the start.
-            is_latest = self.fleet.minions.get(minion.minion_id) is minion
-            if is_latest and number > minion.recorded_end:
-                minion.recorded_end = number
-                self.pollers[minion.minion_id].notify()
-
     def _stop_job_if_ended(self, job_id: str) -> None:
         job = self.fleet.job(job_id)
         if job is None or not job.ended:
@@ -337,7 +310,7 @@
             self.fleet.record_arrival(job, self.clock.now_ms())
         self.fleet.stale_jobs.add(command.job_id)
         if command.spec.timed:
-            self.next_schedule_ms = None
+            self.timed_jobs.check_soon()
         if job is not None:
             self.fleet.changed_pools.add(self.fleet.pool_of(job))
         self.notify_of_changes()
@@ -370,79 +343,21 @@
 
     def on_leave(self, minion_id: str, born_ms: int) -> None:
         """Stop assigning work to a minion that shuts down; `born_ms` 0 means any incarnation."""
-        minion = self.fleet.minions.get(minion_id)
-        if minion is not None and born_ms in (0, minion.report.born_ms):
-            minion.report = _as_leaving(minion.report)
-            self.pollers[minion_id].poll_now()
+        self.tracker.on_leave(minion_id, born_ms)
 
     def on_report(self, report: MinionReport) -> None:
         """Record a minion's report, unless a newer one is known."""
-        minion = self.fleet.minions.get(report.minion)
-        if minion is not None and _is_older(report, minion):
-            return
-        now_ms = self.clock.now_ms()
-        if minion is None or _may_serve_more(minion, report, now_ms):
-            self.fleet.changed_pools.add(report.pool)
-        if minion is None or minion.report.born_ms != report.born_ms:
-            minion = self._add_incarnation(report, minion, now_ms)
-        elif report.draining and not minion.report.draining:
-            log.bind(minion=report.minion, left_ms=report.remaining_ms).info("minion is draining")
-        if report.capacity != minion.report.capacity:
-            _log_capacity(minion, report)
-        minion.report = report
-        minion.last_report_ms = now_ms
-        minion.note_report_clock(report.clock_ms, now_ms)
-        if not minion.clock_received_ms and report.clock_ms:
-            minion.minion_clock_ms, minion.clock_received_ms = report.clock_ms, now_ms
-        self.notify_of_changes()
-
-    def _add_incarnation(self, report: MinionReport, earlier: Minion | None, now_ms: int) -> Minion:
-        minion = Minion(report=report, last_report_ms=now_ms)
-        log.bind(minion=report.minion, pool=report.pool, born_ms=report.born_ms).info(
-            "minion heard"
-        )
-        if earlier is not None:
-            minion.token_step = earlier.token_step + 1
-            self._retire_incarnation(earlier)
-        self.crashes.on_report(report, is_first=earlier is None)
-        self.fleet.minions[report.minion] = minion
-        for run in list(self.fleet.unattached_runs.pop(report.minion, {}).values()):
-            # Its order may still reach the new incarnation: the first poll there decides.
-            run.born_ms = report.born_ms
-            minion.reserve(run)
-        if report.minion not in self.pollers:
-            poller = MinionPoller(scheduler=self, minion_id=report.minion, port=self.minion_port)
-            self.pollers[report.minion] = poller
-            assert self.nursery is not None
-            self.nursery.start_soon(poller.run)
-        self.pollers[report.minion].notify()
-        return minion
-
-    def _retire_incarnation(self, minion: Minion) -> None:
-        """Detach the runs of an incarnation, for the next one under the same id.
-
-        A start may have reached either incarnation, whatever the response was. The first poll of
-        the next one shows which runs are there.
-        """
-        self.crashes.on_incarnation_over(minion, REPLACED)
-        for run in list(minion.runs.values()):
-            minion.release(run.name)
-            if run.phase is not RunPhase.RESERVED:
-                run.phase = RunPhase.UNKNOWN
-            run.outcome_known_ms = self.clock.now_ms()
-            self.fleet.unattached_runs.setdefault(run.minion, {})[run.name] = run
+        self.tracker.on_report(report)
 
     def mark_minion_gone(self, minion: Minion, reason: str) -> None:
         """Mark a minion as gone and end all its runs, as crashed if there is evidence."""
-        log.bind(minion=minion.minion_id, runs=len(minion.runs)).info("minion is gone: {}", reason)
-        self.metrics.event(f"minion_gone_{reason}")
-        self.crashes.on_incarnation_over(minion, reason)
-        for run in list(minion.runs.values()):
-            self.fleet.end_run(run, RunEnd.LOST)
-        self.notify()
-        minion.report = _as_leaving(minion.report)
-        minion.gone = True
-        self.minion_port.forget(minion.minion_id)
+        self.tracker.mark_gone(minion, reason)
+
+    def _start_poller(self, minion_id: str) -> None:
+        poller = MinionPoller(scheduler=self, minion_id=minion_id, port=self.minion_port)
+        self.pollers[minion_id] = poller
+        assert self.nursery is not None
+        self.nursery.start_soon(poller.run)
 
     # Timers
 
@@ -458,7 +373,8 @@
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
                 self._end_lapsed_runs(list(runs.values()), minion_id)
-        self._check_schedules(wall_ms)
+        if self.timed_jobs.check(wall_ms):
+            self.notify()
         self._forget_old(now_ms, wall_ms)
         self.waiting_jobs.tick(now_ms, wall_ms)
         self.evacuations.tick(now_ms)
@@ -504,24 +420,11 @@
         for run in runs:
             self.fleet.end_run(run, RunEnd.LEASE_LAPSED)
 
-    def _check_schedules(self, wall_ms: int) -> None:
-        if self.next_schedule_ms is not None and self.next_schedule_ms > wall_ms:
-            return
-        due_times = [wall_ms + SCHEDULE_CHECK_INTERVAL_MS]
-        for job in self.proposed.workload.jobs.values():
-            if job.spec.timed and not job.ended:
-                self.fleet.stale_jobs.add(job.job_id)
-                due_ms = next_due_ms(job.spec, wall_ms)
-                if due_ms is not None:
-                    due_times.append(due_ms)
-        self.next_schedule_ms = min(due_times)
-        self.notify()
-
     def _forget_old(self, now_ms: int, wall_ms: int) -> None:
         if now_ms - self.last_cleanup_ms < FORGET_INTERVAL_MS:
             return
         self.last_cleanup_ms = now_ms
-        self._forget_minions(now_ms)
+        self.tracker.forget_old(now_ms)
         self.crashes.forget_old(now_ms)
         ended_before_ms = wall_ms - self.timing.ended_job_retention_ms
         workload = self.proposed.workload
@@ -534,90 +437,3 @@
         old = [job_id for job_id in old if job_id not in self.fleet.runs_by_job]
         if old:
             self.propose(ForgetJobs(job_ids=old[:MAX_FORGOTTEN_JOBS]))
-
-    def _forget_minions(self, now_ms: int) -> None:
-        """Drop incarnations that ended too long ago for a late report to arrive."""
-        for minion in list(self.fleet.minions.values()):
-            silent_ms = now_ms - max(minion.last_report_ms, minion.clock_received_ms)
-            if minion.gone and not minion.runs and silent_ms > GONE_MINION_RETENTION_MS:
-                del self.fleet.minions[minion.minion_id]
-                self.pollers.pop(minion.minion_id).stop()
-
-    # Admission service
-
-    def _request_tickets(self) -> None:
-        missing = self.planner.missing_tickets - self.tickets_requested
-        self.planner.missing_tickets.clear()
-        for step_name in missing:
-            self.tickets_requested.add(step_name)
-            assert self.nursery is not None
-            self.nursery.start_soon(self._request_step_tickets, step_name)
-
-    async def _request_step_tickets(self, step_name: tuple[str, int, int]) -> None:
-        job = self.fleet.job(step_name[0])
-        if job is None or self.admission_port is None:
-            return
-        pool = self.fleet.pool_of(job)
-        members = [
-            minion
-            for minion in self.fleet.minions.values()
-            if minion.report.pool == pool and not self.evacuations.is_evacuated(minion)
-        ]
-        members.sort(key=lambda minion: -minion.free().cpu_millis)
-        minion_ids = [minion.minion_id for minion in members[:MAX_TICKET_MINIONS]]
-        try:
-            tickets = await self.admission_port.request_tickets(
-                f"{step_name[0]}.{step_name[1]}.{step_name[2]}", minion_ids
-            )
-        except UnknownOutcomeError as exc:
-            log.bind(request=step_name[0]).warning("no tickets from the admission service: {}", exc)
-            self.metrics.event("advice_unanswered")
-            await trio.sleep(seconds(self.timing.retry_ms))
-            self.tickets_requested.discard(step_name)
-            self.notify()
-            return
-        self.planner.tickets[step_name] = tickets
-        self.notify()
-        queue = self.proposed.state.table.queues.get(job.queue)
-        valid_ms = queue.advice_valid_ms if queue else 0
-        await trio.sleep(seconds(valid_ms * self.timing.ticket_refresh_share))
-        self.planner.tickets.pop(step_name, None)
-        self.tickets_requested.discard(step_name)
-
-
-def _is_older(report: MinionReport, minion: Minion) -> bool:
-    known = minion.report
-    if report.born_ms != known.born_ms:
-        return report.born_ms < known.born_ms
-    return minion.gone or report.sequence < known.sequence
-
-
-def _may_serve_more(minion: Minion, report: MinionReport, now_ms: int) -> bool:
-    """Return whether a report may allow starts that the minion's latest one did not allow."""
-    known = minion.report
-    differs = (
-        report.born_ms != known.born_ms
-        or report.pool != known.pool
-        or report.capacity != known.capacity
-        or report.draining != known.draining
-        or report.leaving != known.leaving
-        or report.cold_ms != known.cold_ms
-        or report.labels != known.labels
-    )
-    return (
-        differs or minion.is_silent(now_ms) or minion.capacity_age_ms(now_ms) > MAX_CAPACITY_AGE_MS
-    )
-
-
-def _log_capacity(minion: Minion, report: MinionReport) -> None:
-    log.bind(
-        minion=report.minion,
-        before=minion.report.capacity.amounts(),
-        after=report.capacity.amounts(),
-        used=minion.used.amounts(),
-        sequence=report.sequence,
-    ).info("minion's capacity has changed")
-
-
-def _as_leaving(report: MinionReport) -> MinionReport:
-    return attrs.evolve(report, leaving=True)
