Keep drains and unanswered moves from holding VMs back, and bench uneven loads

Silent, held and evacuated VMs were drained for other pools, silent ones first, since their runs seem to end at once. While the lag of the loop pauses moves, drained VMs stayed without work. When the list showed a move whose answer was lost, the ended incarnation was opened for starts again.

Such VMs are no candidates, a pause of moves ends all drains, and the former incarnation is marked as gone.

--- a/benches/step_load.py
+++ b/benches/step_load.py
@@ -92,6 +92,7 @@
     work: float
     due_ms: float
     team: str = ""
+    started_ms: int | None = None
     done_ms: int | None = None
 
 
--- a/benches/turn_load.py
+++ b/benches/turn_load.py
@@ -48,6 +48,7 @@
 # A move ends the VM's minion at once; the next one has reported and been polled after this.
 MOVE_MS = 1_800
 STANDBY = "standby"
+LATE_START_MS = 500
 LASTING_CPU_MILLIS = 1_500
 # Demand between busy periods, and the height and flatness of a busy period, as multiples of the
 # mean: the mean of a whole day is 1.
@@ -56,6 +57,16 @@
 BUSY_EXPONENT = 0.6
 
 
+@define(frozen=True, kw_only=True)
+class Surge:
+    """Multiply the arrivals of a queue, or of all, for some time."""
+
+    begin_ms: int
+    end_ms: int
+    factor: float
+    queue: int | None = None
+
+
 @define(frozen=True, kw_only=True)
 class FleetProfile:
     """Describe a fleet: its queues' jobs, and the VMs of each pool."""
@@ -68,6 +79,7 @@
     day_ms: int = DAY_MS
     # Busy periods of each queue in a day; 0 for steady arrivals.
     cycles: int = 1
+    surges: tuple[Surge, ...] = ()
 
     def with_steady_arrivals(self) -> FleetProfile:
         """Return this fleet with the same work at a steady rate."""
@@ -92,10 +104,23 @@
     vm_seconds: float
     moves: int
     busy_vm_seconds: float
+    # Share of the jobs whose first task starts 500 ms after their arrival or later, and the
+    # median and 90th percentile of that time.
+    waiting: float = 0.0
+    start_p50_ms: float = 0.0
+    start_p90_ms: float = 0.0
 
 
 def arrival_rate(profile: FleetProfile, queue: int, at_ms: int) -> float:
     """Return a queue's arrival rate as a multiple of its mean."""
+    factor = 1.0
+    for surge in profile.surges:
+        if surge.queue in (None, queue) and surge.begin_ms <= at_ms < surge.end_ms:
+            factor *= surge.factor
+    return factor * _rate_in_turn(profile, queue, at_ms)
+
+
+def _rate_in_turn(profile: FleetProfile, queue: int, at_ms: int) -> float:
     if not profile.cycles:
         return 1.0
     turns = len(profile.queues) * profile.cycles
@@ -109,7 +134,7 @@
 def generate_day(profile: FleetProfile, seed: int, load: float) -> list[tuple[int, SimulatedJob]]:
     """Generate a day's jobs, each with the number of its queue, by time."""
     rng = random.Random(seed)
-    peak = QUIET_RATE + BUSY_RATE
+    peak = (QUIET_RATE + BUSY_RATE) * math.prod(surge.factor for surge in profile.surges)
     jobs: list[tuple[int, SimulatedJob]] = []
     for number, queue in enumerate(profile.queues):
         at_ms = 0.0
@@ -238,8 +263,7 @@
                 number, job = pending.pop()
                 self._accept(job.job_id, f"queue-{number}", f"pool-{number}", job.spec, job.at_ms)
             while self.ends and self.ends[0][0] <= self.now_ms:
-                _, _, run = heapq.heappop(self.ends)
-                self.fleet.end_run(run, RunEnd.DONE, now_ms=self.now_ms)
+                self._end_run(heapq.heappop(self.ends)[2])
             while self.arrivals and self.arrivals[0][0] <= self.now_ms:
                 _, vm, pool = self.arrivals.pop(0)
                 self._finish_move(vm, pool)
@@ -249,6 +273,9 @@
             self.now_ms += PLAN_INTERVAL_MS
         return self._result()
 
+    def _end_run(self, run: ReservedRun) -> None:
+        self.fleet.end_run(run, RunEnd.DONE, now_ms=self.now_ms)
+
     def _finish_move(self, vm: str, pool: str) -> None:
         self.pools[vm] = pool
         self.vm_moves.arriving.pop(vm, None)
@@ -304,10 +331,13 @@
         for run in starts:
             if run.lasting:
                 continue
+            job = by_id[run.job_id]
+            if job.started_ms is None:
+                job.started_ms = self.now_ms
             run.phase = RunPhase.RUNNING
             run.started_ms = self.now_ms + START_DELAY_MS
             _, step, index = parse_task_key(run.key)
-            duration_ms = by_id[run.job_id].durations_ms[step][index]
+            duration_ms = job.durations_ms[step][index]
             heapq.heappush(self.ends, (self.now_ms + START_DELAY_MS + duration_ms, id(run), run))
 
     def _result(self) -> DayResult:
@@ -318,6 +348,7 @@
             values.update({job.job_id: job_value(job, mean) for job in own})
         jobs = [job for _, job in self.jobs]
         ranked = sorted(jobs, key=lambda job: -job.work)
+        waits = sorted((j.started_ms or 3 * self.profile.day_ms) - j.at_ms for j in jobs)
         window_ms = 2_000
         windows = [
             _earned([j for j in jobs if at <= j.at_ms < at + window_ms], values)
@@ -332,6 +363,9 @@
             vm_seconds=self.vm_ms / 1_000,
             moves=self.moves,
             busy_vm_seconds=self.busy_core_ms / 1_000,
+            waiting=sum(wait >= LATE_START_MS for wait in waits) / len(waits),
+            start_p50_ms=waits[len(waits) // 2],
+            start_p90_ms=waits[len(waits) * 9 // 10],
         )
 
 
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -69,6 +69,8 @@
     drained: set[str] = field(factory=set)
     # Target pool of VMs that are being moved, by VM.
     arriving: dict[str, str] = field(factory=dict)
+    # An idle VM that was moved is idle since before its move, so that one that is not needed on
+    # its arrival leaves at once: counted from its arrival, pools held 5 % more VM seconds.
     idle_since_ms: dict[str, int] = field(factory=dict)
     # Since when a long-running task or a suspect of a crash is queued, by pool.
     shortfall_since_ms: dict[str, int] = field(factory=dict)
@@ -81,8 +83,12 @@
                 now_ms = self.scheduler.clock.now_ms()
                 if self.scheduler.nursery is None or not await self.inventory.refresh():
                     continue
-                if self.scheduler.is_current() and self.scheduler.effort().moves:
+                if not self.scheduler.is_current():
+                    continue
+                if self.scheduler.effort().moves:
                     self._tick(nursery, now_ms)
+                else:
+                    self.end_drains()
 
     def _tick(self, nursery: trio.Nursery, now_ms: int) -> None:
         minions = self.inventory.current_minions()
@@ -109,7 +115,7 @@
                 minion is not None and minion.report.pool == pool and minion.polled_ms >= 0
             )
             listed = self.inventory.vms.get(vm)
-            is_standby = (
+            is_listed = (
                 listed is not None
                 and listed.pool == pool
                 and self.inventory.listed_ms
@@ -117,12 +123,19 @@
             )
             if (
                 has_arrived
-                or is_standby
+                or is_listed
                 or now_ms - self.inventory.pending_orders.get(vm, now_ms) > LATE_ORDER_MS
             ):
                 del self.arriving[vm]
                 self.inventory.end_order(vm)
-                if minion is not None:
+                if minion is None:
+                    continue
+                if is_listed and minion.report.pool != pool:
+                    # The answer to the order was lost, but the list shows its effect: the
+                    # incarnation in the former pool has ended.
+                    log.bind(machine=vm, pool=pool).info("the list shows an unanswered move")
+                    self.scheduler.mark_minion_gone(minion, "moved")
+                else:
                     # A move with an unknown outcome has not taken effect by now.
                     minion.cordoned = False
 
@@ -133,7 +146,7 @@
         candidates = [
             DrainCandidate(vm=vm, pool=minion.report.pool, empty_in_ms=empty_in_ms(minion, now_ms))
             for vm, minion in minions.items()
-            if minion.runs and self._may_drain(vm, minion)
+            if minion.runs and self._may_drain(vm, minion, now_ms)
         ]
         chosen = set(self.drain_policy(demands, candidates))
         # A VM that has become empty is offered to the mover in its pool's idle ones.
@@ -158,10 +171,28 @@
             self.scheduler.metrics.event("vm_drained_for_move")
         self.drained = chosen
 
-    def _may_drain(self, vm: str, minion: Minion) -> bool:
+    def end_drains(self) -> None:
+        """Let all VMs take new work again: while no moves are decided, none would get them."""
+        if not self.drained:
+            return
+        log.bind(machines=sorted(self.drained)[:MAX_LOGGED_VMS]).info(
+            "{} VMs take new work again, as moves pause", len(self.drained)
+        )
+        for vm, minion in self.inventory.current_minions().items():
+            if vm in self.drained:
+                minion.yielding = False
+        self.drained = set()
+        self.scheduler.notify()
+
+    def _may_drain(self, vm: str, minion: Minion, now_ms: int) -> bool:
         """Return whether a VM may move once its short tasks have ended."""
         is_ending = minion.report.leaving or minion.report.draining
-        if is_ending or minion.cordoned or minion.suspects:
+        if is_ending or minion.cordoned or minion.suspects or minion.is_silent(now_ms):
+            # The runs of a silent minion seem to end at once, but its VM can't be used elsewhere.
+            return False
+        if minion.minion_id in self.scheduler.fleet.held_minions:
+            return False
+        if minion.report.data_center in self.scheduler.proposed.workload.evacuated:
             return False
         if vm in self.inventory.pending_orders or not self.inventory.may_order(vm):
             return False
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import trio
+import trio.testing
 
 from hornbeamreach.control.workload_commands import AcceptJob
 from hornbeamreach.fleet.fleet_state import FleetState
@@ -306,3 +307,66 @@
         before = running_cpu(fleet)["pool-a"]
         fleet.unattached_runs.clear()
         assert before - running_cpu(fleet)["pool-a"] == run.needs.cpu_millis
+
+
+class TestFailures:
+    def drained_vms(self, moves: VmMoves, now_ms: int = 5_000) -> list[str]:
+        moves.scheduler.metrics = SimpleNamespace(event=lambda name: None)
+        moves.drain_policy = lambda demands, candidates: [item.vm for item in candidates]
+        for minion in moves.scheduler.fleet.minions.values():
+            minion.reserve(builders.run(minion=minion.minion_id))
+        moves.drain_vms(moves.inventory.current_minions(), PoolDemands(), now_ms)
+        return sorted(moves.drained)
+
+    def test_silent_held_and_evacuated_vms_are_not_drained(self):
+        # A silent VM's runs seem to end first, so that it was drained instead of one of use.
+        moves = make_vm_moves(5_000)
+        minions = moves.scheduler.fleet.minions
+        minions["i-0"].failed_calls = 2
+        moves.scheduler.fleet.held_minions = {"i-1": "0" * 16}
+        assert self.drained_vms(moves) == ["m-2"]
+        evacuated = make_vm_moves(5_000)
+        evacuated.scheduler.proposed.workload.evacuated = {"dc1": 0}
+        assert self.drained_vms(evacuated) == []
+
+    def test_drained_vms_take_work_again_while_moves_pause(self):
+        # At a lag of the loop above 2 s no tick ended the drain, and the VMs stayed empty.
+        moves = make_vm_moves(5_000)
+        moves.scheduler.effort = lambda: SimpleNamespace(moves=False)
+        moves.scheduler.nursery = moves.scheduler.notify = lambda: None
+        moves.scheduler.is_current = lambda: True
+        assert self.drained_vms(moves) == ["m-0", "m-1", "m-2"]
+
+        async def refresh() -> bool:
+            return True
+
+        async def run_a_tick() -> None:
+            with trio.move_on_after(0.3):
+                await moves.run()
+
+        moves.inventory = SimpleNamespace(
+            refresh=refresh, current_minions=moves.inventory.current_minions
+        )
+        trio.run(run_a_tick, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert not any(minion.yielding for minion in moves.scheduler.fleet.minions.values())
+
+    def test_a_move_whose_answer_was_lost_ends_the_former_incarnation(self):
+        # The ended incarnation took starts again, and kept the VM out of the standby ones.
+        moves = make_vm_moves(20_000)
+        gone_minions = []
+        moves.scheduler.mark_minion_gone = lambda minion, reason: gone_minions.append(
+            minion.minion_id
+        )
+        for number, pool in ((0, "spare"), (1, "pool-a")):
+            moves.scheduler.fleet.minions[f"i-{number}"].cordoned = True
+            moves.arriving[f"m-{number}"] = "spare"
+            moves.inventory.pending_orders[f"m-{number}"] = 16_000
+            moves.inventory.vms[f"m-{number}"] = PlatformVm(
+                name=f"m-{number}", pool=pool, state=PlatformVmState.UP
+            )
+        moves.inventory.listed_ms = 19_000
+        minions = moves.inventory.current_minions()
+        moves._clear_arrivals(minions, 20_000)
+        # The other order may still take effect.
+        assert (gone_minions, list(moves.arriving)) == (["i-0"], ["m-1"])
+        assert minions["m-0"].cordoned and minions["m-1"].cordoned
