Move a long-running gang out of a data centre as a whole, or not at all

Cause: an evacuation stopped the members of a long-running gang one by one. A gang's members start together, so the stopped member never started again while the others worked, and its step missed a task for good, also beyond may-miss.

Change: a gang is stopped only if may-miss allows for all its members and all of those in the data centre have room elsewhere; otherwise it stays and that is logged. Claims of one pass count towards the anti-affinity of a step.

--- a/src/hornbeamreach/fleet/evacuation_room.py
+++ b/src/hornbeamreach/fleet/evacuation_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -31,6 +32,8 @@
     now_ms: int
     usable_by_pool: dict[str, list[Minion]] = field(factory=dict)
     claimed: dict[str, Resources] = field(factory=dict)
+    # Claims by job, occurrence and step, and by minion.
+    siblings: dict[tuple[str, int, int], Counter[str]] = field(factory=dict)
 
     def claim(self, run: ReservedRun) -> bool:
         """Claim room for a task; return whether there is any."""
@@ -39,9 +42,11 @@
         if job is None or job.ended:
             return False
         occurrence, number, _ = parse_task_key(run.key)
-        siblings = fleet.count_siblings(job, occurrence, number)
+        siblings = Counter(fleet.count_siblings(job, occurrence, number))
         if fleet.find_run(run.job_id, run.key) is run:
             siblings[run.minion] -= 1
+        claims = self.siblings.setdefault((run.job_id, occurrence, number), Counter())
+        siblings.update(claims)
         step = job.spec.steps[number]
         request = PlacementRequest(
             step=step,
@@ -55,6 +60,7 @@
             taken = self.claimed.get(minion.minion_id, NO_RESOURCES).plus(step.needs)
             if fits(request, minion) and minion.can_fit(taken):
                 self.claimed[minion.minion_id] = taken
+                claims[minion.minion_id] += 1
                 return True
         return False
 
--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -197,7 +197,9 @@
             job = fleet.job(budget[0])
             if job is None or job.ended:
                 continue
-            unavailable = unavailable_tasks(*fleet.step_tasks(job, runs[0]), now_ms)
+            step_runs, keys = fleet.step_tasks(job, runs[0])
+            unavailable = unavailable_tasks(step_runs, keys, now_ms)
+            is_gang = job.spec.steps[budget[2]].gang
             steps.append(
                 LastingStep(
                     budget=budget,
@@ -205,6 +207,7 @@
                     runs=tuple(runs),
                     unavailable=tuple(unavailable),
                     moving=moving.get(budget, 0),
+                    gang=tuple(step_runs[k] for k in keys if k in step_runs) if is_gang else (),
                 )
             )
         return steps
--- a/src/hornbeamreach/systems/evacuation.py
+++ b/src/hornbeamreach/systems/evacuation.py
@@ -47,6 +47,9 @@
     unavailable: tuple[str, ...] = ()
     # Tasks of the step that were stopped for an evacuation and don't work elsewhere yet.
     moving: int = 0
+    # All runs of a gang, wherever they are; empty for other steps. None starts again before all of
+    # them have ended, so they are stopped together.
+    gang: tuple[ReservedRun, ...] = ()
 
 
 @define(frozen=True, kw_only=True)
@@ -84,23 +87,31 @@
 def within_budget(
     steps: Iterable[LastingStep], claim_room: RoomClaim, now_ms: int
 ) -> list[MoveDecision]:
-    """Move one task of each step at a time, within `may_miss` and once there is room elsewhere."""
+    """Move one task or gang of each step at a time, within `may_miss` and once there is room."""
     decisions = []
-    for step in steps:
+    # A gang that doesn't fit as a whole keeps no room from single tasks.
+    for step in sorted(steps, key=lambda step: bool(step.gang)):
         # Moving a task that doesn't work at full speed costs the budget nothing.
         run = min(step.runs, key=lambda run: (is_at_full_speed(run, now_ms), run.key))
         if step.moving:
             verdict = MoveVerdict.ONE_AT_A_TIME
-        elif not may_stop(run, len(step.unavailable), step.may_miss, now_ms=now_ms):
+        elif not _is_within_budget(step, run, now_ms):
             verdict = MoveVerdict.MAY_MISS
-        elif not claim_room(run):
+        elif not all(claim_room(member) for member in (step.runs if step.gang else (run,))):
             verdict = MoveVerdict.NO_ROOM
         else:
             verdict = MoveVerdict.MOVE
-        decisions.append(MoveDecision(step=step, run=run, verdict=verdict))
+        stopped = step.gang if verdict is MoveVerdict.MOVE and step.gang else (run,)
+        decisions += [MoveDecision(step=step, run=run, verdict=verdict) for run in stopped]
     return decisions
 
 
+def _is_within_budget(step: LastingStep, run: ReservedRun, now_ms: int) -> bool:
+    if step.gang:
+        return step.may_miss == 0 or step.may_miss >= len(step.gang)
+    return may_stop(run, len(step.unavailable), step.may_miss, now_ms=now_ms)
+
+
 # Withdrawal
 
 # Returns whether a pass that has selected so many starts, and so many of them on cold minions, may
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -352,6 +352,21 @@
 
         play(scenario, load=False)
 
+    @pytest.mark.parametrize(
+        ("may_miss", "left"), [(0, 0), (4, 0), (1, 3), (3, 3)], ids=lambda value: str(value)
+    )
+    def test_a_gang_moves_as_a_whole_or_stays(self, may_miss, left):
+        # A member that was stopped alone never started again: the others would have to end first.
+        async def scenario(fleet):
+            gang = attrs.evolve(LASTING, count=4, gang=True, max_per_minion=2, may_miss=may_miss)
+            most_away = await evacuate_service(fleet, "within_budget", gang)
+            assert most_away == (0 if left else 4)
+            scheduler = await fleet.wait_for_scheduler()
+            assert len(scheduler.fleet.runs_by_job["f" * 16]) == 4
+            assert (tasks_left(fleet) > 0) is (left > 0)
+
+        play(scenario, load=False)
+
     def test_a_task_that_a_wave_has_stopped_counts_against_the_same_budget(self):
         async def scenario(fleet):
             await fleet.submit("f" * 16, builders.step_job(LASTING))
