Request new tickets for steps that had them in an evacuated data centre only

Cause: a step's admission tickets are renewed after 0.7 of their validity. If all of them were for minions of a data centre that is evacuated, the step's tasks waited for that long although other minions were free.

Change: an evacuation drops the data centre's tickets, and a step that has no others requests new ones, for minions elsewhere.

--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -92,6 +92,7 @@
         scheduler = self.scheduler
         if data_center not in scheduler.proposed.workload.evacuated:
             self._refuse_late_orders(data_center)
+            self._drop_tickets(data_center)
         # Proposed without a pause after the orders were looked at, so that none is sent in between.
         await scheduler.commit(
             BeginEvacuation(data_center=data_center, at_ms=scheduler.clock.wall_ms())
@@ -112,6 +113,21 @@
             ):
                 self.scheduler.orders.fence(minion)
 
+    def _drop_tickets(self, data_center: str) -> None:
+        """Drop admission tickets for the data centre; a step that has no others gets new ones."""
+        scheduler = self.scheduler
+        minions, tickets = scheduler.fleet.minions, scheduler.planner.tickets
+        for step_name, by_minion in list(tickets.items()):
+            tickets[step_name] = {
+                name: ticket
+                for name, ticket in by_minion.items()
+                if name not in minions or minions[name].report.data_center != data_center
+            }
+            if by_minion and not tickets[step_name]:
+                del tickets[step_name]
+                scheduler.tickets_requested.discard(step_name)
+        scheduler.notify()
+
     def log_given_back(self, run: ReservedRun, minion: Minion) -> None:
         """Log a planned start that isn't sent because its data centre was evacuated since."""
         self.scheduler.metrics.event("start_given_back_evacuated")
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -198,6 +198,29 @@
         play(scenario)
 
 
+class TestTickets:
+    def test_a_step_whose_tickets_are_all_for_an_evacuated_data_centre_gets_new_ones(self):
+        # Its tasks waited until the tickets were renewed, here after 42 s.
+        class Admission:
+            async def request_tickets(self, step: str, minions: list[str]) -> dict[str, str]:
+                in_dc1 = [minion for minion in minions if minion in ("i-1", "i-4")]
+                return dict.fromkeys(in_dc1 or minions, "ticket")
+
+        async def scenario(fleet):
+            # Eight of twelve tasks fit on the minions that have tickets.
+            spec = builders.step_job(builders.step(count=12, cpu_millis=4_000))
+            await fleet.submit("a" * 16, spec, work_ms=10_000)
+            await trio.sleep(1)
+            assert len(fleet.starts("dc1")) == 8
+            assert await fleet.change("dc1", begin=True)
+            acked_ms = fleet.now_ms()
+            await trio.sleep(3)
+            assert len(fleet.starts("dc2", "dc3", since_ms=acked_ms)) == 4
+
+        table = builders.step_table(advice_valid_ms=60_000, advice_decide_ms=50)
+        play(scenario, load=False, table=table, admission=Admission())
+
+
 class TestRequests:
     def test_repeated_and_raced_requests_leave_one_state_on_all_replicas(self):
         async def scenario(fleet):
