Drop the tickets of an evacuated data centre where requests are now kept

Change: evacuations use the moved set.

Result: tests/test_evacuation.py failed before and passes now.

--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -125,7 +125,7 @@
             }
             if by_minion and not tickets[step_name]:
                 del tickets[step_name]
-                scheduler.tickets_requested.discard(step_name)
+                scheduler.ticket_requests.requested.discard(step_name)
         scheduler.notify()
 
     def log_given_back(self, run: ReservedRun, minion: Minion) -> None:
