Pause polls while the leader's loop is busy, not only while it is late

Cause: the leader's overload policy reads the lag of its timers. Messages waited in the sockets for seconds, and the policy never took effect.

Change: an instrument of the loop sums up its idle time. Above a busy share of 0.7 of the last second polls pause for up to 300 ms, so that each one returns more ended runs. Measured in the control daemon only; without the instrument nothing changes.

--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -111,7 +111,7 @@
         while not self.stopped and scheduler.fleet.minions.get(self.minion_id) is minion:
             lag_ms = scheduler.loop_lag.lag_ms
             state = self._poll_state(minion, lag_ms, scheduler.clock.now_ms() - began_ms)
-            delay_ms = poll_delay_ms(scheduler.overload(lag_ms), state)
+            delay_ms = poll_delay_ms(scheduler.effort(), state)
             if not delay_ms:
                 return
             with trio.move_on_after(seconds(min(delay_ms, LAG_CHECK_INTERVAL_MS))):
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -13,6 +13,7 @@
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.workload_commands import ApplyDeclaration, OrderWave
 from hornbeamreach.exceptions import NotLeaderError
+from hornbeamreach.fleet.loop_lag import LoopIdleTime
 from hornbeamreach.fleet.maintenance_waves import MaintenanceWaves
 from hornbeamreach.fleet.messages import (
     ChangeEvacuation,
@@ -59,6 +60,8 @@
     timing: FleetTiming = field(factory=FleetTiming)
     # Return the data centres that the settings of this process and of the other replicas name.
     known_data_centers: Callable[[], Iterable[str]] = tuple
+    # Instrument of this process's event loop, to measure how busy it is.
+    loop_idle: LoopIdleTime | None = None
     generation: int = field(default=0, init=False)
     scheduler: StepScheduler | None = field(default=None, init=False)
     queue_service: QueueService | None = field(default=None, init=False)
@@ -92,6 +95,7 @@
                 metrics=self.metrics,
                 timing=self.timing,
                 generation=self.generation % MAX_GENERATIONS,
+                loop_idle=self.loop_idle,
             )
             self.generation += 1
             scheduler.evacuations.known_data_centers = self.known_data_centers
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -19,7 +19,7 @@
 from hornbeamreach.fleet.first_polls import FirstPolls
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.job_admission import JobAdmission
-from hornbeamreach.fleet.loop_lag import LoopLag
+from hornbeamreach.fleet.loop_lag import LoopIdleTime, LoopLag
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.minion_tracker import MinionTracker
@@ -74,6 +74,7 @@
         metrics: Metrics,
         timing: FleetTiming,
         generation: int = 0,
+        loop_idle: LoopIdleTime | None = None,
     ) -> None:
         self.replica = replica
         self.generation = generation
@@ -91,8 +92,8 @@
         self.planner = Planner(
             fleet=self.fleet, metrics=metrics, remote_factor=timing.remote_factor
         )
-        self.loop_lag = LoopLag(clock=clock, metrics=metrics)
-        self.overload = overload_policies.get("by_lag")
+        self.loop_lag = LoopLag(clock=clock, metrics=metrics, idle=loop_idle)
+        self.overload = overload_policies.get("by_load")
         self.last_effort = Effort()
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
@@ -159,7 +160,7 @@
 
     def effort(self) -> Effort:
         """Return how much optional work the loop has time for."""
-        return self.overload(self.loop_lag.lag_ms)
+        return self.overload(self.loop_lag.lag_ms, self.loop_lag.busy_share)
 
     # Proposals
 
@@ -391,6 +392,7 @@
             log.bind(
                 term=self.term,
                 lag_ms=self.loop_lag.lag_ms,
+                busy_share=round(self.loop_lag.busy_share, 2),
                 minions=len(self.fleet.minions),
                 ready_jobs=len(self.fleet.ready),
                 pause_ms=effort.poll_pause_ms,
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -14,6 +14,7 @@
 from hornbeamreach.control.replica import Replica, run_in_thread
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.fleet.guarded_port import GuardedMinionPort
+from hornbeamreach.fleet.loop_lag import LoopIdleTime
 from hornbeamreach.fleet.order_relay import OrderRelay
 from hornbeamreach.fleet.relayed_minion_port import RelayedMinionPort
 from hornbeamreach.fleet.service import FleetService
@@ -107,6 +108,8 @@
                 followers=replica.followers,
                 rng=rng,
             )
+            loop_idle = LoopIdleTime(clock=clock)
+            trio.lowlevel.add_instrument(loop_idle)
             service = FleetService(
                 replica=replica,
                 handlers=handlers,
@@ -121,6 +124,7 @@
                 metrics=metrics,
                 timing=current.timing,
                 known_data_centers=discovery.known_data_centers,
+                loop_idle=loop_idle,
             )
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
             app = OperatorApp(
--- a/src/hornbeamreach/systems/overload.py
+++ b/src/hornbeamreach/systems/overload.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 
+import attrs
 from attrs import define
 
 from hornbeamreach.registry import Registry
@@ -20,6 +21,10 @@
 TOLERATED_LAG_MS = 50
 # Two heartbeats of control: above it answers to callers are late, so what can wait is left out.
 URGENT_ONLY_LAG_MS = 300
+# Below it messages wait for a few ms at most.
+TOLERATED_BUSY_SHARE = 0.7
+# About half of a short task: ends that are noticed later leave their capacity unused for longer.
+MAX_BUSY_PAUSE_MS = 300
 # Above it the demand that moves follow is out of date. Below, moves are what ends a backlog.
 NO_MOVES_LAG_MS = 2_000
 
@@ -50,18 +55,19 @@
     waited_ms: int = 0
 
 
-OverloadPolicy = Callable[[int], Effort]
+# Called with the loop's lag in ms and the part of the last second in which it was busy.
+OverloadPolicy = Callable[[int, float], Effort]
 overload_policies: Registry[OverloadPolicy] = Registry("overload policy")
 
 
 @overload_policies.register("none")
-def none(lag_ms: int) -> Effort:
+def none(lag_ms: int, busy_share: float = 0.0) -> Effort:
     """Do all work whatever the lag is, as a baseline."""
     return Effort()
 
 
 @overload_policies.register("by_lag")
-def by_lag(lag_ms: int) -> Effort:
+def by_lag(lag_ms: int, busy_share: float = 0.0) -> Effort:
     """Pause polls by the lag and shorten slices, and above 300 ms leave out what can wait."""
     if lag_ms <= TOLERATED_LAG_MS:
         return Effort()
@@ -74,6 +80,19 @@
     )
 
 
+@overload_policies.register("by_load")
+def by_load(lag_ms: int, busy_share: float = 0.0) -> Effort:
+    """Leave out work by the lag, and pause polls longer the less the loop waits for events.
+
+    A busy loop whose timers are in time has its messages queued in sockets. A poll after a pause
+    returns more ended runs, for about the same processor time.
+    """
+    effort = by_lag(lag_ms)
+    busy = (busy_share - TOLERATED_BUSY_SHARE) / (1 - TOLERATED_BUSY_SHARE)
+    pause_ms = round(max(0.0, busy) * MAX_BUSY_PAUSE_MS)
+    return attrs.evolve(effort, poll_pause_ms=max(effort.poll_pause_ms, pause_ms))
+
+
 def poll_delay_ms(effort: Effort, state: PollState) -> int:
     """Return how much longer a minion's next poll waits.
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from hornbeamreach.clock import Clock
-from hornbeamreach.fleet.loop_lag import INTERVAL_MS, WINDOW_MS, LoopLag
+from hornbeamreach.fleet.loop_lag import INTERVAL_MS, WINDOW_MS, LoopIdleTime, LoopLag
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.overload import PollState, overload_policies, poll_delay_ms
@@ -68,6 +69,14 @@
             )
             assert poll_delay_ms(effort, state) == 0
 
+    def test_polls_pause_while_a_loop_in_time_is_busy(self):
+        """Guards against a backlog in the sockets that the lag of timers doesn't show."""
+        by_lag, by_load = overload_policies.get("by_lag"), overload_policies.get("by_load")
+        assert by_lag(20, 1.0).poll_pause_ms == 0
+        pauses = [by_load(20, share).poll_pause_ms for share in (0.5, 0.8, 0.9, 1.0)]
+        assert pauses == sorted(pauses) and pauses[0] == 0 < pauses[1] and pauses[-1] <= 300
+        assert by_load(500, 0.0) == by_lag(500)
+
     def test_a_loop_that_is_in_time_does_all_work(self):
         assert overload_policies.get("by_lag")(20) == overload_policies.get("none")(20)
 
@@ -88,6 +97,22 @@
         now_ms[0] += WINDOW_MS - 20
         assert lag.lag_ms == 10
 
+    def test_a_loop_that_hardly_waits_is_busy_though_its_timers_are_in_time(self):
+        now_ms = [0]
+        clock = Clock(monotonic=lambda: now_ms[0])
+        idle = LoopIdleTime(clock=clock)
+        lag = LoopLag(clock=clock, metrics=Metrics(), idle=idle)
+        lag.idle_samples.append((0, 0))
+        for waited_ms, worked_ms, share in ((950, 50, 0.05), (50, 950, 0.5)):
+            idle.before_io_wait(1.0)
+            now_ms[0] += waited_ms
+            idle.after_io_wait(1.0)
+            now_ms[0] += worked_ms
+            assert lag.busy_share == pytest.approx(share)
+        lag.idle_samples[0] = (1_000, 950)
+        assert lag.busy_share == pytest.approx(0.95)
+        assert lag.lag_ms == 0
+
 
 class TestFleetUnderLag:
     def test_runs_outlive_a_loop_that_stays_late(self):
