Wait for the noise datagram too in the test of two heartbeat threads

Cause: the test stopped both threads at the first answer. On a busy machine the answer can be read before the noise that was sent after the first heartbeat, and the count of dropped datagrams was then 0.

Change: the test waits for both, within the same 10 s. Both checks stay.

Result: passes; without the wait, an order of events in which it fails follows from the code.

--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -198,7 +198,9 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as noise:
             noise.sendto(b"noise", (hosts["a"], port))
         deadline = time.monotonic() + 10
-        while time.monotonic() < deadline and not threads["a"].liveness.answered():
+        while time.monotonic() < deadline and not (
+            threads["a"].liveness.answered() and threads["a"].dropped
+        ):
             time.sleep(0.01)
         for thread in threads.values():
             thread.stop()
