--- a/benches/uneven_load.py
+++ b/benches/uneven_load.py
@@ -3,7 +3,7 @@
 Prints for each load, mover and drain policy the credit, the share of late jobs and of jobs whose
 first start waits, the VM seconds in pools, the moves, and the net credit: VM seconds cost 0.17 of
 the credit of a day under `follow_forecast`, and a move costs as much as a VM second. Run it with
-`python -m benches.uneven_load [small|large] [SEEDS]`.
+`python -m benches.uneven_load [small|large] [SEEDS] [LOADS]`; `size` prints the cost of a tick.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
     TurnSimulation,
     generate_day,
 )
+from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState
 from hornbeamreach.systems.pool_moves import PoolDemands, VmMove, _assign_vms, pool_movers
 from hornbeamreach.systems.vm_drains import drain_policies
 from hornbeamreach.tables.minions import ReservedRun
@@ -203,8 +204,51 @@
     return simulation.run(), simulation
 
 
+def measure_tick(pools: int, vms_per_pool: int, jobs: int, repeats: int = 20) -> float:
+    """Return the median processor time in ms to plan moves for a loaded fleet."""
+    queue = FLEETS["large"].queues[0]
+    profile = FleetProfile(
+        queues=(queue,) * pools,
+        pool_vms=(vms_per_pool,) * pools,
+        standby_vms=0,
+        lasting_tasks=vms_per_pool,
+        cycles=0,
+    )
+    arrived = [(number, job) for number, job in generate_day(profile, 1, 0.05) if job.at_ms < 8_000]
+    simulation = UnevenSimulation(
+        profile=profile,
+        mover="useful_first",
+        ordering="useful_first",
+        estimator="learnt",
+        drains="late_work_yields",
+        jobs=arrived[:jobs],
+    )
+    by_id = {job.job_id: job for _, job in simulation.jobs}
+    for number, job in simulation.jobs:
+        simulation._accept(job.job_id, f"queue-{number}", f"pool-{number}", job.spec, 0)
+    simulation._record_and_plan(by_id)
+    simulation.now_ms = MOVER_INTERVAL_MS
+    simulation.vm_moves.inventory.vms = {
+        vm: PlatformVm(name=vm, pool=pool, state=PlatformVmState.UP)
+        for vm, pool in simulation.pools.items()
+    }
+    taken_s = []
+    for _ in range(repeats):
+        began_s = time.process_time()
+        minions = simulation.vm_moves.inventory.current_minions()
+        demands = simulation.vm_moves.pool_demands(minions, simulation.now_ms)
+        simulation.vm_moves.mover(demands)
+        simulation.vm_moves.drain_vms(minions, demands, simulation.now_ms)
+        taken_s.append(time.process_time() - began_s)
+    return 1_000 * statistics.median(taken_s)
+
+
 def main() -> None:
     """Print the results of every mover and drain policy on every load."""
+    if sys.argv[1:] == ["size"]:
+        for pools in (4, 53, 105, 210):
+            print(f"{pools} pools, {pools * 11} VMs: {measure_tick(pools, 11, 6 * pools):.1f} ms")
+        return
     fleet = sys.argv[1] if len(sys.argv) > 1 else "small"
     seeds = range(1, 1 + int(sys.argv[2])) if len(sys.argv) > 2 else (1,)
     names = sys.argv[3].split(",") if len(sys.argv) > 3 else list(uneven_loads(FLEETS[fleet]))
