--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,7 +31,7 @@
 CALL_TIMEOUT_MS = 4_000
 OPERATOR_TIMEOUT_MS = 1_500
 RETRY_MS = (300, 1_500)
-READ_INTERVAL_MS = (700, 2_000)
+READ_INTERVAL_MS = (800, 2_500)
 MAX_SUBMISSIONS = 6
 # Fractions of callers that give up after a refusal, that cancel, and that read an end again.
 ABANDON_FRACTION, CANCEL_FRACTION, READ_AGAIN_FRACTION = 0.4, 0.08, 0.3
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -11,6 +11,9 @@
 NO_RESPONSE = 0
 HTTP_OK, HTTP_GONE, HTTP_TOO_MANY_REQUESTS = 200, 410, 429
 HTTP_INTERNAL_ERROR, HTTP_UNAVAILABLE, HTTP_GATEWAY_TIMEOUT = 500, 503, 504
+ERROR_LEVELS = ("ERROR", "CRITICAL")
+# A warning of the scheduler that stands for a fault of its own.
+UNPLANNED_JOB = "was not planned"
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -125,3 +128,22 @@
             except json.JSONDecodeError:
                 continue
     return sorted(events, key=lambda event: event.at)
+
+
+def find_logged_faults(paths: Iterable[Path]) -> list[str]:
+    """Return the lines in the daemons' logs that only a fault of the program writes."""
+    found = []
+    for path in paths:
+        for line in path.read_text(encoding="utf-8").splitlines():
+            try:
+                row = json.loads(line)
+            except json.JSONDecodeError:
+                # The end of a traceback, or a line that a killed process didn't complete.
+                if line.startswith("Traceback"):
+                    found.append(f"{path.name}: {line}")
+                continue
+            # The WebSocket library logs each connection that it loses as an error.
+            is_error = row["level"] in ERROR_LEVELS and not row["part"].startswith("websockets")
+            if is_error or UNPLANNED_JOB in row["text"]:
+                found.append(f"{path.name}: {row['text']}")
+    return found
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,18 +14,20 @@
 from soak.callers import TEAM_CAPS, Callers, KeptConnections, Operators
 from soak.deployment import Deployment
 from soak.faults import Injector
-from soak.observations import Observations, load_events
+from soak.observations import Observations, find_logged_faults, load_events
 from soak.parent import boottime_ms
 
 log = part_logger("soak")
 
 READY_TIMEOUT_MS = 60_000
-# Time for accepted jobs to end once all faults have ended: the longest leases, elections and the
-# backlog of a flood, on a busy machine.
-SETTLE_TIMEOUT_MS = 60_000
+# Once all faults have ended, accepted jobs must go on ending until none is left: within this time
+# one of them ends, also after leases that lapse and an election on a busy machine.
+PROGRESS_TIMEOUT_MS = 30_000
+SETTLE_TIMEOUT_MS = 180_000
 POLL_MS = 200
-STEADY_CALLERS = ("red", "red", "blue", "blue", "blue", "green", "green", "green")
-STEADY_PAUSE_MS = (200, 1_200)
+# Together some 40 of the 72 cores, and the team with the lowest cap a little more than its cap.
+STEADY_CALLERS = ("red", "red", "blue", "blue", "green", "green", "green")
+STEADY_PAUSE_MS = (400, 2_000)
 
 
 class NotReadyError(Exception):
@@ -46,6 +48,7 @@
     finally:
         deployment.end_all()
         seen.events = load_events(sorted(folder.glob("*.events")))
+        seen.incidents += find_logged_faults(sorted(folder.glob("*-dc*.log")))
         _save(seen, folder)
     return seen
 
@@ -81,8 +84,7 @@
     deployment.network.heal()
     log.bind(faults=injector.counts).info("faults ended, waiting for accepted jobs")
     with trio.move_on_after(seconds(SETTLE_TIMEOUT_MS)):
-        while callers.following:
-            await trio.sleep(seconds(POLL_MS))
+        await _wait_ended(callers)
         await operators.read()
     log.info("{} jobs still followed", callers.following)
     async with trio.open_nursery() as stopping:
@@ -91,6 +93,17 @@
                 stopping.start_soon(deployment.terminate, name)
 
 
+async def _wait_ended(callers: Callers) -> None:
+    """Wait until no job is followed, or none has ended for a long time."""
+    while callers.following:
+        followed = callers.following
+        with trio.move_on_after(seconds(PROGRESS_TIMEOUT_MS)) as scope:
+            while callers.following >= followed:
+                await trio.sleep(seconds(POLL_MS))
+        if scope.cancelled_caught:
+            return
+
+
 def _listeners(deployment: Deployment) -> list[str]:
     return [
         *map(deployment.caller_address, deployment.entries),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 import trio
 
@@ -14,6 +16,7 @@
     Observations,
     Response,
     RunEvent,
+    find_logged_faults,
 )
 from soak.run import run_soak, summary
 
@@ -119,6 +122,17 @@
         ]
         assert not violated(one_job(events=events, minion_ends={"dc1-w1": [50, 300]}))
 
+    def test_errors_of_the_daemons_are_found_in_their_logs(self, tmp_path):
+        lines = [
+            {"level": "ERROR", "part": "link:", "text": "message not handled: KeyError()"},
+            {"level": "WARNING", "part": "queues:", "text": "a job that was not planned"},
+            {"level": "ERROR", "part": "websockets.client:", "text": "keepalive ping failed"},
+            {"level": "INFO", "part": "link:", "text": "connected to peer"},
+        ]
+        path = tmp_path / "control.log"
+        path.write_text("\n".join(json.dumps(line) for line in lines) + '\n{"level": "ERR')
+        assert len(find_logged_faults([path])) == 2
+
     def test_an_unknown_response_lets_the_job_run(self):
         seen = one_job(submissions=[response(0, 504), response(50, 503)])
         assert not violated(seen)
