Let relayed calls and results share messages while the leader is busy

Cause: a pass of the event loop reads one message of each connection.

Change: the leader chooses the span within which calls and results share a message from its busy share, up to 60 ms, and tells it to the replicas that relay.

--- a/src/hornbeamreach/fleet/order_relay.py
+++ b/src/hornbeamreach/fleet/order_relay.py
@@ -32,6 +32,8 @@
 # Results within this span share one message. It is less than a tenth of POLL_PAUSE_MS, by which
 # the leader of a fleet that uses relays delays its polls after ended tasks.
 BATCH_MS = 3
+# Far below the 400 ms that the leader waits for results beyond a minion's response time.
+MAX_PAUSE_MS = 100
 # More pending calls mean that the leader no longer receives this replica's results.
 MAX_CALLS = 4_096
 MAX_LOGGED_TASKS = 20
@@ -63,6 +65,8 @@
     nursery: trio.Nursery | None = field(default=None, init=False)
     calls: dict[tuple[str, int], trio.CancelScope] = field(factory=dict, init=False)
     results: dict[str, list[RelayResult]] = field(factory=dict, init=False)
+    # As the latest leader asked for.
+    results_pause_ms: int = field(default=BATCH_MS, init=False)
     wake: trio.Event = field(factory=trio.Event, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -70,6 +74,7 @@
 
     async def on_batch(self, batch: RelayBatch) -> None:
         """Start the calls of a batch and cancel the abandoned ones."""
+        self.results_pause_ms = min(max(batch.results_pause_ms, BATCH_MS), MAX_PAUSE_MS)
         for number in batch.given_up:
             scope = self.calls.get((batch.source, number))
             if scope is not None:
@@ -92,7 +97,7 @@
             self.nursery = nursery
             while True:
                 await self.wake.wait()
-                await trio.sleep(seconds(BATCH_MS))
+                await trio.sleep(seconds(self.results_pause_ms))
                 self.wake = trio.Event()
                 results_by_source, self.results = self.results, {}
                 for address, results in results_by_source.items():
--- a/src/hornbeamreach/fleet/relay_messages.py
+++ b/src/hornbeamreach/fleet/relay_messages.py
@@ -44,6 +44,8 @@
     starts: list[RelayedStart] = field(factory=list)
     looks: list[RelayedPoll] = field(factory=list)
     given_up: list[int] = field(factory=list)
+    # Span within which results share one message, in ms; 0 for the replica's own choice.
+    results_pause_ms: int = 0
 
 
 class RelayOutcome(enum.Enum):
--- a/src/hornbeamreach/fleet/relayed_minion_port.py
+++ b/src/hornbeamreach/fleet/relayed_minion_port.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import trio
 from attrs import define, field
 
@@ -77,6 +78,8 @@
     followers: Callable[[], list[Follower]]
     rng: random.Random
     max_direct_minions: int = MAX_DIRECT_MINIONS
+    # Returns the span within which the calls, and the results, of a follower share one message.
+    batch_pause_ms: Callable[[], int] = lambda: BATCH_MS
     backoff: RelayBackoff = field(factory=RelayBackoff, init=False)
     call_numbers: itertools.count = field(init=False)
     pending: dict[int, PendingCall] = field(factory=dict, init=False)
@@ -105,10 +108,13 @@
         """Send the batched calls until cancelled."""
         while True:
             await self.wake.wait()
-            await trio.sleep(seconds(BATCH_MS))
+            pause_ms = max(BATCH_MS, self.batch_pause_ms())
+            await trio.sleep(seconds(pause_ms))
             self.wake = trio.Event()
             batches, self.batches = self.batches, {}
             for address, batch in batches.items():
+                if pause_ms > BATCH_MS:
+                    batch = attrs.evolve(batch, results_pause_ms=pause_ms)
                 self.link.notify(address, batch)
 
     # Port
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -76,6 +76,10 @@
         self.handlers.on(ReadWave, self.on_read_wave)
         self.handlers.on(ChangeEvacuation, self.on_change_evacuation)
 
+    def relay_pause_ms(self) -> int:
+        """Return the span within which relayed calls and results share one message."""
+        return self.scheduler.effort().relay_pause_ms if self.scheduler is not None else 0
+
     async def run(self) -> None:
         """Run one scheduler for each term in which this replica leads."""
         while True:
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -126,6 +126,7 @@
                 known_data_centers=discovery.known_data_centers,
                 loop_idle=loop_idle,
             )
+            minion_port.batch_pause_ms = service.relay_pause_ms
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
             app = OperatorApp(
                 settings=current, finder=finder, metrics=metrics, describe=service.describe
--- a/src/hornbeamreach/systems/overload.py
+++ b/src/hornbeamreach/systems/overload.py
@@ -25,6 +25,8 @@
 TOLERATED_BUSY_SHARE = 0.7
 # About half of a short task: ends that are noticed later leave their capacity unused for longer.
 MAX_BUSY_PAUSE_MS = 300
+# Two passes of a loop that is busy with some hundred tasks.
+MAX_RELAY_PAUSE_MS = 60
 # Above it the demand that moves follow is out of date. Below, moves are what ends a backlog.
 NO_MOVES_LAG_MS = 2_000
 
@@ -40,6 +42,8 @@
     slice_ms: int = SLICE_MS
     # Whether VMs are moved between pools.
     moves: bool = True
+    # Span within which relayed calls and results share one message; 0 for the shortest one.
+    relay_pause_ms: int = 0
 
 
 @define(frozen=True, kw_only=True)
@@ -85,12 +89,16 @@
     """Leave out work by the lag, and pause polls longer the less the loop waits for events.
 
     A busy loop whose timers are in time has its messages queued in sockets. A poll after a pause
-    returns more ended runs, for about the same processor time.
+    returns more ended runs, for about the same processor time, and relayed calls and results share
+    messages: each connection is read once in a pass of the loop, whatever a message holds.
     """
     effort = by_lag(lag_ms)
-    busy = (busy_share - TOLERATED_BUSY_SHARE) / (1 - TOLERATED_BUSY_SHARE)
-    pause_ms = round(max(0.0, busy) * MAX_BUSY_PAUSE_MS)
-    return attrs.evolve(effort, poll_pause_ms=max(effort.poll_pause_ms, pause_ms))
+    busy = max(0.0, (busy_share - TOLERATED_BUSY_SHARE) / (1 - TOLERATED_BUSY_SHARE))
+    return attrs.evolve(
+        effort,
+        poll_pause_ms=max(effort.poll_pause_ms, round(busy * MAX_BUSY_PAUSE_MS)),
+        relay_pause_ms=round(busy * MAX_RELAY_PAUSE_MS),
+    )
 
 
 def poll_delay_ms(effort: Effort, state: PollState) -> int:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -76,6 +76,7 @@
         pauses = [by_load(20, share).poll_pause_ms for share in (0.5, 0.8, 0.9, 1.0)]
         assert pauses == sorted(pauses) and pauses[0] == 0 < pauses[1] and pauses[-1] <= 300
         assert by_load(500, 0.0) == by_lag(500)
+        assert by_load(20, 1.0).relay_pause_ms > by_load(20, 0.8).relay_pause_ms > 0
 
     def test_a_loop_that_is_in_time_does_all_work(self):
         assert overload_policies.get("by_lag")(20) == overload_policies.get("none")(20)
--- a/tests/test_relayed_orders.py
+++ b/tests/test_relayed_orders.py
@@ -9,7 +9,13 @@
 
 from hornbeamreach.clock import Clock
 from hornbeamreach.fleet.order_relay import OrderRelay
-from hornbeamreach.fleet.ports import PollResult, StartOrder, UnknownOutcomeError
+from hornbeamreach.fleet.ports import (
+    PollResult,
+    StartAnswer,
+    StartOrder,
+    StartReply,
+    UnknownOutcomeError,
+)
 from hornbeamreach.fleet.relay_messages import (
     RelayBatch,
     RelayedStart,
@@ -124,6 +130,44 @@
         run_virtual(main)
 
 
+class TestBatches:
+    @pytest.mark.parametrize(("pause_ms", "messages"), [(0, 6), (60, 1)])
+    def test_results_share_messages_for_as_long_as_a_busy_leader_asks(self, pause_ms, messages):
+        """Guards against more messages than a busy loop can read, one in each of its passes."""
+        sent = []
+
+        class Minions:
+            async def start(self, report, order):
+                await trio.sleep(0.008 * order.run)
+                return StartReply(answer=StartAnswer.STARTED)
+
+        class Link:
+            def notify(self, address, message):
+                sent.append(message)
+
+        def start_of(number: int) -> RelayedStart:
+            order = StartOrder(task="t.0.0.0", run=number, payload="", lease_until_ms=0, token=1)
+            return RelayedStart(number=number, minion="i-1", address="", order=order)
+
+        async def main() -> None:
+            relay = OrderRelay(
+                port=Minions(), link=Link(), handlers=HandlerTable(), metrics=Metrics()
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.run)
+                await trio.sleep(0.01)
+                starts = [start_of(number) for number in range(1, 7)]
+                await relay.on_batch(
+                    RelayBatch(source="a", starts=starts, results_pause_ms=pause_ms)
+                )
+                await trio.sleep(0.5)
+                nursery.cancel_scope.cancel()
+            assert len(sent) == messages
+            assert sorted(r.number for m in sent for r in m.results) == list(range(1, 7))
+
+        run_virtual(main)
+
+
 class TestOverrun:
     def test_a_replica_that_does_not_run_its_relay_says_which_starts_it_left(self):
         network = MemoryNetwork(rng=random.Random(1), delay_ms=1)
