Give the fake meter of the admission test a busy share

Cause: the scheduler's effort also reads the busy share since, and the test replaces the meter.

Change: the fake has a busy share of 0. Checks are unchanged.

--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -104,7 +104,7 @@
 def test_a_lagging_loop_refuses_new_short_jobs():
     async def scenario(fleet: StepFleet) -> None:
         await fleet.submit("0" * 16, JOB)
-        (await fleet.wait_for_scheduler()).loop_lag = SimpleNamespace(lag_ms=1_500)
+        (await fleet.wait_for_scheduler()).loop_lag = SimpleNamespace(lag_ms=1_500, busy_share=0.0)
         assert (await fleet.submit("1" * 16, JOB)).reason is Reason.OVERLOADED
         assert (await fleet.submit("0" * 16, JOB)).reason is None
 
