Collect garbage less often in the daemons

Cause: collections of the oldest generation pass over all jobs and runs of a leader, up to 98 ms each, in which nothing else of the process runs. Callers saw first starts wait.

Change: collections are off during the imports, what these have created is exempt from collections, and the youngest generation is collected once in 20,000 allocations.

--- a/src/hornbeamreach/daemons/process.py
+++ b/src/hornbeamreach/daemons/process.py
@@ -13,6 +13,7 @@
 
 from hornbeamreach.clock import Clock
 from hornbeamreach.exceptions import HornbeamreachError, InvalidInputError
+from hornbeamreach.garbage import collect_garbage_rarely
 from hornbeamreach.logs import configure_logs, part_logger
 from hornbeamreach.settings import LogSettings, load_settings
 
@@ -52,6 +53,7 @@
         loaded = load_settings(settings, kind)
         log_settings: LogSettings = loaded.log
         configure_logs(level=log_settings.level, json_lines=log_settings.json)
+        collect_garbage_rarely()
         trio.run(run_until_signal, run, loaded)
 
     try:
--- a/src/hornbeamreach/platform/launcher.py
+++ b/src/hornbeamreach/platform/launcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import os
 import sys
@@ -9,6 +10,7 @@
 import trio
 
 from hornbeamreach.exceptions import SettingsError
+from hornbeamreach.garbage import collect_garbage_rarely
 from hornbeamreach.logs import configure_json_logs, part_logger
 from hornbeamreach.platform.process import ReloadableSettings
 from hornbeamreach.platform.settings import SETTINGS_VARIABLE
@@ -35,7 +37,11 @@
     except (SettingsError, OSError) as exc:
         log.error("can't start: {}", exc)
         sys.exit(EXIT_INVALID_SETTINGS)
-    trio.run(importlib.import_module(MODULE_BY_ROLE[role]).run, settings)
+    # Collections during the imports take 8 % of their time and free nothing.
+    gc.disable()
+    run = importlib.import_module(MODULE_BY_ROLE[role]).run
+    collect_garbage_rarely()
+    trio.run(run, settings)
 
 
 def main() -> None:
