--- a/src/hornbeamreach/link/codec.py
+++ b/src/hornbeamreach/link/codec.py
@@ -33,6 +33,11 @@
     return decorate
 
 
+def wire_name(message: Any) -> str:
+    """Return the name of a message's type on the wire."""
+    return _wire_names[type(message)]
+
+
 def to_tagged(message: Any) -> list[Any]:
     """Convert a message to its wire name and unstructured fields."""
     return [_wire_names[type(message)], wire_converter.unstructure(message)]
--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -155,6 +155,7 @@
 
         class LostSocket:
             state = State.OPEN
+            is_congested = False
 
             async def send(self, data: bytes) -> None:
                 # The reset is noticed before the task that sent the request runs again.
