Keep the link sending after an unexpected error, and count its sends as busy

The event loop drops an instrument that raises, so an unexpected error in one connection's send would have stopped all connections of the process. Such an error now closes only its connection. The instrument is installed with the link, before the one that measures the loop's idle time, so that the time of sending doesn't count as idle.

--- a/src/hornbeamreach/link/socket_stream.py
+++ b/src/hornbeamreach/link/socket_stream.py
@@ -14,6 +14,10 @@
 
 import trio
 
+from hornbeamreach.logs import part_logger
+
+log = part_logger("link")
+
 RECEIVE_BYTES = 64 * 1024
 # Buffers that one system call sends; the limit of the system is 1,024.
 MAX_CHUNKS_PER_SEND = 256
@@ -26,17 +30,27 @@
         self.streams: list[SocketStream] = []
 
     def before_io_wait(self, timeout: float) -> None:
-        """Flush the streams; errors are kept by the stream, as the loop drops what raises."""
+        """Flush the streams."""
         if self.streams:
             streams, self.streams = self.streams, []
             for stream in streams:
-                stream.flush()
+                try:
+                    stream.flush()
+                except Exception as exc:
+                    # The loop drops an instrument that raises, and then nothing would be sent.
+                    log.error("unexpected error while sending, connection is closed: {!r}", exc)
+                    stream.abort()
 
 
 _flusher: trio.lowlevel.RunVar[LoopFlusher] = trio.lowlevel.RunVar("link flusher")
 
 
-def _current_flusher() -> LoopFlusher:
+def current_flusher() -> LoopFlusher:
+    """Return the flusher of the running event loop; install it at first use.
+
+    Instruments run in the order in which they were installed, so one that measures the loop's idle
+    time counts the sending as idle if it comes before this one.
+    """
     try:
         return _flusher.get()
     except LookupError:
@@ -53,7 +67,7 @@
         # `trio.SocketStream` has set TCP_NODELAY.
         self.socket = socket.socket(fileno=stream.socket.detach())
         self.socket.setblocking(False)
-        self.flusher = _current_flusher()
+        self.flusher = current_flusher()
         self.token = trio.lowlevel.current_trio_token()
         self.chunks: deque[bytes | memoryview] = deque()
         self.buffered_bytes = 0
--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -23,7 +23,7 @@
 from hornbeamreach.link.frames import NOTIFY, REPLY, REQUEST, decode_frame, encode_frame
 from hornbeamreach.link.interface import HandlerTable, unwrap_reply
 from hornbeamreach.link.pending_reply import PendingReply, ReplyLostError, current_timer
-from hornbeamreach.link.socket_stream import SocketStream
+from hornbeamreach.link.socket_stream import SocketStream, current_flusher
 from hornbeamreach.logs import part_logger
 
 __all__ = [
@@ -168,6 +168,8 @@
     """Send messages over the outgoing connections of one process."""
 
     def __init__(self, *, nursery: trio.Nursery, secret: str) -> None:
+        # Before the instrument that measures how busy the loop is.
+        current_flusher()
         self.nursery = nursery
         self.secret = secret
         self.peers: dict[str, PeerConnection] = {}
--- a/tests/test_link_connection.py
+++ b/tests/test_link_connection.py
@@ -251,6 +251,21 @@
 
         trio.run(main)
 
+    def test_an_error_while_sending_ends_only_its_connection(self):
+        # The event loop drops an instrument that raises; then no connection would send any more.
+        def fail() -> None:
+            raise KeyError("unexpected")
+
+        async def main() -> None:
+            async with run_server(Recorder()) as (address, link):
+                await link.request(address, ReadWave(number=0), timeout_ms=2_000)
+                link.peer(address).socket.stream._send = fail
+                with pytest.raises(PeerTimeoutError, match="was lost"):
+                    await link.request(address, ReadWave(number=0), timeout_ms=2_000)
+                assert await link.request(address, ReadWave(number=0), timeout_ms=2_000) == STATE
+
+        trio.run(main)
+
 
 class TestLiveness:
     def test_a_silent_peer_is_given_up_and_its_requests_may_have_run(self, monkeypatch):
