Hand over for a slow disk only if commits wait for it

A leader handed over after three slow syncs even while a majority of the others made each entry durable long before it, and to a replica that took exactly half as long per sync. A sync now counts as slow only if the leader's own copy is what commits entries, and the next leader's sync time must be known and less than half. Sync times are rounded up, so that a sync of less than 1 ms no longer reads as unknown.

--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -309,10 +309,10 @@
             return self.quorum_contact_ms() + ELECTION_TIMEOUT_MIN_MS > self.now_ms
         return self.leader_contact_ms + ELECTION_TIMEOUT_MIN_MS > self.now_ms
 
-    def transfer_leadership(self, *, max_sync_ms: int | None = None) -> bool:
+    def transfer_leadership(self, *, sync_below_ms: float | None = None) -> bool:
         """Ask the most up-to-date peer to take over, and return whether there is one.
 
-        With `max_sync_ms`, only a peer whose latest disk sync took at most that long.
+        With `sync_below_ms`, only a peer whose latest disk sync is known and took less than that.
         """
         if self.role is not Role.LEADER:
             return False
@@ -320,7 +320,7 @@
             member
             for member in self._other_members()
             if self._peer(member).match_index >= self.commit_index
-            and (max_sync_ms is None or 0 < self._peer(member).sync_ms <= max_sync_ms)
+            and (sync_below_ms is None or 0 < self._peer(member).sync_ms < sync_below_ms)
         ]
         if not up_to_date:
             return False
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -45,9 +45,10 @@
 
 RAFT_TICK_MS = 50
 NS_PER_MS = 1_000_000
-# A sync takes 4 to 9 ms. After several syncs in a row of at least SLOW_SYNC_MS a leader transfers
-# leadership to a replica whose disk is faster by FASTER_DISK_FACTOR at least. Neither it nor the
-# leader that takes over transfers leadership again before the pause has passed.
+# A sync takes 4 to 9 ms. After several syncs in a row that each took at least SLOW_SYNC_MS and that
+# commits waited for, a leader transfers leadership to a replica whose latest sync took less than
+# 1 / FASTER_DISK_FACTOR of its own. Neither it nor the leader that takes over transfers leadership
+# again before the pause has passed.
 SLOW_SYNC_MS = 60
 SLOW_SYNCS_BEFORE_TRANSFER = 3
 FASTER_DISK_FACTOR = 2
@@ -91,7 +92,8 @@
     def run_timed() -> int:
         started_ns = time.monotonic_ns()
         function(*arguments)
-        return (time.monotonic_ns() - started_ns) // NS_PER_MS
+        # Rounded up, as 0 means that the duration is unknown.
+        return -(-(time.monotonic_ns() - started_ns) // NS_PER_MS)
 
     return await trio.to_thread.run_sync(run_timed)
 
@@ -345,16 +347,20 @@
             self._wake()
 
     def _record_sync(self, batch: list[UnsavedReady], took_ms: int) -> None:
+        commit_index = self.core.commit_index
         for item in batch:
             self.core.mark_durable(item.ready.entries)
+        # Entries that only this replica's copy commits have waited for its disk.
+        delayed_commits = self.core.commit_index > commit_index
         if any(item.ready.hard_state is not None for item in batch):
             self.core.mark_hard_state_durable(took_ms=took_ms)
         self.core.sync_ms = took_ms
-        self._check_sync_time(took_ms)
+        self._check_sync_time(took_ms, delayed_commits=delayed_commits)
 
-    def _check_sync_time(self, took_ms: int) -> None:
-        """Transfer leadership to a replica with a faster disk if this one's has become slow."""
-        self.slow_syncs = self.slow_syncs + 1 if took_ms >= SLOW_SYNC_MS else 0
+    def _check_sync_time(self, took_ms: int, *, delayed_commits: bool) -> None:
+        """Transfer leadership to a replica with a faster disk if commits wait for this one's."""
+        is_slow = took_ms >= SLOW_SYNC_MS and delayed_commits
+        self.slow_syncs = self.slow_syncs + 1 if is_slow else 0
         now_ms = self.clock.now_ms()
         last_transfer_ms = self.last_transfer_ms
         if self.core.took_over:
@@ -366,10 +372,10 @@
             or self.core.role is not Role.LEADER
         ):
             return
-        if self.core.transfer_leadership(max_sync_ms=took_ms // FASTER_DISK_FACTOR):
+        if self.core.transfer_leadership(sync_below_ms=took_ms / FASTER_DISK_FACTOR):
             self.last_transfer_ms = now_ms
             log.bind(took_ms=took_ms, term=self.core.term).warning(
-                "disk is slow, leadership is handed over"
+                "disk is slow and commits wait for it, leadership is handed over"
             )
 
     def address_of(self, replica: str) -> str | None:
