Let a late request to begin or finish an evacuation change nothing

A forwarded request that was delivered after a newer one had been acknowledged was carried out. Each request now has an id and names the data centre's latest request that its replica knew of. The state keeps the latest request and the last 32 ids by data centre. The leader answers a repeat as before without carrying it out, and refuses a request whose sender did not know of the latest, opposite one. If the latest one was carried out before the request arrived at its replica, that replica had only not applied it yet and sends the request once more; else it answers 503.

The decision is made before the command is proposed, because replicas of the build before ignore the id and would carry the command out. Messages without an id are carried out as before.

Failed before (with the code before, and the line of the test removed that sets the new argument): test_an_attempt_that_is_delivered_again_after_a_ newer_request_changes_nothing (with and without a takeover), test_a_message_ that_arrives_only_after_newer_requests_changes_nothing (three orders), and test_the_last_committed_request_of_two_racing_operators_holds, where both operators got 200.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -17,6 +17,7 @@
 from hornbeamreach.tables.control_state import ControlState, KeyRow
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.workload import (
+    EvacuationRequests,
     LapsedRun,
     MaintenanceWave,
     RunEnd,
@@ -29,6 +30,8 @@
 )
 
 GIVING_UP_POLICY = "solo"
+# A repeat arrives within seconds of its request, and operators send few requests in that time.
+MAX_EVACUATION_REQUEST_IDS = 32
 
 
 @wire_type("apply_declaration")
@@ -130,10 +133,16 @@
 @wire_type("begin_evacuation")
 @define(frozen=True, kw_only=True)
 class BeginEvacuation:
-    """Let nothing start in a data centre any more, unless that is so already."""
+    """Let nothing start in a data centre any more, unless that is so already.
+
+    The leader proposes no late request or repeat, as replicas of earlier builds, which ignore
+    `request_id`, would carry it out.
+    """
 
     data_center: str
     at_ms: int
+    # Id of the request; empty if its sender gave none.
+    request_id: str = ""
 
 
 @wire_type("end_evacuation")
@@ -143,6 +152,8 @@
 
     data_center: str
     at_ms: int
+    # Id of the request; empty if its sender gave none.
+    request_id: str = ""
 
 
 def _accepted(state: ControlState) -> Outcome:
@@ -386,6 +397,7 @@
 def _apply_begin_evacuation(state: ControlState, command: BeginEvacuation) -> Outcome:
     state.workload.evacuated.setdefault(command.data_center, command.at_ms)
     state.workload.restored.pop(command.data_center, None)
+    _record_evacuation_request(state, command, begins=True)
     return _accepted(state)
 
 
@@ -394,9 +406,25 @@
     workload = state.workload
     if workload.evacuated.pop(command.data_center, None) is not None:
         workload.restored[command.data_center] = command.at_ms
+    _record_evacuation_request(state, command, begins=False)
     return _accepted(state)
 
 
+def _record_evacuation_request(
+    state: ControlState, command: BeginEvacuation | EndEvacuation, *, begins: bool
+) -> None:
+    """Record a request that was carried out, by which later ones are found to be late."""
+    requests = state.workload.evacuation_requests
+    known = requests.get(command.data_center, EvacuationRequests())
+    added = (command.request_id,) if command.request_id else ()
+    requests[command.data_center] = EvacuationRequests(
+        # The clock of a new leader may be behind that of the leader before.
+        latest_ms=max(command.at_ms, known.latest_ms + 1),
+        begins=begins,
+        request_ids=(*known.request_ids, *added)[-MAX_EVACUATION_REQUEST_IDS:],
+    )
+
+
 WORKLOAD_COMMANDS: tuple[type, ...] = (
     ApplyDeclaration,
     AcceptJob,
--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -7,9 +7,11 @@
 
 from attrs import define, field
 
+from hornbeamreach.control.commands import NoOp
 from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
 from hornbeamreach.exceptions import RefusedError
 from hornbeamreach.fleet.evacuation_room import EvacuationRoom
+from hornbeamreach.fleet.messages import ANY_REQUEST, ChangeEvacuation, EvacuationReply
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.evacuation import (
     Budget,
@@ -21,7 +23,7 @@
 )
 from hornbeamreach.systems.maintenance_wave import is_at_full_speed, unavailable_tasks
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
-from hornbeamreach.tables.workload import parse_task_key
+from hornbeamreach.tables.workload import EvacuationRequests, parse_task_key
 from hornbeamreach.verdict import Reason
 
 if TYPE_CHECKING:
@@ -47,6 +49,8 @@
     # Returns the data centres that settings name.
     known_data_centers: Callable[[], Iterable[str]] = tuple
     policy: EvacuationPolicy = field(factory=lambda: evacuation_policies.get("within_budget"))
+    # When this scheduler carried out the latest request, by data centre.
+    requested_ms: dict[str, int] = field(factory=dict)
     # Long-running tasks stopped here that don't work elsewhere yet: run by job and key.
     moving: dict[tuple[str, str], ReservedRun] = field(factory=dict)
     # What has been logged: evacuated data centres, and why the tasks of a budget are held back.
@@ -59,6 +63,52 @@
 
     # Requests
 
+    async def change(self, message: ChangeEvacuation) -> EvacuationReply:
+        """Carry out a request, unless it is a repeat, late, or names an unknown data centre.
+
+        Raise errors like `is_known` and `StepScheduler.commit`.
+        """
+        data_center, scheduler = message.data_center, self.scheduler
+        if not await self.is_known(data_center):
+            return EvacuationReply(known=False)
+        requests = scheduler.proposed.workload.evacuation_requests.get(
+            data_center, EvacuationRequests()
+        )
+        is_repeat = message.request_id and message.request_id in requests.request_ids
+        is_late = message.after_ms not in (ANY_REQUEST, requests.latest_ms)
+        if is_repeat or (is_late and message.begin is requests.begins):
+            # What was carried out, or asked for the same, may not be committed yet.
+            await scheduler.commit(NoOp())
+            return EvacuationReply(known=True)
+        if is_late:
+            return self._refuse_late(message, requests)
+        self.requested_ms[data_center] = scheduler.clock.now_ms()
+        if message.begin:
+            await self.begin(data_center, message.request_id)
+        else:
+            await self.finish(data_center, message.request_id)
+        return EvacuationReply(known=True)
+
+    def _refuse_late(
+        self, message: ChangeEvacuation, requests: EvacuationRequests
+    ) -> EvacuationReply:
+        scheduler, data_center = self.scheduler, message.data_center
+        # Requests of earlier schedulers were carried out before this one began.
+        requested_ms = self.requested_ms.get(data_center, scheduler.began_ms)
+        age_ms = scheduler.clock.now_ms() - requested_ms
+        log.bind(
+            request=message.request_id,
+            data_center=data_center,
+            begin=message.begin,
+            after_ms=message.after_ms,
+            latest_ms=requests.latest_ms,
+            latest_age_ms=age_ms,
+        ).info("evacuation request changes nothing: its sender doesn't know of the latest one")
+        scheduler.metrics.event("evacuation_request_late")
+        return EvacuationReply(
+            known=True, late=True, latest_ms=requests.latest_ms, latest_age_ms=age_ms
+        )
+
     async def is_known(self, data_center: str) -> bool:
         """Return whether a VM, a minion or a setting names the data centre.
 
@@ -87,21 +137,23 @@
             names.update(vm.data_center for vm in self.inventory.vms.values())
         return bool(data_center) and data_center in names
 
-    async def begin(self, data_center: str) -> None:
+    async def begin(self, data_center: str, request_id: str = "") -> None:
         """Store that a data centre is evacuated; raise errors like `StepScheduler.commit`."""
         scheduler = self.scheduler
         if data_center not in scheduler.proposed.workload.evacuated:
             self._refuse_late_orders(data_center)
             self._drop_tickets(data_center)
         # Proposed without a pause after the orders were looked at, so that none is sent in between.
+        at_ms = scheduler.clock.wall_ms()
         await scheduler.commit(
-            BeginEvacuation(data_center=data_center, at_ms=scheduler.clock.wall_ms())
+            BeginEvacuation(data_center=data_center, at_ms=at_ms, request_id=request_id)
         )
 
-    async def finish(self, data_center: str) -> None:
+    async def finish(self, data_center: str, request_id: str = "") -> None:
         """Store that a data centre is evacuated no longer; raise errors like `begin`."""
         scheduler = self.scheduler
-        command = EndEvacuation(data_center=data_center, at_ms=scheduler.clock.wall_ms())
+        at_ms = scheduler.clock.wall_ms()
+        command = EndEvacuation(data_center=data_center, at_ms=at_ms, request_id=request_id)
         scheduler.notify()
         await scheduler.commit(command)
 
--- a/src/hornbeamreach/fleet/messages.py
+++ b/src/hornbeamreach/fleet/messages.py
@@ -13,6 +13,8 @@
 from hornbeamreach.tables.workload import StepJobSpec
 from hornbeamreach.verdict import Reason
 
+ANY_REQUEST = -1
+
 
 class QueueAction(enum.Enum):
     """Name the action that a queue call requests."""
@@ -156,14 +158,28 @@
 
     data_center: str
     begin: bool
+    # The same for all attempts; empty from senders of earlier builds.
+    request_id: str = ""
+    # Identifies the data centre's latest request that the sender knew of (0: none), so that a
+    # message that is delivered after a newer request has no effect. ANY_REQUEST: carried out
+    # whatever was requested before, as from senders of earlier builds.
+    after_ms: int = ANY_REQUEST
 
 
 @wire_type("evacuation_changed")
 @define(frozen=True, kw_only=True)
 class EvacuationReply:
-    """Acknowledge a committed request, or refuse one that names an unknown data centre."""
+    """Acknowledge a committed request, or refuse one that is late or names an unknown data centre.
+
+    A request is late if its sender did not know of the latest one, which asked for the opposite.
+    """
 
     known: bool
+    late: bool = False
+    # For a late request, the `after_ms` that names the latest one, and how long ago at least that
+    # was carried out.
+    latest_ms: int = 0
+    latest_age_ms: int = 0
 
 
 @wire_type("ask_status")
--- a/src/hornbeamreach/fleet/proposed_state.py
+++ b/src/hornbeamreach/fleet/proposed_state.py
@@ -20,6 +20,7 @@
         machine_orders=dict(workload.machine_orders),
         evacuated=dict(workload.evacuated),
         restored=dict(workload.restored),
+        evacuation_requests=dict(workload.evacuation_requests),
         waves={number: _copy_wave(wave) for number, wave in workload.waves.items()},
     )
 
--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -239,11 +239,4 @@
 
     async def on_change_evacuation(self, message: ChangeEvacuation) -> EvacuationReply:
         """Store that a data centre is evacuated, or that it no longer is."""
-        scheduler = self.current_scheduler()
-        if not await scheduler.evacuations.is_known(message.data_center):
-            return EvacuationReply(known=False)
-        if message.begin:
-            await scheduler.evacuations.begin(message.data_center)
-        else:
-            await scheduler.evacuations.finish(message.data_center)
-        return EvacuationReply(known=True)
+        return await self.current_scheduler().evacuations.change(message)
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -129,7 +129,11 @@
             minion_port.batch_pause_ms = service.relay_pause_ms
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
             app = OperatorApp(
-                settings=current, finder=finder, metrics=metrics, describe=service.describe
+                settings=current,
+                finder=finder,
+                metrics=metrics,
+                describe=service.describe,
+                latest_evacuation_ms=lambda name: replica.state.workload.latest_evacuation_ms(name),
             )
             server = LinkServer(address=current.link_address, secret=secret, handlers=handlers)
             nursery.start_soon(watch_signals, signals, stop, settings)
--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import re
+import uuid
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+import trio
 from attrs import define
 
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.fleet.messages import (
+    ANY_REQUEST,
     ChangeEvacuation,
     DeclareRequest,
     ForwardedReport,
@@ -50,6 +55,8 @@
     metrics: Metrics
     # Returns this replica's status as plain data.
     describe: Callable[[], dict[str, Any]] = dict
+    # Returns what identifies a data centre's latest evacuation request that this replica knows.
+    latest_evacuation_ms: Callable[[str], int] = lambda _: ANY_REQUEST
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -139,7 +146,26 @@
         return 200, {}
 
     async def _change_evacuation(self, data_center: str, *, begin: bool) -> tuple[int, Any]:
-        reply = await self._ask_leader(ChangeEvacuation(data_center=data_center, begin=begin))
+        received_s = trio.current_time()
+        message = ChangeEvacuation(
+            data_center=data_center,
+            begin=begin,
+            request_id=uuid.uuid4().hex,
+            after_ms=self.latest_evacuation_ms(data_center),
+        )
+        reply = await self._ask_leader(message)
+        elapsed_ms = math.ceil((trio.current_time() - received_s) * MS_PER_S)
+        if reply.late and reply.latest_age_ms > elapsed_ms:
+            # The latest request was carried out before this one arrived here, and this replica
+            # had not applied it yet.
+            message = attrs.evolve(message, after_ms=reply.latest_ms)
+            reply = await self._ask_leader(message, max(1, OPERATOR_TIMEOUT_MS - elapsed_ms))
+        if reply.late:
+            # Which of the two was sent first can't be known here; an operator that still wants
+            # this one sends it again.
+            detail = f"an opposite request for {data_center!r} was carried out meanwhile"
+            self.metrics.refused("operator", Reason.CHANGE_PENDING)
+            return HTTP_UNAVAILABLE, {"reason": Reason.CHANGE_PENDING.value, "detail": detail}
         if not reply.known:
             self.metrics.refused("operator", Reason.UNKNOWN_ROW)
             return HTTP_NOT_FOUND, {
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -229,6 +229,18 @@
         return self.finished >= set(self.machines)
 
 
+@define(frozen=True, kw_only=True)
+class EvacuationRequests:
+    """Hold the latest requests to evacuate or restore one data centre that were carried out."""
+
+    # Wall time of the latest one, later than that of any before it. It identifies the request.
+    latest_ms: int = 0
+    # Whether the latest one began the evacuation.
+    begins: bool = False
+    # Ids of the latest ones, to recognize repeats.
+    request_ids: tuple[str, ...] = ()
+
+
 @define(kw_only=True)
 class Workload:
     """Hold the step jobs, the maintenance waves and the declaration in force."""
@@ -246,3 +258,10 @@
     evacuated: dict[str, int] = field(factory=dict)
     # Data centre -> wall time of the latest withdrawal of an evacuation.
     restored: dict[str, int] = field(factory=dict)
+    # Latest requests by data centre, also those that changed nothing.
+    evacuation_requests: dict[str, EvacuationRequests] = field(factory=dict)
+
+    def latest_evacuation_ms(self, data_center: str) -> int:
+        """Return the wall time that identifies the data centre's latest request, 0 without one."""
+        requests = self.evacuation_requests.get(data_center)
+        return requests.latest_ms if requests is not None else 0
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -12,11 +12,14 @@
 
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
-from hornbeamreach.exceptions import RefusedError
+from hornbeamreach.exceptions import PeerTimeoutError, RefusedError
 from hornbeamreach.fleet.messages import ChangeEvacuation
 from hornbeamreach.fleet.ports import UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
-from hornbeamreach.link.leader_finder import NoLeaderError
+from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.platform.operator_app import OperatorApp
+from hornbeamreach.platform.settings import decode_settings
 from hornbeamreach.standins import step_minions
 from hornbeamreach.systems.evacuation import ColdStarts, cold_start_limits, evacuation_policies
 from hornbeamreach.systems.maintenance_wave import is_at_full_speed
@@ -25,7 +28,7 @@
 from hornbeamreach.tables.control_state import ControlState
 
 from . import builders
-from .fakes import run_virtual
+from .fakes import MemoryLink, run_virtual
 from .step_fleet import StepFleet
 from .test_fleet_jobs import run_job_scenario, submit, wait_for_job
 from .test_planner import NOW_MS, make_planner
@@ -259,6 +262,120 @@
         play(scenario)
 
 
+class RecordingLink(MemoryLink):
+    """Record what one replica forwards, and lose it while the link is stalled."""
+
+    stalled = False
+
+    def __init__(self, fleet: EvacuatedFleet, address: str) -> None:
+        super().__init__(fleet.network, address)
+        self.sent: list[ChangeEvacuation] = []
+
+    async def request(self, address, message, *, timeout_ms):
+        self.sent.append(message)
+        if self.stalled:
+            await trio.sleep(timeout_ms / 1_000)
+            raise PeerTimeoutError(address)
+        return await super().request(address, message, timeout_ms=timeout_ms)
+
+
+class Forwarder:
+    """Forward operators' requests as one replica does."""
+
+    def __init__(self, fleet: EvacuatedFleet, address: str) -> None:
+        self.fleet = fleet
+        self.link = RecordingLink(fleet, address)
+        self.app = OperatorApp(
+            settings=decode_settings(builders.platform_settings()),
+            finder=LeaderFinder(link=self.link, clock=fleet.clock, replicas=[*fleet.addresses]),
+            metrics=Metrics(),
+        )
+        replica = fleet.control[address].replica
+        self.app.latest_evacuation_ms = lambda dc: replica.state.workload.latest_evacuation_ms(dc)
+
+    async def ask(self, action: str) -> int:
+        """Send an operator's request and return the status of the response."""
+        with contextlib.suppress(NoLeaderError):
+            return (await self.app._route("POST", f"/evacuation/dc2/{action}", b""))[0]
+        return 503
+
+    async def deliver_late(self, number: int = 0) -> None:
+        """Let a recorded message arrive at the leader now; fail if it changes anything."""
+        scheduler = await self.fleet.wait_for_scheduler()
+        before = dict(scheduler.proposed.workload.evacuated)
+        service = self.fleet.control[await self.fleet.wait_for_leader()].service
+        reply = await service.on_change_evacuation(self.link.sent[number])
+        assert reply.known
+        assert scheduler.proposed.workload.evacuated == before
+
+
+class TestLateRequests:
+    # A message that was delivered after newer requests had been acknowledged was carried out.
+    @pytest.mark.parametrize("takeover", [False, True])
+    def test_an_attempt_that_is_delivered_again_after_a_newer_request_changes_nothing(
+        self, takeover
+    ):
+        async def scenario(fleet):
+            first, second = (Forwarder(fleet, address) for address in fleet.addresses[:2])
+            assert await first.ask("begin") == 200
+            assert await second.ask("finish") == 200
+            if takeover:
+                fleet.kill_control(await fleet.wait_for_leader())
+            await first.deliver_late()
+            assert await second.ask("begin") == 200
+            await second.deliver_late()
+
+        play(scenario, load=False)
+
+    @pytest.mark.parametrize("actions", [("begin", "finish"), ("finish", "begin"), ("finish",)])
+    def test_a_message_that_arrives_only_after_newer_requests_changes_nothing(self, actions):
+        # Its id is unknown: the operator sent the request again, through another replica.
+        async def scenario(fleet):
+            stalled, other = (Forwarder(fleet, address) for address in fleet.addresses[:2])
+            if actions[0] == "finish" and len(actions) > 1:
+                assert await other.ask("begin") == 200
+            stalled.link.stalled = True
+            late = "finish" if actions[-1] == "begin" else "begin"
+            assert await stalled.ask(late) == 503
+            for action in actions:
+                assert await other.ask(action) == 200
+            await stalled.deliver_late()
+
+        play(scenario, load=False)
+
+    def test_a_replica_that_is_behind_forwards_requests_at_once(self):
+        # Without the age of the latest request, each request through it would be refused as late.
+        async def scenario(fleet):
+            behind, other = (Forwarder(fleet, address) for address in fleet.addresses[:2])
+            behind.app.latest_evacuation_ms = lambda _: 0
+            assert await other.ask("begin") == 200
+            await trio.sleep(0.02)
+            assert await behind.ask("finish") == 200
+            assert not (await fleet.wait_for_scheduler()).proposed.workload.evacuated
+
+        play(scenario, load=False)
+
+    def test_the_last_committed_request_of_two_racing_operators_holds(self):
+        async def scenario(fleet):
+            statuses = {}
+
+            async def ask(action, address):
+                statuses[action] = await Forwarder(fleet, address).ask(action)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, "begin", fleet.addresses[0])
+                nursery.start_soon(ask, "finish", fleet.addresses[1])
+            await trio.sleep(0.5)
+            evacuated = {
+                "dc2" in p.replica.state.workload.evacuated for p in fleet.control.values()
+            }
+            # The one that didn't know of the other is refused, for its operator to decide again.
+            assert sorted(statuses.values()) == [200, 503]
+            assert evacuated == {statuses["begin"] == 200}
+
+        play(scenario, load=False)
+
+
 class TestState:
     def test_a_repeat_changes_nothing_and_snapshots_keep_the_state(self):
         proposed = ProposedState.of(ControlState())
@@ -269,14 +386,18 @@
             proposed.apply(EndEvacuation(data_center="dc2", at_ms=at_ms))
         workload = decode_state(encode_state(proposed.state)).workload
         assert (workload.evacuated, workload.restored) == ({"dc1": 5}, {"dc2": 11})
+        assert workload.evacuation_requests == proposed.workload.evacuation_requests
+        assert workload.latest_evacuation_ms("dc2") == 12
         copy = ProposedState.of(proposed.state)
         copy.apply(EndEvacuation(data_center="dc1", at_ms=13))
         assert proposed.workload.evacuated == {"dc1": 5}
 
     def test_a_snapshot_of_an_earlier_build_names_no_evacuation(self):
         plain = cbor2.loads(encode_state(ControlState()))
-        del plain["state"]["workload"]["evacuated"], plain["state"]["workload"]["restored"]
-        assert decode_state(cbor2.dumps(plain)).workload.evacuated == {}
+        for name in ("evacuated", "restored", "evacuation_requests"):
+            del plain["state"]["workload"][name]
+        workload = decode_state(cbor2.dumps(plain)).workload
+        assert workload.evacuated == workload.evacuation_requests == {}
 
 
 class TestTasksOfEntries:
