Let more suspects of a crash run alone where minions are empty

Only half of a pool's usable minions gave turns once other work was placed: one of three. A long-running suspect keeps its minion closed for 5 s or more, so it took the only turn while two minions were empty and jobs that crashed only beside a deadly task waited. Now all but a quarter, at least one, give turns in an idle pool. While other work waits, the limits are as before.

A crash beside settled long-running tasks only now counts as evidence against the other job: settled tasks caused no crash.

Failed before: test_all_but_a_quarter_of_an_empty_pool_gives_turns (3, 6 and 8 minions), test_a_long_running_suspect_does_not_take_the_only_turn, and test_a_crash_beside_settled_tasks_only_is_evidence_against_the_job[5000].

--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -198,7 +198,8 @@
         if not present or self._is_explained(report, present[0].born_ms):
             return []
         now_ms = self.scheduler.clock.now_ms()
-        solo = complete and len({run.job_id for run in present}) == 1
+        # Settled runs caused no crash, so one beside them only is evidence against a job alone.
+        solo = complete and len({run.job_id for run in present if not is_settled(run)}) == 1
         marked = []
         for run in present:
             if run.crash is None and not is_settled(run):
--- a/src/hornbeamreach/fleet/suspect_turns.py
+++ b/src/hornbeamreach/fleet/suspect_turns.py
@@ -21,6 +21,7 @@
     least_company,
     max_held,
     max_idle,
+    max_widened,
     minions_needed,
 )
 from hornbeamreach.systems.task_placement import PlacementPolicy, PlacementRequest
@@ -75,7 +76,7 @@
         crashes = self.turns.crashes(request.job_id, request.key)
         if self.waited_ms < SUSPECT_MAX_WAIT_MS or crashes >= MAX_CRASHES_IN_COMPANY:
             return False
-        return self.needed(minions) > max_idle(len(minions)) or not any(
+        return self.needed(minions) > max_widened(len(minions)) or not any(
             becomes_empty(request, minion) for minion in minions
         )
 
@@ -98,12 +99,14 @@
 
     def limit(self, minions: list[Minion]) -> int:
         """Return how many of the minions may be held or exclusive at once."""
-        most = max_idle(len(minions))
+        usable = len(minions)
         if self.waited_ms >= SUSPECT_MAX_WAIT_MS:
-            return len(minions)
-        if self.idle or self.waited_ms >= WIDEN_AFTER_MS:
-            return most
-        return max(max_held(len(minions)), min(most, self.needed(minions)))
+            return usable
+        if self.idle:
+            return max_idle(usable)
+        if self.waited_ms >= WIDEN_AFTER_MS:
+            return max_widened(usable)
+        return max(max_held(usable), min(max_widened(usable), self.needed(minions)))
 
     def needed(self, minions: list[Minion]) -> int:
         """Return how many empty minions the step needs at once."""
--- a/src/hornbeamreach/systems/suspect_isolation.py
+++ b/src/hornbeamreach/systems/suspect_isolation.py
@@ -22,14 +22,16 @@
 SUSPECT_MAX_WAIT_MS = 8_000
 # A task under which this many minions have crashed starts on a minion for itself or not at all.
 MAX_CRASHES_IN_COMPANY = 3
-# A step that waited this long may hold as many minions as there are for suspects in an idle pool.
+# A step that waited this long may hold more minions while other work waits.
 WIDEN_AFTER_MS = 4_000
 # For this long a suspect waits for another minion than those that crashed under it.
 AVOID_CRASHED_MS = 3_000
 # Divisors of a pool's usable minions: how many are held or exclusive for suspects while other work
-# waits, and how many suspects take of those that other work leaves empty.
+# waits, how many for a step that waited, and how many stay open to new work where nothing else
+# waits. With half of an idle pool for suspects, they waited while most of it was empty.
 HELD_DIVISOR = 4
-IDLE_DIVISOR = 2
+WIDENED_DIVISOR = 2
+OPEN_DIVISOR = 4
 # A minion that was held in the last pass is held again unless another is empty this much sooner.
 HOLD_AGAIN_MS = 300
 FULL_PERCENT = 100
@@ -58,9 +60,14 @@
     return max(1, usable // HELD_DIVISOR)
 
 
+def max_widened(usable: int) -> int:
+    """Return how many minions may be held or exclusive for a step that has waited."""
+    return max(1, usable // WIDENED_DIVISOR)
+
+
 def max_idle(usable: int) -> int:
     """Return how many minions may be exclusive once all other work is placed."""
-    return max(1, usable // IDLE_DIVISOR)
+    return max(1, usable - max(1, usable // OPEN_DIVISOR))
 
 
 def minions_needed(step: StepSpec, minions: Iterable[Minion]) -> int:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import attrs
 import cbor2
 import pytest
@@ -10,10 +12,11 @@
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders, RecordRuns
-from hornbeamreach.fleet.crash_recorder import REPLACED
+from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.messages import QueueAction
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.link.codec import decode, encode
+from hornbeamreach.metrics import Metrics
 from hornbeamreach.standins.step_minions import SimulatedRun
 from hornbeamreach.systems.crash_evidence import (
     CLEARED_AFTER_MS,
@@ -483,6 +486,22 @@
 
         run_scenario(scenario, minion_count=1)
 
+    @pytest.mark.parametrize("listed_ms", [SETTLED_MS, SETTLED_MS - 1])
+    def test_a_crash_beside_settled_tasks_only_is_evidence_against_the_job(self, listed_ms):
+        # A task beside long-running ones crashed three minions and more, and was never given up.
+        scheduler = SimpleNamespace(
+            proposed=ProposedState.of(ControlState()),
+            clock=SimpleNamespace(now_ms=lambda: 9_000, wall_ms=lambda: 9_000),
+            metrics=Metrics(),
+        )
+        lasting = builders.run(job_id=job_id(2), lasting=True, last_listed_ms=listed_ms)
+        runs = [lasting, builders.run(job_id=DEADLY_JOB, last_listed_ms=1)]
+        for run in runs:
+            run.ordered = True
+        marked = CrashRecorder(scheduler)._mark(runs, builders.minion(born_ms=2).report)
+        is_settled_beside = listed_ms == SETTLED_MS
+        assert [run.crash.solo for run in marked] == ([True] if is_settled_beside else [False] * 2)
+
     def test_it_is_no_suspect_after_a_change_of_the_leader_either(self):
         async def scenario(fleet: StepFleet) -> None:
             await fleet.submit(job_id(2), step_job(step(1, lasting=True)))
--- a/tests/test_suspect_isolation.py
+++ b/tests/test_suspect_isolation.py
@@ -186,6 +186,30 @@
         assert closed
 
 
+class TestTurnsInIdlePool:
+    # Half of the usable minions gave turns, so suspects waited while most of the pool was empty.
+    @pytest.mark.parametrize(("minions", "turns"), [(1, 1), (2, 1), (3, 2), (6, 5), (8, 6)])
+    def test_all_but_a_quarter_of_an_empty_pool_gives_turns(self, minions, turns):
+        load = SuspectLoad(minion_count=minions)
+        for _ in range(8):
+            load.make_suspect(load.accept(builders.step(estimate_ms=3_000)))
+        load.step()
+        assert sum(bool(m.suspects) for m in load.fleet.minions.values()) == turns
+
+    def test_a_long_running_suspect_does_not_take_the_only_turn(self):
+        # Until it was cleared, after 5 s or more, two of three minions were empty.
+        load = SuspectLoad(minion_count=3)
+        serving = load.accept(lasting())
+        load.make_suspect(serving)
+        load.step()
+        suspects = [load.accept(builders.step(estimate_ms=600)) for _ in range(3)]
+        for suspect in suspects:
+            load.make_suspect(suspect)
+        load.run(5_000, keep_full=False)
+        assert load.minions_of(serving)
+        assert all(load.fleet.job(suspect).ended for suspect in suspects)
+
+
 class TestNoRoomIsLost:
     def test_nothing_is_held_after_a_waiting_suspect_is_cancelled(self):
         load = SuspectLoad(minion_count=2)
