Let a busy leader acknowledge a configuration in time

A declaration waited in three places. At the leader it waited behind planning and polls. And a repeat proposed an empty command and waited for that commit, so while commits took longer than the 900 ms of a call, each repeat timed out as the first call had, although the declaration was in force.

Operators' requests now have connections of their own. While a declaration is under way, a loop that is busy by its own measure sends urgent polls only, moves no VMs and lets a planning pass wait for up to 300 ms. A repeat waits until the declaration is applied.

--- a/src/hornbeamreach/fleet/service.py
+++ b/src/hornbeamreach/fleet/service.py
@@ -12,7 +12,7 @@
 from hornbeamreach.control.commands import NoOp
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.workload_commands import ApplyDeclaration, OrderWave
-from hornbeamreach.exceptions import NotLeaderError
+from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.loop_lag import LoopIdleTime
 from hornbeamreach.fleet.maintenance_waves import MaintenanceWaves
 from hornbeamreach.fleet.messages import (
@@ -39,6 +39,7 @@
 from hornbeamreach.link.interface import ANY_TERM, HandlerTable
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
+from hornbeamreach.verdict import Reason, Verdict
 
 log = part_logger("fleet")
 
@@ -187,8 +188,13 @@
     async def on_declare(self, message: DeclareRequest) -> DeclarationReply:
         """Put a declaration in force, unless one that is at least as new is in force."""
         scheduler = self.current_scheduler()
-        workload = scheduler.proposed.workload
-        if message.version > workload.declared_version:
+        with scheduler.operator_requests.under_way():
+            await self._declare(scheduler, message)
+        committed = self.replica.state.workload
+        return DeclarationReply(version=committed.declared_version, text=b"")
+
+    async def _declare(self, scheduler: StepScheduler, message: DeclareRequest) -> None:
+        if message.version > scheduler.proposed.workload.declared_version:
             command = ApplyDeclaration(
                 version=message.version, text=message.text, table=message.table, keys=message.keys
             )
@@ -199,11 +205,13 @@
                 teams=len(message.table.teams),
             ).info("declaration in force")
             scheduler.on_declaration()
-        else:
-            # That declaration may not be committed yet.
-            await scheduler.commit(NoOp())
-        committed = self.replica.state.workload
-        return DeclarationReply(version=committed.declared_version, text=b"")
+        # A repeat waits for that declaration, not for a commit of its own: while a commit takes
+        # longer than a call, each repeat would time out as the first call did.
+        while message.version > self.replica.state.workload.declared_version:
+            if not scheduler.is_current():
+                detail = "the leader changed before the declaration was committed"
+                raise RefusedError(Reason.NO_LEADER, detail, verdict=Verdict.MAY_HAVE_RUN)
+            await self.replica.wait_for_change()
 
     async def on_read_declaration(self, message: ReadDeclaration) -> DeclarationReply:
         """Return the newest declaration."""
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -23,6 +23,7 @@
 from hornbeamreach.fleet.minion_orders import MinionOrders
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.minion_tracker import MinionTracker
+from hornbeamreach.fleet.operator_requests import OperatorRequests
 from hornbeamreach.fleet.planner import Planner
 from hornbeamreach.fleet.ports import AdmissionPort, MinionPort
 from hornbeamreach.fleet.proposed_state import ProposedState
@@ -95,6 +96,7 @@
         self.loop_lag = LoopLag(clock=clock, metrics=metrics, idle=loop_idle)
         self.overload = overload_policies.get("by_load")
         self.last_effort = Effort()
+        self.operator_requests = OperatorRequests()
         self.orders = MinionOrders(scheduler=self, port=minion_port)
         self.minion_port = minion_port
         self.pollers: dict[str, MinionPoller] = {}
@@ -160,6 +162,9 @@
 
     def effort(self) -> Effort:
         """Return how much optional work the loop has time for."""
+        return self.operator_requests.limit(self._measured_effort())
+
+    def _measured_effort(self) -> Effort:
         return self.overload(self.loop_lag.lag_ms, self.loop_lag.busy_share)
 
     # Proposals
@@ -221,6 +226,7 @@
         while True:
             await self.wake.wait()
             await trio.sleep(seconds(COALESCE_MS))
+            await self.operator_requests.wait_until_served(self._measured_effort())
             self.wake = trio.Event()
             self._plan_slice(begins=True)
             while self.planner.pending and self.is_current():
@@ -385,7 +391,7 @@
             self.notify()
 
     def _log_effort(self) -> None:
-        effort, before = self.effort(), self.last_effort
+        effort, before = self._measured_effort(), self.last_effort
         if effort.urgent_polls_only != before.urgent_polls_only:
             self.last_effort = effort
             self.metrics.event("urgent_polls_only" if effort.urgent_polls_only else "all_polls")
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -128,9 +128,15 @@
             )
             minion_port.batch_pause_ms = service.relay_pause_ms
             finder = LeaderFinder(link=link, clock=clock, replicas=[current.link_address])
+            operator_finder = LeaderFinder(
+                link=WebSocketLink(nursery=nursery, secret=secret),
+                clock=clock,
+                replicas=[current.link_address],
+            )
             app = OperatorApp(
                 settings=current,
                 finder=finder,
+                operator_finder=operator_finder,
                 metrics=metrics,
                 describe=service.describe,
                 latest_evacuation_ms=lambda name: replica.state.workload.latest_evacuation_ms(name),
--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -55,6 +55,9 @@
     metrics: Metrics
     # Returns this replica's status as plain data.
     describe: Callable[[], dict[str, Any]] = dict
+    # Sends operators' requests over connections of its own: on a shared one, a request waits until
+    # the leader has read the minions' reports sent before it. None for `finder`.
+    operator_finder: LeaderFinder | None = None
     # Returns what identifies a data centre's latest evacuation request that this replica knows.
     latest_evacuation_ms: Callable[[str], int] = lambda _: ANY_REQUEST
 
@@ -105,7 +108,9 @@
         return HTTP_NOT_FOUND, {"reason": Reason.UNKNOWN_PATH.value}
 
     async def _ask_leader(self, message: Any, timeout_ms: int = OPERATOR_TIMEOUT_MS) -> Any:
-        return (await self.finder.send_request(message, timeout_ms=timeout_ms)).reply
+        is_report = isinstance(message, ForwardedReport | MinionLeft)
+        finder = self.finder if is_report else self.operator_finder or self.finder
+        return (await finder.send_request(message, timeout_ms=timeout_ms)).reply
 
     async def _handle_heartbeat(self, minion: str, body: bytes) -> tuple[int, Any]:
         report = decode_report(minion, body)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
+from types import SimpleNamespace
+
 import pytest
 import trio
 
 from hornbeamreach.clock import Clock
+from hornbeamreach.exceptions import RefusedError
 from hornbeamreach.fleet.loop_lag import INTERVAL_MS, WINDOW_MS, LoopIdleTime, LoopLag
+from hornbeamreach.fleet.messages import DeclareRequest
 from hornbeamreach.fleet.planner import Planner
+from hornbeamreach.link.leader_finder import NoLeaderError
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.overload import PollState, overload_policies, poll_delay_ms
 
 from . import builders
 from .fakes import run_virtual
 from .step_fleet import StepFleet
+from .test_step_jobs import run_scenario
 
 LEASE_MS = 4_000
 # Processor time of one poll.
@@ -181,3 +188,64 @@
         for index, following in zip(slices, slices[1:], strict=False):
             assert events[index + 1] == "proposed"
             assert "loop" in events[index:following]
+
+
+class TestDeclarations:
+    @pytest.mark.parametrize("seed", range(3))
+    def test_a_repeat_is_acknowledged_while_a_commit_takes_longer_than_a_call(self, seed):
+        """Guards against a repeat that waits for another commit, and times out like the first."""
+
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.wait_for_scheduler()
+            for address in fleet.addresses:
+                fleet.sync_duration_ms[address] = 1_000
+            request = DeclareRequest(version=2, text=b"2", table=fleet.table, keys={})
+            with trio.fail_after(5):
+                while True:
+                    with contextlib.suppress(NoLeaderError, RefusedError):
+                        await fleet.finder.send_request(request, timeout_ms=900)
+                        break
+                    await trio.sleep(0.1)
+            leader = fleet.control[await fleet.wait_for_leader()]
+            assert leader.replica.state.workload.declared_version == 2
+
+        run_scenario(scenario, seed=seed)
+
+    def test_planning_and_polls_of_a_busy_loop_wait_for_a_declaration(self):
+        """Guards against a declaration that is served only after a whole planning pass."""
+
+        async def scenario(fleet: StepFleet) -> None:
+            scheduler = await fleet.wait_for_scheduler()
+            for address in fleet.addresses:
+                fleet.sync_duration_ms[address] = 200
+            passes: list[int] = []
+            plan_slice = scheduler._plan_slice
+
+            def record(*, begins: bool) -> None:
+                passes.append(fleet.clock.now_ms())
+                plan_slice(begins=begins)
+
+            scheduler._plan_slice = record
+            busy = SimpleNamespace(lag_ms=200, busy_share=1.0, run=scheduler.loop_lag.run)
+            scheduler.loop_lag = busy
+            assert not scheduler.effort().urgent_polls_only
+            began_ms = fleet.clock.now_ms()
+
+            async def keep_planning() -> None:
+                while True:
+                    scheduler.notify()
+                    await trio.sleep(0.01)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(keep_planning)
+                nursery.start_soon(fleet.declare, 2)
+                await trio.sleep(0.1)
+                assert scheduler.effort().urgent_polls_only
+                await trio.sleep(2)
+                nursery.cancel_scope.cancel()
+            # A pass may have begun to wait for its changes before the request arrived.
+            assert not [at for at in passes if began_ms + 15 < at < began_ms + 200]
+            assert [at for at in passes if at > began_ms + 500]
+            assert not scheduler.effort().urgent_polls_only
+
+        run_scenario(scenario)
--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -13,10 +13,12 @@
 from websockets.protocol import State
 from websockets.trio.server import serve
 
+from hornbeamreach.clock import Clock
 from hornbeamreach.exceptions import PeerTimeoutError, PeerUnreachableError
 from hornbeamreach.fleet.messages import MinionLeft, ReadWave, ReportReply, WaveState
 from hornbeamreach.link.codec import DecodeError
 from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.leader_finder import LeaderFinder
 from hornbeamreach.link.websocket import (
     NOTIFY,
     REPLY,
@@ -26,6 +28,11 @@
     WebSocketLink,
     decode_frame,
 )
+from hornbeamreach.metrics import Metrics
+from hornbeamreach.platform.operator_app import OperatorApp
+from hornbeamreach.platform.settings import decode_settings
+
+from . import builders
 
 SECRET = "secret"
 MALFORMED_FRAMES = [
@@ -193,3 +200,47 @@
                 await connection.request(ReadWave(number=1), 20)
 
         trio.run(main)
+
+
+class TestOperators:
+    def test_an_operators_request_does_not_wait_behind_reports(self):
+        # On the connection of the reports it was answered after all of them, hundreds of ms later.
+        async def main() -> None:
+            handlers, reports = HandlerTable(), []
+
+            async def on_minion_left(message: MinionLeft) -> ReportReply:
+                reports.append(message)
+                return ReportReply()
+
+            async def on_read_wave(message: ReadWave) -> WaveState:
+                return WaveState(known=True, completed=False)
+
+            handlers.on(MinionLeft, on_minion_left)
+            handlers.on(ReadWave, on_read_wave)
+            async with trio.open_nursery() as nursery:
+                address = await start_server(nursery, handlers)
+                finders = [
+                    LeaderFinder(
+                        link=WebSocketLink(nursery=nursery, secret=SECRET),
+                        clock=Clock(),
+                        replicas=[address],
+                    )
+                    for _ in range(2)
+                ]
+                app = OperatorApp(
+                    settings=decode_settings(builders.platform_settings()),
+                    finder=finders[0],
+                    operator_finder=finders[1],
+                    metrics=Metrics(),
+                )
+                await app._route("GET", "/wave-get/1", b"")
+                await app._route("POST", "/instances/i-1/deregister", b"")
+                for _ in range(500):
+                    nursery.start_soon(app._route, "POST", "/instances/i-1/deregister", b"")
+                while len(reports) < 10:
+                    await trio.sleep(0)
+                assert (await app._route("GET", "/wave-get/1", b""))[0] == 200
+                assert len(reports) < 250
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
