--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -17,6 +17,7 @@
 from hornbeamreach.fleet.loop_lag import LoopIdleTime
 from hornbeamreach.fleet.order_relay import OrderRelay
 from hornbeamreach.fleet.relayed_minion_port import RelayedMinionPort
+from hornbeamreach.fleet.report_forwarder import ReportForwarder
 from hornbeamreach.fleet.service import FleetService
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.leader_finder import LeaderFinder
@@ -138,6 +139,9 @@
                 finder=finder,
                 operator_finder=operator_finder,
                 metrics=metrics,
+                reports=ReportForwarder(
+                    finder=finder, clock=clock, record_here=service.record_report
+                ),
                 describe=service.describe,
                 latest_evacuation_ms=lambda name: replica.state.workload.latest_evacuation_ms(name),
             )
