Keep waiting steps in order between planning passes

With some hundred jobs waiting in full pools, a planning pass described, sorted and summed up all waiting steps and built three objects for each, to start a few tasks; the tick of the VM moves went through all jobs three times.

fleet/waiting_steps now indexes each ready step once, by pool, needs and team, and computes its sort key again only when it becomes late, useless or aged. A pass merges the lists whose needs fit into free room and sets a list aside once its needs find no minion. Shares of teams read each team's list up to its due share. Demand of pools and shortfalls come from the index.

Sums of shares are added up in another order, so they are compared with a tolerance: by its rounding error, a team that is due exactly what it asks for got a step more or less within its share. A pool that begins in a later slice plans what is ready then, and no longer a job that was cancelled since the pass began.

--- a/benches/leader_load.py
+++ b/benches/leader_load.py
@@ -97,7 +97,10 @@
 async def _run_load(fleet: StepFleet, jobs: int, interval_ms: int, rng: random.Random) -> None:
     async def submit(number: int) -> None:
         job_id = f"job-{number}"
-        await fleet.submit(job_id, _job(rng), work_ms=rng.uniform(600, 900))
+        spec, work_ms = _job(rng), rng.uniform(600, 900)
+        while (await fleet.submit(job_id, spec, work_ms=work_ms)).reason is not None:
+            # Refused for load: the job would wait in vain to be completed.
+            await trio.sleep(seconds(1_000))
         with trio.fail_after(JOB_TIMEOUT_S):
             while await fleet.job_state(job_id) != "completed":
                 await trio.sleep(seconds(1_000))
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -6,6 +6,7 @@
 
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.team_shares import TeamShares
+from hornbeamreach.fleet.waiting_steps import WaitingSteps
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
 from hornbeamreach.systems.job_progress import (
     ReadyStep,
@@ -51,6 +52,13 @@
     # Runs reserved on minions that have not reported to this scheduler, by minion and task.
     unattached_runs: dict[str, dict[str, ReservedRun]] = field(factory=dict)
     ready: dict[str, list[ReadyStep]] = field(factory=dict)
+    # Ready jobs are numbered in the order in which they became ready.
+    ready_numbers: dict[str, int] = field(factory=dict)
+    last_ready_number: int = 0
+    # Jobs whose ready steps were computed again since they were indexed in `waiting`.
+    refreshed_jobs: set[str] = field(factory=set)
+    # The ready steps in order; the planner sets the ordering.
+    waiting: WaitingSteps = field(factory=WaitingSteps)
     team_use: TeamResourceUse = field(factory=TeamResourceUse)
     # Use and deficits of teams by pool in this term.
     shares: TeamShares = field(factory=TeamShares)
@@ -250,12 +258,20 @@
                 self.suspect_tasks[job_id] = suspects
             else:
                 self.suspect_tasks.pop(job_id, None)
-            if steps:
-                self.ready[job_id] = steps
-            else:
-                self.ready.pop(job_id, None)
+            self._set_ready(job_id, steps)
+        self.refreshed_jobs |= self.stale_jobs
         self.stale_jobs.clear()
 
+    def _set_ready(self, job_id: str, steps: list[ReadyStep]) -> None:
+        if not steps:
+            self.ready.pop(job_id, None)
+            self.ready_numbers.pop(job_id, None)
+            return
+        if job_id not in self.ready:
+            self.last_ready_number += 1
+            self.ready_numbers[job_id] = self.last_ready_number
+        self.ready[job_id] = steps
+
     def _update_queued_work(self, job_id: str, job: StepJob | None, wall_ms: int) -> None:
         if job is None or job.ended or job.spec.lasting or job.spec.timed:
             self.queued_work.update(job_id, None, wall_ms)
--- a/src/hornbeamreach/fleet/near_waits.py
+++ b/src/hornbeamreach/fleet/near_waits.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 import attrs
 from attrs import define, field
@@ -52,7 +52,8 @@
     """Hold a pool's queue and the estimates for its racks within a planning pass."""
 
     minions: list[Minion] = field(factory=list)
-    queued: Sequence[QueuedStep] = ()
+    # Yields the steps that were queued when the slice began; few decisions need them.
+    queued: Callable[[], Iterable[QueuedStep]] = tuple
     # Needs that fit on no minion of the pool.
     too_large: list[Resources] = field(factory=list)
     forecasts: dict[str, RackForecast] = field(factory=dict)
@@ -75,7 +76,7 @@
         """Sum up what the waiting tasks need that may fit, up to the whole pool."""
         enough = sum(minion.report.capacity.cpu_millis for minion in self.minions)
         total = 0
-        for item in self.queued:
+        for item in self.queued():
             step, job = item.step, item.job
             needs = job.spec.steps[step.step].needs
             if any(needs_too_large.fits_in(needs) for needs_too_large in self.too_large):
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -12,13 +12,15 @@
 from hornbeamreach.fleet.pool_queue import (
     PoolQueue,
     QueuedStep,
-    StepSorter,
-    order_by_share,
-    split_suspects,
+    TriedSteps,
+    largest_room,
+    order_steps,
+    queue_suspects,
     still_ready,
 )
 from hornbeamreach.fleet.step_start import PoolPlan, StepStarter
 from hornbeamreach.fleet.suspect_turns import SuspectTurns
+from hornbeamreach.fleet.waiting_steps import PoolSteps, WaitingSteps
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.systems.evacuation import ColdStarts, recently_restored
 from hornbeamreach.systems.task_order import OrderingPolicy, ordering_policies
@@ -29,6 +31,7 @@
     usable_minions,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun
+from hornbeamreach.tables.resources import Resources
 
 # Limits one log append to about 100 KB of entries.
 MAX_STARTS_PER_PLAN = 400
@@ -54,7 +57,6 @@
     missing_tickets: set[tuple[str, int, int]] = field(factory=set)
     # Pools that the present pass has still to plan.
     pending: dict[str, PoolQueue] = field(factory=dict)
-    sorter: StepSorter = field(init=False)
     starter: StepStarter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -62,7 +64,7 @@
         self.near_waits = NearWaits(
             fleet=self.fleet, remote_factor=self.remote_factor, metrics=self.metrics
         )
-        self.sorter = StepSorter(ordering=self.ordering)
+        self.fleet.waiting = WaitingSteps(ordering=self.ordering)
         self.starter = self._new_starter(ColdStarts())
 
     def _new_starter(self, cold_starts: ColdStarts) -> StepStarter:
@@ -90,20 +92,12 @@
         self.starter = self._new_starter(ColdStarts(restored=restored))
         self.near_waits.begin_pass(now_ms, wall_ms)
         changed = fleet.take_changed_pools()
-        self.pending = {}
-        for job_id, steps in fleet.ready.items():
-            job = fleet.job(job_id)
-            if job is None:
-                continue
-            pool = fleet.pool_of(job)
-            if changed is not None and pool not in changed:
-                continue
-            queue = self.pending.get(pool)
-            if queue is None:
-                queue = self.pending[pool] = PoolQueue()
-            queue.ready.append((job, steps))
-        if changed is None:
-            self.sorter.forget_others(fleet.ready)
+        fleet.waiting.update(fleet, wall_ms)
+        self.pending = {
+            pool: PoolQueue()
+            for pool in fleet.waiting.pools_in_order()
+            if changed is None or pool in changed
+        }
 
     def plan_slice(
         self, now_ms: int, wall_ms: int, is_over: Callable[[], bool] = _never
@@ -114,6 +108,7 @@
         """
         fleet = self.fleet
         fleet.refresh_ready(wall_ms)
+        fleet.waiting.update(fleet, wall_ms)
         evacuated = fleet.proposed.workload.evacuated
         members: dict[str, list[Minion]] = {pool: [] for pool in self.pending}
         for minion in fleet.minions.values():
@@ -124,13 +119,12 @@
             row = fleet.proposed.state.table.pools.get(pool)
             if not queue.began:
                 self.turns.release_pool(members[pool])
-                queue.wall_ms = wall_ms
             usable = [
                 minion
                 for minion in usable_minions(members[pool], now_ms, evacuated=evacuated)
                 if may_rely_on_capacity(minion, row, now_ms)
             ]
-            plan = PoolPlan(pool=pool, members=members[pool], minions=usable)
+            plan = PoolPlan(pool=pool, members=members[pool], minions=usable, candidates=usable)
             if usable and not self._plan_pool(plan, queue, starts, now_ms, is_over):
                 break
             del self.pending[pool]
@@ -152,29 +146,19 @@
         """
         usable = plan.minions
         resumed = queue.began
-        if not queue.began:
-            queue.began = True
-            queued, blocked = self.sorter.sort(self.fleet, queue, usable)
-            queue.suspects, queue.others = split_suspects(self.fleet, queued, usable)
-            if queue.suspects:
-                self.turns.begin_pool(usable)
-                self._start_suspects(plan, queue.suspects, starts, now_ms)
+        if not resumed:
+            self._begin_pool(plan, queue, starts, now_ms)
         held = self.fleet.held_minions
-        plan.minions = [m for m in usable if m.minion_id not in held] if held else usable
+        if held:
+            plan.minions = [m for m in usable if m.minion_id not in held]
+        least = queue.least_cpu_millis
+        plan.candidates = [
+            m for m in plan.minions if m.report.capacity.cpu_millis - m.used.cpu_millis >= least
+        ]
         plan.suspect_jobs = {job_id for minion in usable for job_id in minion.suspects}
-        if not resumed and queue.others:
-            order_by_share(
-                self.fleet,
-                queue,
-                blocked,
-                pool=plan.pool,
-                members=plan.members,
-                usable=plan.minions,
-                now_ms=now_ms,
-            )
         if not self._start_in_order(plan, queue, starts, now_ms, is_over, resumed=resumed):
             return False
-        plan.minions = usable
+        plan.minions = plan.candidates = usable
         if queue.suspects and not all(minion.runs for minion in usable):
             self.turns.begin_pool(usable)
             self._start_suspects(plan, queue.suspects, starts, now_ms, idle=True)
@@ -182,6 +166,31 @@
             self.fleet.shares.finish(plan.pool)
         return True
 
+    def _begin_pool(
+        self, plan: PoolPlan, queue: PoolQueue, starts: list[ReservedRun], now_ms: int
+    ) -> None:
+        """Start suspects, and queue the other steps."""
+        queue.began = True
+        usable = plan.minions
+        # Jobs may have ended since the pass began.
+        steps = self.fleet.waiting.pools.get(plan.pool) or PoolSteps()
+        tried = TriedSteps.of(steps, largest_room(usable))
+        queue.suspects = queue_suspects(steps, usable)
+        if queue.suspects:
+            self.turns.begin_pool(usable)
+            self._start_suspects(plan, queue.suspects, starts, now_ms)
+        held = self.fleet.held_minions
+        order_steps(
+            self.fleet,
+            queue,
+            steps,
+            tried,
+            pool=plan.pool,
+            members=plan.members,
+            usable=[m for m in usable if m.minion_id not in held] if held else usable,
+            now_ms=now_ms,
+        )
+
     def _start_in_order(
         self,
         plan: PoolPlan,
@@ -193,19 +202,16 @@
         resumed: bool,
     ) -> bool:
         """Start the queue's steps in their order; return whether all were tried."""
+        order = queue.others
         plan.racks = PoolRacks(
-            minions=plan.minions, queued=queue.others[queue.position :], too_large=plan.too_large
+            minions=plan.minions, queued=order.all_of_slice, too_large=plan.too_large
         )
-        borrowing: PoolPlan | None = None
-        while queue.position < len(queue.others):
-            if len(starts) >= MAX_STARTS_PER_PLAN:
-                return False
-            item = queue.others[queue.position]
-            queue.position += 1
-            used_plan = plan
-            if item.borrowed:
-                borrowing = borrowing or _without_kept(plan, queue)
-                used_plan = borrowing
+        turns = PoolTurns(plan=plan, queue=queue)
+        while len(starts) < MAX_STARTS_PER_PLAN:
+            item = order.pop(turns.is_hopeless)
+            if item is None:
+                return True
+            used_plan = turns.plan_for(item.borrowed)
             spec = item.spec
             needs = spec.needs
             may_share = item.job.job_id in plan.suspect_jobs
@@ -219,9 +225,12 @@
                         queue.passed_over.setdefault(item.job.team, needed)
             if not item.borrowed and not spec.gang and plan.is_known_not_to_fit(needs):
                 queue.passed_over.setdefault(item.job.team, needs)
-            if is_over() and queue.position < len(queue.others):
-                return False
-        return True
+            if is_over():
+                break
+        if not order.has_more():
+            return True
+        order.end_slice()
+        return False
 
     def _start_suspects(
         self,
@@ -243,11 +252,31 @@
             starts += found
 
 
-def _without_kept(plan: PoolPlan, queue: PoolQueue) -> PoolPlan:
-    """Return the plan for borrowers, without the minions kept for steps passed over."""
-    kept = queue.minions_to_keep(plan.minions)
-    return attrs.evolve(
-        plan,
-        minions=[m for m in plan.minions if m.minion_id not in kept],
-        too_large=list(plan.too_large),
-    )
+@define(kw_only=True, eq=False)
+class PoolTurns:
+    """Hold the plans by which a slice starts the steps of a pool."""
+
+    plan: PoolPlan
+    queue: PoolQueue
+    # The plan for what teams borrow, without the minions kept for steps that were passed over. It
+    # is made when the first such step has its turn.
+    borrowing: PoolPlan | None = None
+
+    def plan_for(self, borrowed: bool) -> PoolPlan:
+        """Return the plan for a step."""
+        if not borrowed:
+            return self.plan
+        if self.borrowing is None:
+            kept = self.queue.minions_to_keep(self.plan.minions)
+            self.borrowing = attrs.evolve(
+                self.plan,
+                minions=[m for m in self.plan.minions if m.minion_id not in kept],
+                candidates=[m for m in self.plan.candidates if m.minion_id not in kept],
+                too_large=list(self.plan.too_large),
+            )
+        return self.borrowing
+
+    def is_hopeless(self, needs: Resources, borrowed: bool) -> bool:
+        """Return whether all steps with these needs surely find no minion in this slice."""
+        # Beside a suspect of its own job a step may find room that others don't.
+        return not self.plan.suspect_jobs and self.plan_for(borrowed).is_known_not_to_fit(needs)
--- a/src/hornbeamreach/fleet/pool_needs.py
+++ b/src/hornbeamreach/fleet/pool_needs.py
@@ -7,7 +7,6 @@
 from attrs import define
 
 from hornbeamreach.fleet.fleet_state import FleetState
-from hornbeamreach.systems.job_progress import USEFUL_DURATION_FACTOR, objective_ms
 from hornbeamreach.tables.minions import Minion
 from hornbeamreach.tables.workload import StepJob
 
@@ -24,9 +23,10 @@
 def running_cpu(fleet: FleetState) -> dict[str, int]:
     """Sum the CPU that is not free for other jobs by pool, in 1/1000 cores."""
     running: dict[str, int] = {}
+    evacuated = fleet.proposed.workload.evacuated
     for minion in fleet.minions.values():
         pool = minion.report.pool
-        if minion.report.data_center in fleet.proposed.workload.evacuated:
+        if minion.report.data_center in evacuated:
             # Its runs end or move, and what moves waits in the pool's queue then.
             continue
         is_closed = minion.suspects or minion.minion_id in fleet.held_minions
@@ -62,29 +62,41 @@
 
 def queued_cpu(fleet: FleetState, wall_ms: int) -> dict[str, QueuedCpu]:
     """Sum the CPU of tasks that may start by pool."""
+    fleet.waiting.update(fleet, wall_ms)
     queued: dict[str, QueuedCpu] = {}
-    queues = fleet.proposed.state.table.queues
-    for job_id, steps in fleet.ready.items():
-        job = fleet.job(job_id)
-        if job is None:
-            continue
-        sums = queued.setdefault(fleet.pool_of(job), QueuedCpu())
-        target_ms = objective_ms(job.spec, queues.get(job.queue))
+    for pool, steps in fleet.waiting.pools.items():
+        sums = queued[pool] = QueuedCpu()
         for step in steps:
-            spec = job.spec.steps[step.step]
-            amount = spec.needs.cpu_millis * len(step.indexes)
-            since_ms = job.spec.due_ms(step.occurrence) if job.spec.timed else job.accepted_ms
-            sums.total += amount
-            if not spec.lasting and wall_ms - since_ms > USEFUL_DURATION_FACTOR * target_ms:
-                sums.late += amount
+            cpu_millis = step.needs.cpu_millis * step.tasks
+            sums.total += cpu_millis
+            if step.useful_until_ms < wall_ms:
+                sums.late += cpu_millis
     return queued
 
 
+def pools_with_tasks_in_need(fleet: FleetState, wall_ms: int) -> set[str]:
+    """Return the pools in which long-running tasks or suspects of a crash may start.
+
+    A suspect needs a minion without other jobs, which its pool may not have.
+    """
+    waiting = fleet.waiting
+    waiting.update(fleet, wall_ms)
+    found = {
+        pool
+        for pool, steps in waiting.pools.items()
+        if any(team.lasting for team in steps.teams.values())
+    }
+    return found | {
+        waiting.jobs[job_id].pool for job_id in fleet.suspect_tasks if job_id in waiting.jobs
+    }
+
+
 def lasting_needs(fleet: FleetState) -> dict[str, LastingNeeds]:
     """Return what unended long-running jobs need by pool."""
     needs: dict[str, LastingNeeds] = {}
     for job in fleet.proposed.workload.jobs.values():
-        if not job.ended and job.spec.lasting:
+        # Few jobs last, so this is the first question for each of them.
+        if job.spec.lasting and not job.ended:
             pool_needs = needs.setdefault(fleet.pool_of(job), LastingNeeds())
             pool_needs.cpu_millis += sum(s.count * s.needs.cpu_millis for s in job.spec.steps)
             pool_needs.minions = max(pool_needs.minions, _distinct_minions(job))
--- a/src/hornbeamreach/fleet/step_start.py
+++ b/src/hornbeamreach/fleet/step_start.py
@@ -25,6 +25,8 @@
     # All minions of the pool, and those that starts may use.
     members: list[Minion]
     minions: list[Minion]
+    # Those of them that have room for the smallest task of the queue; all while suspects start.
+    candidates: list[Minion]
     # Needs that fit on no minion of the pool; further starts only reduce the free capacity.
     too_large: list[Resources] = field(factory=list)
     # Jobs with suspects in the pool: they may find room that other jobs don't.
@@ -83,10 +85,11 @@
                 step=spec,
                 needs=needs,
                 siblings=siblings,
-                racks=self._racks_of(siblings),
+                # Other placements don't depend on them.
+                racks=self._racks_of(siblings) if spec.same_rack else frozenset(),
                 admitted=admitted,
                 avoided=frozenset((*failed_on, *crashed_on)),
-                avoided_racks=self._racks_of(crashed_on),
+                avoided_racks=self._racks_of(crashed_on) if crashed_on else frozenset(),
                 job_id=job.job_id,
                 key=key,
                 suspect=suspect,
@@ -140,7 +143,7 @@
         fleet, key = self.fleet, request.key
         minion = near.same_minion(request) if near is not None else None
         if minion is None:
-            minion = placement(request, self.cold_starts.candidates(plan.minions))
+            minion = placement(request, self.cold_starts.candidates(plan.candidates))
         if minion is None:
             if not request.constrained:
                 plan.too_large.append(request.needs)
--- a/src/hornbeamreach/fleet/team_shares.py
+++ b/src/hornbeamreach/fleet/team_shares.py
@@ -15,15 +15,15 @@
     team_weights,
 )
 from hornbeamreach.systems.share_order import (
+    Request,
     ShareOrder,
-    ShareRequest,
     TeamDemand,
-    Turn,
+    TeamRequests,
+    WithinDue,
     due_shares,
     exceeds,
     share_orders,
 )
-from hornbeamreach.systems.task_order import Standing
 from hornbeamreach.tables.declared import TeamRow
 from hornbeamreach.tables.minions import Minion, ReservedRun
 from hornbeamreach.tables.resources import NO_RESOURCES, Resources
@@ -112,23 +112,28 @@
         pool: str,
         members: Iterable[Minion],
         usable: Sequence[Minion],
-        requests: Sequence[ShareRequest],
+        teams: Mapping[str, TeamRequests[Request]],
+        waiting: Resources,
         rows: Mapping[str, TeamRow],
-    ) -> list[Turn] | None:
-        """Return the turns of a pool's waiting steps; None if the pool isn't full.
+    ) -> dict[str, WithinDue[Request]] | None:
+        """Return the requests within each team's due share; None if the order stays as it is.
 
-        The requests come in the order of the task ordering. Call it after `begin`; the pass ends
-        with `finish`.
+        `waiting` is what all requests need together. Call it after `begin`. If the pool is full,
+        it has due shares, and the pass ends with `finish`.
         """
         shares = self.pools[pool]
         shares.set_total(members, usable)
-        demands = _team_demands(shares, requests)
-        if not _is_full(shares, requests):
+        if not exceeds([waiting, *shares.usage.by_team.values()], shares.usage.total):
             shares.usage.deficits.clear()
             return None
+        demands = _team_demands(shares, teams)
         shares.weights = team_weights(rows, demands)
         shares.due, shares.waiting = due_shares(shares.weights, demands)
-        return self.policy(requests, shares.usage, shares.due)
+        return self.policy(teams, shares.usage, shares.due)
+
+    def is_full(self, pool: str) -> bool:
+        """Return whether a pool is divided by shares in the present pass."""
+        return bool(self.pools[pool].due)
 
     def finish(self, pool: str) -> None:
         """Note the shares that a pool's teams hold after a pass."""
@@ -155,7 +160,9 @@
                 )
 
 
-def _team_demands(shares: PoolShares, requests: Sequence[ShareRequest]) -> dict[str, TeamDemand]:
+def _team_demands(
+    shares: PoolShares, teams: Mapping[str, TeamRequests[Request]]
+) -> dict[str, TeamDemand]:
     """Return what each team of a pool uses and waits for."""
     demands = {
         team: TeamDemand(
@@ -163,23 +170,13 @@
         )
         for team in shares.usage.by_team
     }
-    for request in requests:
-        demand = demands.get(request.team)
+    for team, requests in teams.items():
+        demand = demands.get(team)
         if demand is None:
-            demand = demands[request.team] = TeamDemand()
-        share = request.needs.dominant_fraction(shares.usage.total) * request.tasks
-        demand.waiting += share
-        if request.standing is not Standing.USELESS:
-            demand.useful += share
+            demand = demands[team] = TeamDemand()
+        for (needs, is_useful), tasks in requests.tasks.items():
+            share = needs.dominant_fraction(shares.usage.total) * tasks
+            demand.waiting += share
+            if is_useful:
+                demand.useful += share
     return demands
-
-
-def _is_full(shares: PoolShares, requests: Sequence[ShareRequest]) -> bool:
-    """Return whether a pool's teams use and wait for more than the pool has."""
-    cpu_millis = memory_mb = accelerators = 0
-    for request in requests:
-        cpu_millis += request.needs.cpu_millis * request.tasks
-        memory_mb += request.needs.memory_mb * request.tasks
-        accelerators += request.needs.accelerators * request.tasks
-    waiting = Resources(cpu_millis=cpu_millis, memory_mb=memory_mb, accelerators=accelerators)
-    return exceeds([waiting, *shares.usage.by_team.values()], shares.usage.total)
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -14,6 +14,7 @@
 from hornbeamreach.fleet.pool_needs import (
     largest_minions,
     lasting_needs,
+    pools_with_tasks_in_need,
     queued_cpu,
     running_cpu,
 )
@@ -295,16 +296,8 @@
 
     def _pools_with_shortfall(self, now_ms: int) -> set[str]:
         """Return the pools with a long-running task or a suspect queued for `SHORTFALL_MS`."""
-        fleet = self.scheduler.fleet
-        queued = set()
-        for job_id, steps in fleet.ready.items():
-            job = fleet.job(job_id)
-            if job is None:
-                continue
-            is_lasting = any(job.spec.steps[step.step].lasting for step in steps)
-            # A suspect needs a minion without other jobs, which its pool may not have.
-            if is_lasting or job_id in fleet.suspect_tasks:
-                queued.add(fleet.pool_of(job))
+        wall_ms = self.scheduler.clock.wall_ms()
+        queued = pools_with_tasks_in_need(self.scheduler.fleet, wall_ms)
         self.shortfall_since_ms = {
             pool: self.shortfall_since_ms.get(pool, now_ms) for pool in queued
         }
--- a/src/hornbeamreach/systems/job_progress.py
+++ b/src/hornbeamreach/systems/job_progress.py
@@ -79,11 +79,7 @@
 
 def critical_path_ms(spec: StepJobSpec) -> int:
     """Return the estimated length of the longest chain of dependent steps, in ms."""
-    lengths: list[int] = []
-    for step in spec.steps:
-        before = max((lengths[number] for number in step.after), default=0)
-        lengths.append(before + step.estimate_ms)
-    return max(lengths, default=0)
+    return spec.critical_path_ms
 
 
 def remaining_critical_path_ms(job: StepJob, occurrence: int) -> int:
@@ -98,7 +94,7 @@
 
 def work_core_ms(spec: StepJobSpec) -> int:
     """Return the estimated processor time of one occurrence, in core ms."""
-    return sum(step.count * step.cpu_millis * step.estimate_ms // 1_000 for step in spec.steps)
+    return spec.work_core_ms
 
 
 def queued_since_ms(job: StepJob, occurrence: int) -> int:
--- a/src/hornbeamreach/systems/share_order.py
+++ b/src/hornbeamreach/systems/share_order.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, Generic, TypeVar
 
-from attrs import define
+from attrs import define, field
 
 from hornbeamreach.registry import Registry
 from hornbeamreach.systems.fair_share import TeamUsage, max_min_shares
@@ -21,9 +22,12 @@
 # At most this fraction of a pool's minions is kept for steps that were passed over, as what they
 # keep free does no work meanwhile.
 MAX_KEPT_FRACTION = 0.1
+# Shares are sums of floats, so their last digits depend on the order of the terms. Less room than
+# this is none: otherwise the rounding error let a whole step begin within its team's share.
+ROUNDING = 1e-9
 
 
-@define(kw_only=True)
+@define(kw_only=True, eq=False)
 class ShareRequest:
     """Hold what a waiting step asks of its team's share."""
 
@@ -36,68 +40,95 @@
     gang: bool = False
 
 
-@define
-class Turn:
-    """Let the tasks from `first` to before `end` of a request take their turn."""
+Request = TypeVar("Request", bound=ShareRequest)
+
+
+@define(kw_only=True, eq=False)
+class TeamRequests(Generic[Request]):
+    """Hold what a team's waiting steps ask for, in the order of the task ordering."""
+
+    requests: Iterable[Request] = field(factory=list)
+    # Number of its long-running steps.
+    lasting: int = 0
+    # Number of tasks by their needs, and whether they are still of use to their callers.
+    tasks: dict[tuple[Resources, bool], int] = field(factory=dict)
 
-    position: int
-    first: int
-    end: int
-    # They start beyond what their team is due, in capacity that others leave free.
-    borrowed: bool = False
+    def count(self, request: Request, tasks: int) -> None:
+        """Count a request's tasks; a negative number takes them back."""
+        name = (request.needs, request.standing is not Standing.USELESS)
+        left = self.tasks.get(name, 0) + tasks
+        if left:
+            self.tasks[name] = left
+        else:
+            del self.tasks[name]
+        if request.standing is Standing.LASTING:
+            self.lasting += 1 if tasks > 0 else -1
 
 
-# Takes the requests in the order of the task ordering, with the due shares of all their teams.
-ShareOrder = Callable[[Sequence[ShareRequest], TeamUsage, Mapping[str, float]], list[Turn]]
+# Requests of one team that begin within its due share, with the number of tasks that do.
+WithinDue = list[tuple[Request, int]]
+# Takes the requests of each team with the due shares of all teams. Returns for each team which
+# requests take their turn first; None if the order stays as it is.
+ShareOrder = Callable[
+    [Mapping[str, TeamRequests[Any]], TeamUsage, Mapping[str, float]],
+    "dict[str, WithinDue[Any]] | None",
+]
 share_orders: Registry[ShareOrder] = Registry("share order")
 
 
 @share_orders.register("by_urgency")
 def by_urgency(
-    requests: Sequence[ShareRequest], usage: TeamUsage, due: Mapping[str, float]
-) -> list[Turn]:
+    teams: Mapping[str, TeamRequests[Request]], usage: TeamUsage, due: Mapping[str, float]
+) -> dict[str, WithinDue[Request]] | None:
     """Keep the order of the steps whatever their teams are due, as a baseline."""
-    return [Turn(position, 0, request.tasks) for position, request in enumerate(requests)]
+    return None
 
 
 @share_orders.register("due_first")
 def due_first(
-    requests: Sequence[ShareRequest], usage: TeamUsage, due: Mapping[str, float]
-) -> list[Turn]:
+    teams: Mapping[str, TeamRequests[Request]], usage: TeamUsage, due: Mapping[str, float]
+) -> dict[str, WithinDue[Request]] | None:
     """Put useful steps within their team's due share first, then what teams borrow.
 
     Long-running steps stay first. Work of no more use comes last, since it helps no caller. A
     step that reaches beyond its team's share is divided there, unless it is a gang.
     """
-    shares: dict[str, float] = {}
-    # Two lists for each standing: within the team's due share, and beyond it.
-    within_due: list[list[Turn]] = [[] for _ in Standing]
-    beyond_due: list[list[Turn]] = [[] for _ in Standing]
-    for position, request in enumerate(requests):
-        team = request.team
-        share = shares.get(team)
-        if share is None:
-            share = usage.deficit_adjusted_share(team)
-        each = request.needs.dominant_fraction(usage.total)
-        within = _tasks_within(request, due.get(team, 0.0) - share, each)
-        shares[team] = share + within * each
+    return {
+        team: _within_due(
+            requests, due.get(team, 0.0), usage.deficit_adjusted_share(team), usage.total
+        )
+        for team, requests in teams.items()
+    }
+
+
+def _within_due(
+    team: TeamRequests[Request], due: float, share: float, total: Resources
+) -> WithinDue[Request]:
+    """Return the team's first requests, up to its due share; a long queue is not read further."""
+    found: WithinDue[Request] = []
+    lasting_left = team.lasting
+    for request in team.requests:
+        if due - share <= ROUNDING and not lasting_left:
+            break
+        each = request.needs.dominant_fraction(total)
+        within = _tasks_within(request, due - share, each)
+        share += within * each
         if within:
-            within_due[request.standing].append(Turn(position, 0, within))
-        if within < request.tasks:
-            turn = Turn(position, within, request.tasks, borrowed=True)
-            beyond_due[request.standing].append(turn)
-    return [turn for s in Standing for turn in (*within_due[s], *beyond_due[s])]
+            found.append((request, within))
+        if request.standing is Standing.LASTING:
+            lasting_left -= 1
+    return found
 
 
 def _tasks_within(request: ShareRequest, room: float, each: float) -> int:
     """Return how many tasks of a step begin before its team's room is used up."""
     if request.standing is Standing.LASTING:
         return request.tasks
-    if room <= 0:
+    if room <= ROUNDING:
         return 0
     if request.gang or each * request.tasks <= room:
         return request.tasks
-    return min(request.tasks, math.ceil(room / each))
+    return min(request.tasks, math.ceil((room - ROUNDING) / each))
 
 
 @define(kw_only=True)
@@ -123,7 +154,7 @@
     wanted = {team: demand.used + demand.useful for team, demand in demands.items()}
     due = max_min_shares(weights, wanted, kept)
     waiting = {team for team, demand in demands.items() if demand.useful}
-    if sum(due.values()) < 1.0:
+    if sum(due.values()) < 1.0 - ROUNDING:
         wanted = {team: demand.used + demand.waiting for team, demand in demands.items()}
         due = max_min_shares(weights, wanted, due)
         waiting = {team for team, demand in demands.items() if demand.waiting}
--- a/src/hornbeamreach/systems/task_order.py
+++ b/src/hornbeamreach/systems/task_order.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable
 
 from attrs import define
@@ -30,6 +31,8 @@
     waited_ms: int
     # Estimated processor time of one occurrence of the job, in core ms.
     work_core_ms: int
+    # Wall time as at which the times above are described.
+    at_ms: int = 0
 
 
 class Standing(enum.IntEnum):
@@ -49,6 +52,8 @@
     return Standing.USEFUL if is_useful else Standing.USELESS
 
 
+# Returns a sort key. Keys of steps that are described as at different times can be compared: a time
+# in a key is a wall time, so that it doesn't change while time passes.
 OrderingPolicy = Callable[[PendingStep], tuple]
 ordering_policies: Registry[OrderingPolicy] = Registry("task order")
 
@@ -57,10 +62,20 @@
 AGEING_MS = 16_000
 
 
+def changes_at_ms(step: PendingStep) -> float:
+    """Return the wall time from which the step's sort key or its standing may be another one."""
+    if step.lasting:
+        return math.inf
+    left_ms = [time_ms + 1 for time_ms in (step.slack_ms, step.useful_ms) if time_ms >= 0]
+    if step.waited_ms < AGEING_MS:
+        left_ms.append(AGEING_MS - step.waited_ms)
+    return step.at_ms + min(left_ms, default=math.inf)
+
+
 @ordering_policies.register("first_come")
 def first_come(step: PendingStep) -> tuple:
     """Order by waiting time alone, as a baseline."""
-    return (-step.waited_ms,)
+    return (step.at_ms - step.waited_ms,)
 
 
 @ordering_policies.register("begun_then_oldest")
@@ -70,9 +85,9 @@
     Late jobs wait until demand falls: begun jobs first, then aged ones, then the least work.
     """
     if step.lasting:
-        return (0, int(step.filler), -step.waited_ms)
+        return (0, int(step.filler), step.at_ms - step.waited_ms)
     if step.slack_ms >= 0:
-        return (1, step.rank, int(not step.begun), -step.waited_ms)
+        return (1, step.rank, int(not step.begun), step.at_ms - step.waited_ms)
     aged = step.waited_ms >= AGEING_MS
     return (2, int(not step.begun), int(not aged), step.work_core_ms)
 
@@ -86,9 +101,9 @@
     use is finished last, aged jobs first.
     """
     if step.lasting:
-        return (0, int(step.filler), -step.waited_ms)
+        return (0, int(step.filler), step.at_ms - step.waited_ms)
     if step.slack_ms >= 0:
-        return (1, step.rank, int(not step.begun), step.slack_ms)
+        return (1, step.rank, int(not step.begun), step.at_ms + step.slack_ms)
     if step.useful_ms >= 0:
         return (2, int(not step.begun), step.work_core_ms)
     aged = step.waited_ms >= AGEING_MS
--- a/src/hornbeamreach/systems/team_limits.py
+++ b/src/hornbeamreach/systems/team_limits.py
@@ -29,7 +29,7 @@
 
     def allows(self, team: str, row: TeamRow | None, amount: Resources) -> bool:
         """Return whether a team stays within its limits with this much more; 0 is no limit."""
-        if row is None:
+        if row is None or not has_limits(row):
             return True
         after = self.by_team.get(team, Resources()).plus(amount)
         pairs = (
--- a/src/hornbeamreach/tables/resources.py
+++ b/src/hornbeamreach/tables/resources.py
@@ -54,7 +54,9 @@
         # Called for every waiting step in a planning pass, so it builds no object.
         fraction = self.cpu_millis / total.cpu_millis if total.cpu_millis else 0.0
         if total.memory_mb:
-            fraction = max(fraction, self.memory_mb / total.memory_mb)
+            memory_fraction = self.memory_mb / total.memory_mb
+            if memory_fraction > fraction:
+                fraction = memory_fraction
         if total.accelerators:
             fraction = max(fraction, self.accelerators / total.accelerators)
         return fraction
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -71,11 +71,25 @@
         """Return whether the steps run at due times."""
         return self.repetitions > 0
 
-    @property
+    @functools.cached_property
     def lasting(self) -> bool:
         """Return whether the job runs until it is cancelled."""
         return any(step.lasting for step in self.steps)
 
+    @functools.cached_property
+    def critical_path_ms(self) -> int:
+        """Return the estimated length of the longest chain of dependent steps, in ms."""
+        lengths: list[int] = []
+        for step in self.steps:
+            before = max((lengths[number] for number in step.after), default=0)
+            lengths.append(before + step.estimate_ms)
+        return max(lengths, default=0)
+
+    @functools.cached_property
+    def work_core_ms(self) -> int:
+        """Return the estimated processor time of one occurrence, in core ms."""
+        return sum(step.count * step.cpu_millis * step.estimate_ms // 1_000 for step in self.steps)
+
     def due_ms(self, occurrence: int) -> int:
         """Return the wall time at which an occurrence is due; 0 if it has no due time."""
         return self.first_due_ms + occurrence * self.interval_ms if self.timed else 0
