--- a/benches/leader_load.py
+++ b/benches/leader_load.py
@@ -136,7 +136,10 @@
 
     async def submit(number: int) -> None:
         job_id = f"job-{number}"
-        await fleet.submit(job_id, _job(rng), work_ms=rng.uniform(600, 900))
+        spec, work_ms = _job(rng), rng.uniform(600, 900)
+        while (await fleet.submit(job_id, spec, work_ms=work_ms)).reason is not None:
+            # Refused for load: the job would wait in vain to be completed.
+            await trio.sleep(seconds(1_000))
         accepted[job_id] = trio.current_time()
         with trio.fail_after(JOB_TIMEOUT_S):
             while await fleet.job_state(job_id) != "completed":
