Send batched reports and operators' requests over the finders that each has

Cause: the parts were written side by side; one sends operators' requests over a finder of their own, the other gathers reports in a forwarder.

Change: the application takes both; tests construct it with a forwarder.

--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -109,8 +109,7 @@
         return HTTP_NOT_FOUND, {"reason": Reason.UNKNOWN_PATH.value}
 
     async def _ask_leader(self, message: Any, timeout_ms: int = OPERATOR_TIMEOUT_MS) -> Any:
-        is_report = isinstance(message, ForwardedReport | MinionLeft)
-        finder = self.finder if is_report else self.operator_finder or self.finder
+        finder = self.operator_finder or self.finder
         return (await finder.send_request(message, timeout_ms=timeout_ms)).reply
 
     async def _handle_heartbeat(self, minion: str, body: bytes) -> tuple[int, Any]:
@@ -123,7 +122,8 @@
     async def _handle_deregistration(self, minion: str, body: bytes) -> tuple[int, Any]:
         data = fields.decode_json(body) if body else {}
         born_ms = fields.integer(data, "born", 0)
-        await self._ask_leader(MinionLeft(minion=minion, born_ms=born_ms), REPORT_TIMEOUT_MS)
+        message = MinionLeft(minion=minion, born_ms=born_ms)
+        await self.finder.send_request(message, timeout_ms=REPORT_TIMEOUT_MS)
         return 200, {}
 
     async def _replace_configuration(self, body: bytes) -> tuple[int, Any]:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -16,6 +16,7 @@
 from hornbeamreach.fleet.messages import ChangeEvacuation
 from hornbeamreach.fleet.ports import UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
+from hornbeamreach.fleet.report_forwarder import ReportForwarder
 from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform.operator_app import OperatorApp
@@ -285,10 +286,12 @@
     def __init__(self, fleet: EvacuatedFleet, address: str) -> None:
         self.fleet = fleet
         self.link = RecordingLink(fleet, address)
+        finder = LeaderFinder(link=self.link, clock=fleet.clock, replicas=[*fleet.addresses])
         self.app = OperatorApp(
             settings=decode_settings(builders.platform_settings()),
-            finder=LeaderFinder(link=self.link, clock=fleet.clock, replicas=[*fleet.addresses]),
+            finder=finder,
             metrics=Metrics(),
+            reports=ReportForwarder(finder=finder, clock=fleet.clock),
         )
         replica = fleet.control[address].replica
         self.app.latest_evacuation_ms = lambda dc: replica.state.workload.latest_evacuation_ms(dc)
--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -16,6 +16,7 @@
 from hornbeamreach.clock import Clock
 from hornbeamreach.exceptions import PeerTimeoutError, PeerUnreachableError
 from hornbeamreach.fleet.messages import MinionLeft, ReadWave, ReportReply, WaveState
+from hornbeamreach.fleet.report_forwarder import ReportForwarder
 from hornbeamreach.link.codec import DecodeError
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.leader_finder import LeaderFinder
@@ -233,6 +234,7 @@
                     finder=finders[0],
                     operator_finder=finders[1],
                     metrics=Metrics(),
+                    reports=ReportForwarder(finder=finders[0], clock=Clock()),
                 )
                 await app._route("GET", "/wave-get/1", b"")
                 await app._route("POST", "/instances/i-1/deregister", b"")
