--- a/src/hornbeamreach/platform/http_client.py
+++ b/src/hornbeamreach/platform/http_client.py
@@ -169,12 +169,15 @@
 class HttpConnection:
     """Send requests on one connection, one after another."""
 
-    stream: TcpStream
+    stream: trio.abc.Stream
     reader: ResponseReader = field(factory=ResponseReader)
     idle_since: float = 0.0
 
-    async def exchange(self, method: str, request: bytes) -> Response:
-        """Send an encoded request and return the whole response."""
+    async def exchange(
+        self, method: str, path: str, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> Response:
+        """Send a request and return the whole response."""
+        request = encode_request(method, path, headers, body)
         reader = self.reader
         reader.expect(method)
         await self.stream.send_all(request)
@@ -193,13 +196,14 @@
         return reader.complete and reader.keep_alive and not reader.surplus
 
     def close(self) -> None:
-        """Close the connection at once."""
+        """Close a connection of this client at once."""
         self.reader.close()
+        assert isinstance(self.stream, TcpStream)
         self.stream.close()
 
 
 def encode_request(
-    address: str, method: str, path: str, headers: tuple[tuple[bytes, bytes], ...], body: bytes
+    method: str, path: str, headers: list[tuple[bytes, bytes]], body: bytes
 ) -> bytes:
     """Encode a request; raise InvalidHeadError for a method, path or header that isn't valid."""
     if not method.isalpha() or not path.isprintable() or " " in path or not path:
@@ -207,8 +211,6 @@
     return b"".join(
         (
             f"{method} {path} HTTP/1.1\r\n".encode("ascii"),
-            encode_header(b"Host", address.encode()),
-            encode_header(*JSON_HEADER),
             *[encode_header(name, value) for name, value in headers],
             b"Content-Length: %d\r\n\r\n" % len(body),
             body,
@@ -246,8 +248,8 @@
         try:
             with trio.CancelScope(deadline=trio.current_time() + seconds(timeout_ms)):
                 connection = self._pop_idle(address) or await _connect(address)
-                request = encode_request(address, method, path, headers, body)
-                response = await connection.exchange(method, request)
+                all_headers = [(b"Host", address.encode()), JSON_HEADER, *headers]
+                response = await connection.exchange(method, path, all_headers, body)
                 completed = True
                 return response
         except (
