Return a whole response that data with an upgrade follows

httptools reports an upgrade by an error that is no HttpParserError. If a peer sent a 101 response directly behind a whole response, the client raised that error to its caller instead of returning the response; callers expect only a response or UnknownOutcomeError.

The reader now treats it as other data behind a response: the response is returned and the connection is closed.

A new case of test_a_whole_response_is_returned failed with HttpParserUpgrade before.

--- a/src/hornbeamreach/platform/http_client.py
+++ b/src/hornbeamreach/platform/http_client.py
@@ -88,7 +88,7 @@
         self.pending_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             # What follows a complete response only ends the connection.
             self.surplus = True
             if not self.complete:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -105,6 +105,11 @@
             (b"HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n", response(b"", 999)),
             (OK + OK.replace(b"{}", b"[]"), response()),
             (OK + b"garbage", response()),
+            # The parser reports an upgrade by an error of another kind than malformed data.
+            (
+                OK + b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+                response(),
+            ),
         ],
     )
     def test_a_whole_response_is_returned(self, answer, expected):
