Send pings and pongs of the link ahead of buffered messages

A ping or pong was buffered behind all messages that the peer had not taken yet, up to 64 MiB. A peer that read steadily, but needed longer than the ping timeout for them, was given up: the queued messages were lost and callers saw "the connection was lost".

Pings and pongs now go behind the first buffered frame, which may have been sent in part. Close frames still come last.

Evidence: the new test queues 150 notifications of 64 KiB for a peer that reads them within some 2 s, with small socket buffers and a ping timeout of 300 ms.

--- a/src/hornbeamreach/link/connection.py
+++ b/src/hornbeamreach/link/connection.py
@@ -28,6 +28,8 @@
 OPEN_TIMEOUT_MS = 1_200
 CLOSE_TIMEOUT_MS = 500
 PING_BYTES = 4
+# First bytes of ping and pong frames, which are always sent whole (FIN is set).
+PING_OR_PONG = (0x80 | Opcode.PING, 0x80 | Opcode.PONG)
 HTTP_UNAUTHORIZED = 401
 
 
@@ -127,6 +129,9 @@
         for data in self.protocol.data_to_send():
             if data == SEND_EOF:
                 self.stream.write_eof()
+            elif data[0] in PING_OR_PONG:
+                # Behind megabytes of messages, a peer that reads slowly would get it too late.
+                self.stream.write_ahead(data)
             else:
                 self.stream.write(data)
         if self.protocol.close_expected():
--- a/src/hornbeamreach/link/socket_stream.py
+++ b/src/hornbeamreach/link/socket_stream.py
@@ -96,6 +96,12 @@
         self.buffered_bytes += len(data)
         self._flush_soon()
 
+    def write_ahead(self, data: bytes) -> None:
+        """Buffer data ahead of other buffered data, but behind a write that may be sent in part."""
+        self.chunks.insert(1, data)
+        self.buffered_bytes += len(data)
+        self._flush_soon()
+
     def write_eof(self) -> None:
         """Shut the sending direction down once all data is sent."""
         self.eof_due = True
--- a/tests/test_link_connection.py
+++ b/tests/test_link_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import socket
 from contextlib import asynccontextmanager
 
 import cbor2
@@ -10,6 +11,7 @@
 import trio
 from websockets.exceptions import ConnectionClosedError, InvalidStatus
 from websockets.frames import Frame, Opcode
+from websockets.server import ServerProtocol
 from websockets.trio.client import connect as library_connect
 from websockets.trio.server import serve as library_serve
 
@@ -26,6 +28,8 @@
 STATE = WaveState(known=True, completed=False)
 # More than the socket buffers of both ends take at once.
 LARGE = "x" * 20_000_000
+# Of 64 KiB each, read within some 2 s.
+QUEUED_MESSAGES = 150
 
 
 class Recorder:
@@ -291,6 +295,60 @@
 
         trio.run(main)
 
+    @pytest.mark.parametrize("pinged_end", ["sender", "reader"])
+    def test_a_peer_that_takes_long_for_what_is_queued_is_not_given_up(
+        self, pinged_end, monkeypatch
+    ):
+        # Pings and pongs that waited for all queued messages came too late, which closed the
+        # connection and lost the messages.
+        monkeypatch.setattr(connection, "PING_INTERVAL_MS", 200)
+        monkeypatch.setattr(connection, "PING_TIMEOUT_MS", 300)
+        received = []
+
+        async def serve_peer(stream) -> None:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            peer = await connection.accept(SocketStream(stream), secret=SECRET)
+            assert peer is not None
+            async with trio.open_nursery() as nursery:
+                if pinged_end == "sender":
+                    peer.start(nursery)
+                else:
+                    nursery.start_soon(peer.stream.run_writer)
+                while (messages := await peer.receive()) is not None:
+                    received.extend(messages)
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                start = functools.partial(trio.serve_tcp, serve_peer, 0, host="127.0.0.1")
+                listeners = await nursery.start(start)
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                link = WebSocketLink(nursery=nursery, secret=SECRET)
+                sender = link.peer(address)
+                await sender.connect_ended.wait()
+                opened = sender.socket
+                opened.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+                for _ in range(QUEUED_MESSAGES):
+                    link.notify(address, left("x" * 65_536))
+                with trio.fail_after(20):
+                    await wait_until(
+                        lambda: len(received) == QUEUED_MESSAGES or sender.socket is not opened
+                    )
+                assert len(received) == QUEUED_MESSAGES
+                nursery.cancel_scope.cancel()
+
+        if pinged_end == "sender":
+            # Only the reader pings.
+            keep_alive = connection.Connection._keep_alive
+
+            async def ping_from_server(opened: connection.Connection) -> None:
+                if isinstance(opened.protocol, ServerProtocol):
+                    await keep_alive(opened)
+
+            monkeypatch.setattr(connection.Connection, "_keep_alive", ping_from_server)
+        trio.run(main)
+
     def test_a_peer_that_reads_nothing_makes_no_unbounded_queue(self):
         async def serve_peer(stream) -> None:
             peer = await connection.accept(SocketStream(stream), secret=SECRET)
