Drop a link reply once its task has taken it

The timer of pending replies keeps an entry until its deadline, and the entry kept the decoded reply: a process held replies of any size until the time limits of their requests, seconds after it had used them.

An entry now gives its reply away when the waiting task takes it. The new test found the reply still referenced before.

--- a/src/hornbeamreach/link/pending_reply.py
+++ b/src/hornbeamreach/link/pending_reply.py
@@ -45,13 +45,15 @@
             trio.lowlevel.reschedule(task)
 
     async def wait(self) -> Any:
-        """Return the reply; raise ReplyLostError or trio.TooSlowError if there is none."""
+        """Return the reply, once; raise ReplyLostError or trio.TooSlowError if there is none."""
         if not self._is_settled:
             self._task = trio.lowlevel.current_task()
             await trio.lowlevel.wait_task_rescheduled(self._abandon)
         if self._error is not None:
             raise self._error
-        return self._tagged
+        # The timer keeps this object until the deadline, long after the reply has been used.
+        tagged, self._tagged = self._tagged, None
+        return tagged
 
     def _abandon(self, _: Any) -> trio.lowlevel.Abort:
         self._task = None
--- a/tests/test_link_connection.py
+++ b/tests/test_link_connection.py
@@ -4,6 +4,7 @@
 
 import functools
 import socket
+import weakref
 from contextlib import asynccontextmanager
 
 import cbor2
@@ -20,6 +21,7 @@
 from hornbeamreach.link import connection, dispatch
 from hornbeamreach.link.frames import NOTIFY, REPLY, REQUEST, decode_frame, encode_frame
 from hornbeamreach.link.interface import HandlerTable
+from hornbeamreach.link.pending_reply import PendingReply, current_timer
 from hornbeamreach.link.socket_stream import SocketStream
 from hornbeamreach.link.websocket import LinkServer, WebSocketLink
 
@@ -271,6 +273,24 @@
         trio.run(main)
 
 
+class TestPendingReplies:
+    def test_a_reply_is_not_kept_until_its_deadline(self):
+        # The timer keeps each entry until its deadline, and so kept replies of up to 64 MiB.
+        class Reply:
+            pass
+
+        async def main() -> None:
+            reply, pending = Reply(), PendingReply()
+            kept = weakref.ref(reply)
+            current_timer().add(trio.current_time() + 60, pending)
+            pending.settle(reply)
+            assert await pending.wait() is reply
+            del reply
+            assert kept() is None
+
+        trio.run(main)
+
+
 class TestLiveness:
     def test_a_silent_peer_is_given_up_and_its_requests_may_have_run(self, monkeypatch):
         # The peer accepts the handshake and then answers neither pings nor requests.
