Cancel a request that begins to wait after its link connection has ended

If the connection ended while a notification was handled, and the last message behind it was a request whose handler then waited, no task was left to cancel the request.

The task that hands its work over now also starts a worker at the end of the connection, which cancels what still runs.

--- a/src/hornbeamreach/link/dispatch.py
+++ b/src/hornbeamreach/link/dispatch.py
@@ -208,6 +208,7 @@
     def pass_all(self) -> None:
         """Let another task do all that follows this one's handler."""
         self.dispatches = False
-        if self.reads or self.dispatcher.inbox:
+        # At the end of the connection, a worker that finds nothing to do cancels the requests.
+        if self.reads or self.dispatcher.inbox or self.dispatcher.is_at_end:
             self.dispatcher.start_worker(reads=self.reads)
         self.reads = False
--- a/tests/test_link_connection.py
+++ b/tests/test_link_connection.py
@@ -205,6 +205,34 @@
 
         trio.run(main)
 
+    @pytest.mark.parametrize("notifies_first", [False, True])
+    def test_a_request_that_waits_is_cancelled_when_its_connection_ends(self, notifies_first):
+        # After a notification that waited, it ran on and kept the lost connection open.
+        async def main() -> None:
+            recorder = Recorder()
+            ended = trio.Event()
+
+            async def wait_for_cancellation(message: ReadWave) -> WaveState:
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    ended.set()
+
+            recorder.handlers = HandlerTable()
+            recorder.handlers.on(MinionLeft, recorder._on_minion_left)
+            recorder.handlers.on(ReadWave, wait_for_cancellation)
+            async with run_server(recorder) as (address, _):
+                async with library_client(address) as socket:
+                    if notifies_first:
+                        await socket.send(encode_frame(NOTIFY, 0, left("waits")))
+                    await socket.send(encode_frame(REQUEST, 1, ReadWave(number=1)))
+                    await trio.sleep(0.05)
+                recorder.release.set()
+                with trio.fail_after(1):
+                    await ended.wait()
+
+        trio.run(main)
+
     def test_requests_that_wait_run_side_by_side(self):
         # A handler that waits must not hold up the requests that came with it.
         async def main() -> None:
