Let a leader without earlier requests end an evacuation

Cause: a late request was acknowledged without effect if the latest known request asked for the same. A replica that has applied the entry of the evacuation itself sends the id of that entry, which such a leader finds late. Operators got 200 for each request to finish through such a replica, and the data centre stayed evacuated.

Change: the leader compares a late request with the state of the data centre. A request for the opposite is refused as late with the id that the leader knows, and the replica sends it again with that id.

Evidence: the new test failed before (the evacuation was still in force after the 200) and passes now, as the other tests of late requests do.

--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -71,12 +71,14 @@
         data_center, scheduler = message.data_center, self.scheduler
         if not await self.is_known(data_center):
             return EvacuationReply(known=False)
-        requests = scheduler.proposed.workload.evacuation_requests.get(
-            data_center, EvacuationRequests()
-        )
+        workload = scheduler.proposed.workload
+        requests = workload.evacuation_requests.get(data_center, EvacuationRequests())
         is_repeat = message.request_id and message.request_id in requests.request_ids
         is_late = message.after_ms not in (ANY_REQUEST, requests.latest_ms)
-        if is_repeat or (is_late and message.begin is requests.begins):
+        # After a snapshot of an earlier build, which names no requests, only the state of the data
+        # centre tells what the latest one asked for.
+        is_in_force = message.begin is (data_center in workload.evacuated)
+        if is_repeat or (is_late and is_in_force):
             # What was carried out, or asked for the same, may not be committed yet.
             await scheduler.commit(NoOp())
             return EvacuationReply(known=True)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -361,6 +361,27 @@
 
         play(scenario, load=False)
 
+    def test_a_leader_that_knows_no_earlier_request_ends_an_evacuation(self):
+        # The leader has restored a snapshot of an earlier build, which names no requests, while the
+        # forwarding replica has applied the entry. The leader took "not requested" for "restored",
+        # so it acknowledged each request to finish and the evacuation went on.
+        async def scenario(fleet):
+            leader = await fleet.wait_for_leader()
+            other = next(address for address in fleet.addresses if address != leader)
+            forwarder = Forwarder(fleet, other)
+            assert await forwarder.ask("begin") == 200
+            await trio.sleep(0.5)
+            scheduler = await fleet.wait_for_scheduler()
+            for workload in (
+                fleet.control[leader].replica.state.workload,
+                scheduler.proposed.workload,
+            ):
+                assert workload.evacuation_requests.pop("dc2").begins
+            assert await forwarder.ask("finish") == 200
+            assert "dc2" not in scheduler.proposed.workload.evacuated
+
+        play(scenario, load=False)
+
     def test_the_last_committed_request_of_two_racing_operators_holds(self):
         async def scenario(fleet):
             statuses = {}
