Keep the order of pools when all waiting steps are indexed again

Cause: under a new declaration, or with a wall clock that was set back, jobs that had just become stale were indexed ahead of all others. The first job of a pool decides when the pool is planned, so a pool could be planned behind one whose jobs wait for less long, until its jobs had started.

Change: all ready jobs are indexed first, in the order in which they became ready.

Evidence: the new test failed before with both pools exchanged and passes now. The comparison with a planner that sorts all steps passes.

--- a/src/hornbeamreach/fleet/waiting_steps.py
+++ b/src/hornbeamreach/fleet/waiting_steps.py
@@ -188,11 +188,15 @@
         as_at_ms = wall_ms - wall_ms % SORT_KEY_PERIOD_MS
         table = fleet.proposed.state.table
         is_new_period = as_at_ms != self.as_at_ms
-        if table is not self.table or as_at_ms < self.as_at_ms:
+        is_reset = table is not self.table or as_at_ms < self.as_at_ms
+        if is_reset:
             self.pools, self.jobs, self.table = {}, {}, table
         elif is_new_period:
             self._renew_keys(as_at_ms)
         self.as_at_ms = as_at_ms
+        if is_reset:
+            # Before the refreshed jobs, which keep the places that they get here.
+            self._index(fleet, fleet.ready)
         refreshed, fleet.refreshed_jobs = fleet.refreshed_jobs, set()
         self._index(fleet, sorted(refreshed, key=lambda job_id: fleet.ready_numbers.get(job_id, 0)))
         if is_new_period or len(self.jobs) != len(fleet.ready):
--- a/tests/test_waiting_steps.py
+++ b/tests/test_waiting_steps.py
@@ -330,3 +330,20 @@
     load.fleet.waiting.update(load.fleet, load.now_ms)
     load.fleet.ready.clear()
     assert load.planner.plan(load.now_ms, load.now_ms) == []
+
+
+def test_pools_keep_the_order_of_their_oldest_jobs_under_a_new_declaration():
+    # A job that became stale in the pass that indexed all jobs again went ahead of older ones, so
+    # a pool whose other jobs wait for less long was planned first.
+    load = next(load for load in (Load(seed, None) for seed in range(20)) if load.pools == 2)
+    fleet, waiting = load.fleet, load.fleet.waiting
+    for _ in range(20):
+        load.accept(ages_ms=(0,))
+    waiting.update(fleet, load.now_ms)
+    before = waiting.pools_in_order()
+    jobs = {pool: list(waiting.pools[pool].jobs) for pool in before}
+    load.stale(jobs[before[0]][-1])
+    fleet.proposed.state.table = attrs.evolve(fleet.proposed.state.table)
+    waiting.update(fleet, load.now_ms)
+    assert waiting.pools_in_order() == before
+    assert {pool: list(waiting.pools[pool].jobs) for pool in before} == jobs
