--- a/tests/test_websocket_link.py
+++ b/tests/test_websocket_link.py
@@ -204,8 +204,8 @@
         trio.run(main)
 
 
-# The server reads some 30 messages of a connection in one pass of the loop, and an operator's request
-# takes some eight passes of the one process in which the test runs both ends.
+# The server reads some 30 messages of a connection in one pass of the loop, and an operator's
+# request takes some eight passes of the one process in which the test runs both ends.
 REPORTS = 2_000
 
 
