--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, minions, operator and platform for the scripts of the review."""
