--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -9,6 +9,8 @@
 
 Handler = Callable[[str, str, dict[str, str], bytes], Awaitable[tuple[int, Any]]]
 READ_LIMIT = 8 * 1024 * 1024
+# `max-connections` of the services; further connections wait.
+MAX_CONNECTIONS = 64
 
 
 async def _read_headers(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
@@ -63,6 +65,7 @@
         # Cleared while the address is cut off: what arrives is held until the cut heals.
         self.reachable = asyncio.Event()
         self.reachable.set()
+        self.slots = asyncio.Semaphore(MAX_CONNECTIONS)
 
     async def start(self) -> None:
         """Begin to listen."""
@@ -77,6 +80,20 @@
         assert task is not None
         self.tasks.add(task)
         try:
+            await self._serve_requests(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
+            pass
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        async with self.slots:
             while True:
                 first, headers = await _read_headers(reader)
                 method, path, _ = first.split(" ", 2)
@@ -91,14 +108,6 @@
                 await self.reachable.wait()
                 writer.write(head.encode() + data)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
-            pass
-        except asyncio.CancelledError:
-            pass
-        finally:
-            self.writers.discard(writer)
-            self.tasks.discard(task)
-            writer.close()
 
     async def kill(self) -> None:
         """Stop listening and reset all connections, as at the end of a process."""
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -31,6 +31,7 @@
 PREFIX = "/q1/"
 PORTS = 40
 CONTROL_OFFSET, FRONT_OFFSET, READY_OFFSET, PLATFORM_OFFSET, MINION_OFFSET = 20, 21, 22, 23, 24
+ADVICE_OFFSET = 25
 BOUNDS = """
 seed-lag-s = 3
 reuse-after-s = 2
@@ -91,13 +92,14 @@
             f"internal-port-range = [{lab.port}, {lab.port + 15}]\nseeds = {seeds}",
             f"bootstrap = true\ncounts-as-loss = {str(not front).lower()}",
             'discovery = "registry"\nentry = "vip"\nheartbeat-ms = 1500',
-            'contracts = ["base","drain","config","cost","recover","sched","tenants","quota"]',
+            'contracts = ["base","drain","config","cost","recover","sched","tenants","quota","advice"]',
             'config_mode = "highest"\norders = "call"',
         ]
         if not front:
             data = self.lab.folder / "data" / self.name
             data.mkdir(parents=True, exist_ok=True)
             lines.append(f'data-dir = "{data}"')
+        lines.append(f'advice = "{lab.advice_address}"')
         lines.append("[zones]\n" + "\n".join(f'{zone} = "r"' for zone in ZONES))
         lines.append("[bind-addresses]")
         if front:
@@ -160,6 +162,9 @@
         control_ips = [f"{self.block}.0.{n}" for n in (1, 2, 3)]
         self.control_addresses = [f"{ip}:{self.port + CONTROL_OFFSET}" for ip in control_ips]
         self.platform_address = f"{self.block}.0.100:{self.port + PLATFORM_OFFSET}"
+        self.advice_address = f"{self.block}.0.101:{self.port + ADVICE_OFFSET}"
+        # Further fields of the queue.
+        self.route: dict[str, Any] = {}
         self.control = [
             Program(self, f"control-{zone}", "control", ip, zone)
             for ip, zone in zip(control_ips, ZONES, strict=True)
@@ -281,7 +286,7 @@
         return {
             "version": self.version,
             "routes": [
-                {"name": "r-q1", "host": HOST, "path-prefix": PREFIX, **common, **route},
+                {"name": "r-q1", "host": HOST, "path-prefix": PREFIX, **common, **self.route, **route},
                 {"name": "r-idle", "host": HOST, "path-prefix": "/idle/", **common},
             ],
             "services": [{"name": "svc1", **service}],
