Review case 1: hundreds of changes of a large configuration end control for good

Cause: the replicated log is compacted after 30,000 entries, whatever their size. One change of a configuration with 1,440 routes is an entry of 630 KB, so some 200 changes fill the disk of 128 MB and some 380 the memory of 296 MB of every replica.

Seen: all core processes end with "No space left on device" at their next write, after each restart, and nothing acknowledged can be read any more (CONFIG, LOST, the fault of a crash loop). By the script: killed over the limit of memory, and over it again as soon as they have read their log.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,72 +1,113 @@
-"""A minion is cut off for two seconds, in which more than 500 of its runs end."""
+"""A large configuration is changed some hundred times."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+import contextlib
+import signal
 from pathlib import Path
 
-from standins.lab import CannotRun, Lab, run_case
+from standins.http import request
+from standins.lab import MEMORY_MB, Lab, Program, run_case
 
-TASKS = 700
-WORK_MS = 4_000
-# Each task works this much longer than the one before, so that the ends are spread.
-STEP_MS = 2
-# The cut begins this long before the first run ends. Its length is well below the lease of 4 s.
-BEFORE_ENDS_S = 0.05
-CUT_S = 2.2
+MORE_ROUTES = 1_440
+CHANGES = 480
+SEND_S = 75.0
+# The platform starts a process that was killed again after a short delay.
+RESTART_S = 0.3
+CHECK_S = 0.05
+READ_BACK_S = 18.0
+# Ends by themselves on half of the core that make a fault of the day.
+ENDS = 3
 
 
 async def case(lab: Lab, trouble: bool) -> list[str]:
-    """Submit one wide job; cut its minion off while its tasks end."""
-    minion = lab.add_minion("i-1")
+    """Change the configuration one version at a time, then read it back."""
+    for number in (1, 2, 3):
+        lab.add_minion(f"i-{number}", labels=["a", f"r1-{number}"])
     await lab.start()
-    step = {"count": TASKS, "cpu": 20, "mem-mb": 40, "estimate-ms": WORK_MS}
-    job_id = await lab.submit(f"ms={WORK_MS} step-ms={STEP_MS}", [step])
-    until = lab.now() + 20
-    while len(lab.starts) < TASKS:
-        if lab.now() > until:
-            raise CannotRun(f"only {len(lab.starts)} of {TASKS} tasks have started")
-        await asyncio.sleep(0.02)
-    first_s, last_s = lab.starts[0][0], lab.starts[-1][0]
-    lab.record("all tasks started", within_s=round(last_s - first_s, 3))
-    await asyncio.sleep(max(0, first_s + WORK_MS / 1_000 - BEFORE_ENDS_S - lab.now()))
+    configuration = lab.configuration()
     if trouble:
-        await minion.cut(CUT_S)
-    until = lab.now() + 45
-    while await lab.state(job_id) != "completed" and lab.now() < until:
-        await asyncio.sleep(1)
-    # Ends that are still listed are taken note of.
-    await asyncio.sleep(5)
-    return started_after_done(lab)
+        idle = configuration["routes"][1]
+        configuration["routes"] += [
+            {**idle, "name": f"r-{n:06d}x", "path-prefix": f"/idle{n}/"}
+            for n in range(MORE_ROUTES)
+        ]
+    ends = {program.name: 0 for program in lab.control}
+    watches = [asyncio.create_task(enforce_memory(lab, p, ends)) for p in lab.control]
+    until = lab.now() + SEND_S
+    acknowledged = 0
+    for _ in range(CHANGES):
+        lab.version += 1
+        configuration["version"] = lab.version
+        configuration["routes"][1]["timeout-ms"] = 3_000 + lab.version
+        if not await send(lab, configuration, until):
+            break
+        acknowledged = lab.version
+        if lab.version % 20 == 0 or max(ends.values()):
+            sizes = [program.memory_mb() for program in lab.control]
+            lab.record("acknowledged", version=acknowledged, memory_mb=sizes, ends=ends)
+    read = await read_back(lab)
+    for watch in watches:
+        watch.cancel()
+    lab.record("result", acknowledged=acknowledged, read_back=read, ends=ends)
+    broken = []
+    if read is None or read < acknowledged:
+        broken.append(
+            f"CONFIG: version {acknowledged} is acknowledged, and for {READ_BACK_S} s its reading "
+            f"back gives {read}"
+        )
+    if sum(count >= ENDS for count in ends.values()) * 2 >= len(ends):
+        broken.append(
+            f"Fault: processes of the core were killed for over {MEMORY_MB} MB of memory: {ends}"
+        )
+    return broken
 
 
-def started_after_done(lab: Lab) -> list[str]:
-    """Return the starts after a run that ended `done`, an end that was taken note of."""
-    ended_s = {row[1:5]: row[0] for row in lab.ends if row[5] == "done"}
-    # An end doesn't count as taken note of if the minion's lease lapsed in between.
-    noted = {
-        row[1:5]
-        for row in lab.noted
-        if row[5] == "done"
-        and not any(ended_s[row[1:5]] <= lapse[0] <= row[0] for lapse in lab.lapses)
-    }
-    done_s: dict[str, float] = {}
-    for at_s, minion, born, task, run, how in lab.ends:
-        if how == "done" and (minion, born, task, run) in noted:
-            done_s.setdefault(task, at_s)
-    again = defaultdict(list)
-    for at_s, minion, _, task, run in lab.starts:
-        if task in done_s and at_s > done_s[task]:
-            again[task].append((minion, run, round(at_s, 3)))
-    lab.record("result", tasks=TASKS, done=len(done_s), started_again=len(again))
-    if not again:
-        return []
-    task, runs = next(iter(again.items()))
-    return [
-        f"TWICE: {len(again)} tasks started again after they had ended done and the end was taken "
-        f"note of; the first: {task} done at {done_s[task]:.3f} s, then {runs}"
-    ]
+async def enforce_memory(lab: Lab, program: Program, ends: dict[str, int]) -> None:
+    """Kill a process over its limit of memory and start it again, as the platform does."""
+    while True:
+        await asyncio.sleep(CHECK_S)
+        assert program.process is not None
+        used_mb = program.memory_mb()
+        if used_mb <= MEMORY_MB and program.process.poll() is None:
+            continue
+        with contextlib.suppress(ProcessLookupError):
+            program.send(signal.SIGKILL)
+        code = program.process.wait()
+        ends[program.name] += 1
+        lab.record("process ended", process=program.name, memory_mb=used_mb, code=code)
+        await asyncio.sleep(RESTART_S)
+        program.start()
+
+
+async def send(lab: Lab, configuration: dict, until: float) -> bool:
+    """Send a change to one node after the other until it is acknowledged."""
+    turn = lab.version
+    while lab.now() < until:
+        address = lab.control_addresses[turn % len(lab.control_addresses)]
+        status, _ = await request(address, "POST", "/config/replace", configuration, timeout_s=2)
+        if status == 200:
+            return True
+        lab.record("config sent", to=address, version=lab.version, answer=status)
+        turn += 1
+        await asyncio.sleep(0.5)
+    return False
+
+
+async def read_back(lab: Lab) -> int | None:
+    """Ask each node for the configuration for a while; return the newest version that came."""
+    until = lab.now() + READ_BACK_S
+    found = None
+    while lab.now() < until:
+        for address in lab.control_addresses:
+            status, content = await request(address, "GET", "/config/read", timeout_s=2)
+            if status == 200:
+                found = max(found or 0, content["version"])
+                lab.record("read back", of=address, version=content["version"])
+                return found
+        await asyncio.sleep(0.5)
+    return found
 
 
 run_case(case, str(Path(__file__).resolve().parent))
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -30,6 +30,8 @@
 HOST = "jobs.example"
 PREFIX = "/q1/"
 PORTS = 40
+# As for the core of the site.
+MEMORY_MB = 296
 CONTROL_OFFSET, FRONT_OFFSET, READY_OFFSET, PLATFORM_OFFSET, MINION_OFFSET = 20, 21, 22, 23, 24
 ADVICE_OFFSET = 25
 BOUNDS = """
@@ -107,6 +109,8 @@
             lines.append(f'readiness = "{self.ip}:{lab.port + READY_OFFSET}"')
         else:
             lines.append(f'control = "{self.ip}:{lab.port + CONTROL_OFFSET}"')
+        lines.append("[limits]\ncpu-share = 0.839\ncores = 2\nmax-fds = 4096")
+        lines.append(f"memory-mb = {MEMORY_MB}\nlink-mbps = 1000.0\ndisk-mb = {0 if front else 128}")
         lines.append("[fault-tolerance]\nmachines = 1\nzones = 1\nregions = 0")
         lines.append("[bounds]" + BOUNDS)
         lines.append(f'[cloud-api]\naddress = "{lab.platform_address}"\nrate-per-s = 64.0')
@@ -128,6 +132,15 @@
             )
         self.lab.record("process starts", process=self.name)
 
+    def memory_mb(self) -> int:
+        """Return the resident memory of the process, 0 if it does not run."""
+        try:
+            assert self.process is not None
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+            return int(status.partition("VmRSS:")[2].split()[0]) // 1_024
+        except (OSError, IndexError, AssertionError):
+            return 0
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
