--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,8 +30,7 @@
     if trouble:
         idle = configuration["routes"][1]
         configuration["routes"] += [
-            {**idle, "name": f"r-{n:06d}x", "path-prefix": f"/idle{n}/"}
-            for n in range(MORE_ROUTES)
+            {**idle, "name": f"r-{n:06d}x", "path-prefix": f"/idle{n}/"} for n in range(MORE_ROUTES)
         ]
     ends = {program.name: 0 for program in lab.control}
     watches = [asyncio.create_task(enforce_memory(lab, p, ends)) for p in lab.control]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,8 +29,7 @@
     if trouble:
         idle = configuration["routes"][1]
         configuration["routes"] += [
-            {**idle, "name": f"r-{n:06d}x", "path-prefix": f"/idle{n}/"}
-            for n in range(MORE_ROUTES)
+            {**idle, "name": f"r-{n:06d}x", "path-prefix": f"/idle{n}/"} for n in range(MORE_ROUTES)
         ]
     until = lab.now() + SEND_S
     for _ in range(CHANGES):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -46,8 +46,8 @@
     lab.record("result", state=state, starts=len(starts), ends=ends)
     if state in ("failed", "cancelled", "410") and "failed" not in ends:
         return [
-            f"LOST: the job is shown as {state}; its tasks were started {len(starts)} times, no run "
-            f"has ended failed, and no minion has crashed since it was handed in"
+            f"LOST: the job is shown as {state}; its tasks were started {len(starts)} times, no "
+            f"run has ended failed, and no minion has crashed since it was handed in"
         ]
     if state != "completed":
         raise CannotRun(f"the job is {state or 'not answered'} after 30 s")
