Count crashes of minions only under runs that may have begun

Cause: a later incarnation shows that the earlier one ended, not that a run had begun there. When one start was answered 421, the starts still on their way to that minion were counted as crashes, and so were starts to which a minion that was down before gave no answer. Four of them failed the job.

Ruled out: real crashes.

Change: a crash under a start on its way waits for the answer, and a rejected start is no evidence. Starts of suspects go only to minions that have just answered a poll; other unanswered starts count as the first crash at most. Leases that lapsed before the crash was heard go through the same rule.

--- a/src/hornbeamreach/fleet/crash_recorder.py
+++ b/src/hornbeamreach/fleet/crash_recorder.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from typing import TYPE_CHECKING
 
+import attrs
 from attrs import define
 
 from hornbeamreach.fleet.fleet_state import build_run
@@ -90,7 +91,8 @@
             phase=RunPhase.UNKNOWN,
             now_ms=self.scheduler.clock.now_ms(),
         )
-        run.ordered, run.vm = True, lapsed.vm
+        run.ordered = run.recovered = True
+        run.vm = lapsed.vm
         run.earlier_ms = _min_time_at_work_ms(lapsed.started_ms, lapsed.at_ms)
         self.on_lapse(lapsed.minion, [run])
         self.lapsed[lapsed.minion].recovered = True
@@ -230,14 +232,30 @@
         lapsed = self.lapsed.pop(minion_id, None)
         if lapsed is None:
             return
-        fleet = self.scheduler.fleet
         for run in self._mark(lapsed.runs, report, complete=not lapsed.recovered):
-            fleet.unrecorded_crashes.append(run)
-            current = fleet.find_run(run.job_id, run.key)
-            if current is not None:
-                fleet.mark_suspect(current)
+            if not run.awaits_answer:
+                self._count(run)
+        self.scheduler.notify()
+
+    def on_order_outcome(self, run: ReservedRun, *, begun: bool = False) -> None:
+        """Count the crash of an ended run whose start order was not answered until now.
+
+        `begun` says that the minion answered that the run began.
+        """
+        if run.crash is None or self.scheduler.fleet.find_run(run.job_id, run.key) is run:
+            return
+        run.crash = attrs.evolve(run.crash, begun=run.crash.begun or begun)
+        self._count(run)
         self.scheduler.notify()
 
+    def _count(self, run: ReservedRun) -> None:
+        """Count the crash of a run that has ended already."""
+        fleet = self.scheduler.fleet
+        fleet.record_crash(run)
+        current = fleet.find_run(run.job_id, run.key)
+        if current is not None:
+            fleet.mark_suspect(current)
+
     # Clearing
 
     def clear_if_at_work(self, run: ReservedRun, now_ms: int) -> None:
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -160,15 +160,34 @@
         del runs[run.key]
         if not runs:
             del self.runs_by_job[run.job_id]
-        if run.crash is not None and end in (RunEnd.LOST, RunEnd.LEASE_LAPSED):
+        is_crash = run.crash is not None and not run.awaits_answer
+        if is_crash and end in (RunEnd.LOST, RunEnd.LEASE_LAPSED):
             end = RunEnd.CRASHED
-            self.unrecorded_crashes.append(run)
+            self.record_crash(run)
         self.unrecorded_ends.append(
             UnrecordedEnd(
                 job_id=run.job_id, key=run.key, run=run.run, end=end, checkpoint=checkpoint
             )
         )
 
+    def record_crash(self, run: ReservedRun) -> None:
+        """Keep the crash under an ended run for the log, unless it is no further evidence.
+
+        A minion that did not answer an order may have been down before. One such crash makes the
+        task a suspect, whose next orders go to minions that have just answered.
+        """
+        assert run.crash is not None
+        is_evidence = run.crash.begun or run.minion_checked or run.recovered
+        if is_evidence or not self._has_counted_crash(run):
+            self.unrecorded_crashes.append(run)
+
+    def _has_counted_crash(self, run: ReservedRun) -> bool:
+        job = self.job(run.job_id)
+        task = job.tasks.get(run.key) if job else None
+        if task is not None and task.crashes:
+            return True
+        return any(other.name == run.name for other in self.unrecorded_crashes)
+
     def _record_outcome(self, minion: Minion, run: ReservedRun, end: RunEnd, now_ms: int) -> None:
         if end in (RunEnd.DONE, RunEnd.FAILED):
             self.crashed_on.get(run.job_id, {}).pop(run.key, None)
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -49,12 +49,56 @@
     def send_starts(self, runs: list[ReservedRun]) -> None:
         """Send the orders of runs whose starts are committed; those of a gang all or none."""
         for members in self._split_by_gang(runs):
-            unsendable = [run for run in members if not self._can_send(run, members)]
+            if any(run.suspect for run in members) and self.scheduler.nursery is not None:
+                self.scheduler.nursery.start_soon(self._send_checked, members)
+            else:
+                self._send_all(members)
+
+    def _send_all(self, members: list[ReservedRun]) -> None:
+        unsendable = [run for run in members if not self._can_send(run, members)]
+        for run in members:
+            if unsendable:
+                self._drop_unsent_run(run)
+            else:
+                self._send_start(run)
+
+    async def _send_checked(self, members: list[ReservedRun]) -> None:
+        """Send the orders of suspects once their minions have answered.
+
+        Only then is a crash before the answer to the order evidence that the run began: the minion
+        may have been down before.
+        """
+        minions = {run.minion: self._current_minion(run) for run in members}
+        async with trio.open_nursery() as nursery:
+            for minion in minions.values():
+                if minion is not None:
+                    nursery.start_soon(self._check_minion, minion)
+        if any(minion is None or minion.failed_calls for minion in minions.values()):
             for run in members:
-                if unsendable:
-                    self._drop_unsent_run(run)
-                else:
-                    self._send_start(run)
+                self._drop_unsent_run(run)
+        else:
+            for run in members:
+                run.minion_checked = True
+            self._send_all(members)
+
+    async def _check_minion(self, minion: Minion) -> None:
+        """Count a failed call unless the minion answers."""
+        scheduler = self.scheduler
+        try:
+            await self.port.poll(
+                minion.report,
+                token=scheduler.fencing_token(minion),
+                recorded_end=minion.recorded_end,
+                lease_until_ms=None,
+                wait_ms=0,
+            )
+        except WrongIncarnationError:
+            scheduler.mark_minion_gone(minion, "replaced")
+        except (UnknownOutcomeError, FencedError) as exc:
+            log.bind(minion=minion.minion_id).info("suspects are not started here: {}", exc)
+            scheduler.metrics.event("suspect_not_started")
+            minion.failed_calls += 1
+            self._poll_now(minion)
 
     def _split_by_gang(self, runs: list[ReservedRun]) -> list[list[ReservedRun]]:
         groups: dict[tuple, list[ReservedRun]] = {}
@@ -92,7 +136,7 @@
         minion = self._current_minion(run)
         if minion is not None and scheduler.is_current() and scheduler.nursery is not None:
             run.phase = RunPhase.SENT
-            run.ordered = True
+            run.ordered = run.awaits_answer = True
             # The run may begin from now on, so its lease must be valid from now on.
             scheduler.extend_lease(minion)
             scheduler.nursery.start_soon(self._start, run, minion)
@@ -132,13 +176,19 @@
         )
 
     async def _start(self, run: ReservedRun, minion: Minion) -> None:
+        try:
+            await self._order_start(run, minion)
+        finally:
+            run.awaits_answer = False
+
+    async def _order_start(self, run: ReservedRun, minion: Minion) -> None:
         scheduler = self.scheduler
         if not scheduler.is_current():
             # The process was suspended since the start was released for sending.
             return
         if scheduler.evacuations.is_evacuated(minion):
             # The evacuation was requested after the start was released for sending.
-            run.ordered = False
+            run.ordered = run.awaits_answer = False
             scheduler.evacuations.log_given_back(run, minion)
             self._drop_unsent_run(run)
             return
@@ -146,10 +196,17 @@
             order = self._build_order(run, minion)
             reply = await self.port.start(minion.report, order)
         except UnknownOutcomeError as exc:
+            run.awaits_answer = False
             self._on_unknown_outcome(run, minion, str(exc))
+            scheduler.crashes.on_order_outcome(run)
             return
+        run.awaits_answer = False
+        if reply.answer is not StartAnswer.STARTED:
+            # The run did not begin, so its minion's crash is no evidence against its task.
+            run.ordered, run.crash = False, None
         self._record_clock(minion, reply)
         if scheduler.fleet.find_run(run.job_id, run.key) is not run:
+            scheduler.crashes.on_order_outcome(run, begun=True)
             return
         if reply.answer is StartAnswer.STARTED:
             minion.renewed_until_ms = max(minion.renewed_until_ms, order.lease_until_ms)
@@ -178,8 +235,6 @@
             "start rejected: {}", answer.value
         )
         if answer is StartAnswer.WRONG_INCARNATION:
-            # The run did not begin in the incarnation that is over.
-            run.ordered = False
             scheduler.mark_minion_gone(minion, "replaced")
             return
         if answer in (StartAnswer.UNHEALTHY, StartAnswer.NO_ROOM):
@@ -209,6 +264,9 @@
         """Raise the minion's fencing token, so that late orders are refused, and poll it now."""
         minion.token_step += 1
         minion.failed_calls += 1
+        self._poll_now(minion)
+
+    def _poll_now(self, minion: Minion) -> None:
         poller = self.scheduler.pollers.get(minion.minion_id)
         if poller is not None:
             poller.poll_now()
--- a/src/hornbeamreach/systems/crash_evidence.py
+++ b/src/hornbeamreach/systems/crash_evidence.py
@@ -21,8 +21,8 @@
 CRASHES_TO_GIVE_UP = 2
 # The same for a long-running task: it is there for every crash of its minions, whatever the cause.
 LASTING_CRASHES_TO_GIVE_UP = 3
-# The same for runs ordered there, some of which may not have begun: their minions may have been
-# down before.
+# The same for runs ordered there, some of which may not have begun. All but the first were ordered
+# to minions that had just answered, as one that was down already shows nothing.
 ORDERED_CRASHES_TO_GIVE_UP = 4
 # A task that crashed more often is not cleared by another job's end: it may be the cause too, and
 # its count would begin anew.
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -117,6 +117,10 @@
     pool: str = ""
     # The start order was sent, so the run may have begun.
     ordered: bool = False
+    # The start order was sent and is neither answered nor given up.
+    awaits_answer: bool = False
+    # The minion answered a call just before the start order was sent.
+    minion_checked: bool = False
     # Minimum time that the run was at work before this scheduler began.
     earlier_ms: int = 0
     # The minion crashed; unless the run appears on the next incarnation, it ended by that.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -2,24 +2,29 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from types import SimpleNamespace
 
 import attrs
 import cbor2
 import pytest
 import trio
+from attrs import define, field
 
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
 from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders, RecordRuns
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.messages import QueueAction
+from hornbeamreach.fleet.ports import StartAnswer, StartOrder, StartReply, UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.standins.step_minions import SimulatedRun
 from hornbeamreach.systems.crash_evidence import (
     CLEARED_AFTER_MS,
+    CRASHES_TO_GIVE_UP,
+    LASTING_CRASHES_TO_GIVE_UP,
     SETTLED_MS,
     CrashHistory,
     clearing_ms,
@@ -28,7 +33,7 @@
     is_settled,
 )
 from hornbeamreach.tables.control_state import ControlState
-from hornbeamreach.tables.minions import CrashMark, RunPhase
+from hornbeamreach.tables.minions import CrashMark, MinionReport, RunPhase
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import LapsedRun, RunEnd, StepJobState, TaskRecord
 
@@ -75,6 +80,20 @@
             await trio.sleep(0.005)
 
 
+@define(kw_only=True)
+class DelayedAnswer:
+    """Answer starts once released; no answer for None."""
+
+    answer: StartAnswer | None
+    release: trio.Event = field(factory=trio.Event)
+
+    async def start(self, report: MinionReport, order: StartOrder) -> StartReply:
+        await self.release.wait()
+        if self.answer is None:
+            raise UnknownOutcomeError("no response")
+        return StartReply(answer=self.answer)
+
+
 async def break_gang(fleet: StepFleet) -> None:
     """End the other members of the gang whenever the deadly member has crashed its minion."""
     while True:
@@ -686,6 +705,123 @@
 
         run_scenario(scenario, minion_count=1)
 
+    # A job that never began was shown as failed after orders to minions that had crashed before.
+    @pytest.mark.parametrize("relayed", [False, True])
+    def test_orders_that_later_incarnations_reject_together_count_no_crash(self, relayed):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.return_under_new_ids()
+            await trio.sleep(2)
+            for number in range(1, 5):
+                fleet.minions.crash(f"i-{number}")
+            for number in range(1, 5):
+                fleet.minions.replace(f"i-{number}")
+            await fleet.submit(DEADLY_JOB, step_job(step(24)))
+            await fleet.wait_for_state(DEADLY_JOB, "completed")
+            assert await counted(fleet) == {}
+
+        run_scenario(scenario, minion_count=4, relayed=relayed)
+
+    # A sound job was shown as failed after four orders to minions that were down before.
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("lasting", [False, True])
+    def test_no_job_fails_unless_minions_crashed_under_its_runs(self, seed, lasting):
+        async def crash(fleet: StepFleet, name: str) -> None:
+            fleet.minions.crash(name)
+            await trio.sleep(1)
+            fleet.minions.replace(name)
+
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.return_under_new_ids()
+            await trio.sleep(2)
+            assert fleet.nursery is not None
+            jobs = [job_id(number) for number in range(1, 41)]
+            for job in jobs:
+                up = [name for name, m in fleet.minions.minions.items() if m.up]
+                for name in fleet.rng.sample(up, min(4, len(up))):
+                    fleet.nursery.start_soon(crash, fleet, name)
+                await fleet.submit(job, step_job(step(4, lasting=lasting)), work_ms=300)
+                await trio.sleep(0.8)
+            await trio.sleep(10)
+            failed = [job for job in jobs if await fleet.job_state(job) == "failed"]
+            crashed = Counter(run.task for run in fleet.minions.history if run.end is RunEnd.LOST)
+            needed = LASTING_CRASHES_TO_GIVE_UP if lasting else CRASHES_TO_GIVE_UP
+            for job in failed:
+                assert max(crashed[f"{job}.0.0.{index}"] for index in range(4)) >= needed
+
+        run_scenario(scenario, seed=seed, minion_count=7)
+
+    # Orders that several dark minions left unanswered counted as a crash each once they were back.
+    @pytest.mark.parametrize(("known", "expected"), [(False, 1), (True, 4)])
+    def test_unanswered_orders_to_several_dark_minions_count_one_crash(self, known, expected):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(DEADLY_JOB, step_job())
+            await trio.sleep(2)
+            recorder = (await fleet.wait_for_scheduler()).crashes
+            crashed = recorder.scheduler.fleet.unrecorded_crashes
+            for number in range(1, 5):
+                name = f"i-{90 + number}"
+                run = builders.run(
+                    job_id=DEADLY_JOB,
+                    run=number,
+                    minion=name,
+                    born_ms=2,
+                    ordered=True,
+                    phase=RunPhase.RUNNING if known else RunPhase.UNKNOWN,
+                )
+                recorder.on_lapse(name, [run])
+                recorder.on_report(builders.minion(name, born_ms=3).report, is_first=True)
+            assert len(crashed) == expected
+
+        run_scenario(scenario)
+
+    # An order that is not answered is no evidence if the minion was silent before it.
+    def test_a_suspect_is_ordered_only_to_a_minion_that_answers(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            await fleet.submit(DEADLY_JOB, step_job(), work_ms=60_000)
+            await wait_for_starts_begun(fleet, 1)
+            await trio.sleep(0.1)
+            for name in fleet.minions.minions:
+                fleet.minions.crash(name)
+            first = starts(fleet)[0].minion
+            scheduler.mark_minion_gone(scheduler.fleet.minions[first], REPLACED)
+            for _ in range(60):
+                await trio.sleep(0.05)
+                run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
+                assert run is None or (run.suspect and not run.ordered)
+
+        run_scenario(scenario, minion_count=4)
+
+    @pytest.mark.parametrize(
+        ("answer", "expected"),
+        [
+            (StartAnswer.STARTED, {DEADLY_TASK: 1}),
+            (StartAnswer.WRONG_INCARNATION, {}),
+            (StartAnswer.NO_ROOM, {}),
+            (None, {DEADLY_TASK: 1}),
+        ],
+    )
+    def test_a_crash_known_before_the_answer_counts_by_the_answer(self, answer, expected):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            port = DelayedAnswer(answer=answer)
+            scheduler.orders.port = port
+            await fleet.submit(DEADLY_JOB, step_job())
+            await trio.sleep(0.3)
+            run = scheduler.fleet.find_run(DEADLY_JOB, "0.0.0")
+            assert run is not None
+            assert run.awaits_answer
+            scheduler.orders.port = fleet.control[fleet.leader()].minion_port
+            scheduler.mark_minion_gone(scheduler.fleet.minions[run.minion], REPLACED)
+            port.release.set()
+            await trio.sleep(0.3)
+            assert await counted(fleet) == expected
+            assert run.crash is None or run.crash.begun == (answer is StartAnswer.STARTED)
+
+        run_scenario(scenario, minion_count=2)
+
 
 class TestForeignRuns:
     def test_a_crash_beside_a_run_that_is_only_listed_is_not_solo(self):
