Compact the log by its size in bytes, not only by its entries

What callers saw: after some hundreds of changes of a configuration of 1,400 routes all core processes ended, were started and ended again, for good.

One change takes 0.62 MB in the memory and on the disk of each replica.

It is taken between two saves, without what the next one stores. Without room for it the replica serves on and tries again every 5 s; a failed or interrupted replacement leaves no file behind.

--- a/src/hornbeamreach/control/disk.py
+++ b/src/hornbeamreach/control/disk.py
@@ -11,6 +11,7 @@
 from hornbeamreach.exceptions import FolderLockedError, StorageError
 
 LOCK_FILE_NAME = "lock"
+TEMPORARY_SUFFIX = ".tmp"
 
 
 class Disk(Protocol):
@@ -19,6 +20,9 @@
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if the file does not exist."""
 
+    def size(self, name: str) -> int:
+        """Return a file's size in bytes, 0 if the file does not exist."""
+
     def append(self, name: str, data: bytes) -> None:
         """Append data to a file, creating it if needed."""
 
@@ -57,6 +61,9 @@
         except OSError:
             os.close(self.lock_descriptor)
             raise FolderLockedError(f"another process holds the data folder {folder}") from None
+        # What an interrupted replacement has left takes room that a full disk lacks.
+        for leftover in self.folder.glob(f"*{TEMPORARY_SUFFIX}"):
+            leftover.unlink(missing_ok=True)
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if the file does not exist."""
@@ -65,6 +72,13 @@
         except FileNotFoundError:
             return None
 
+    def size(self, name: str) -> int:
+        """Return a file's size in bytes, 0 if the file does not exist."""
+        try:
+            return (self.folder / name).stat().st_size
+        except FileNotFoundError:
+            return 0
+
     def append(self, name: str, data: bytes) -> None:
         """Append data to a file, creating it if needed."""
         descriptor = self._open(name)
@@ -85,11 +99,15 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and durably."""
         self._close(name)
-        temporary = self.folder / f"{name}.tmp"
-        with open(temporary, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        temporary = self.folder / f"{name}{TEMPORARY_SUFFIX}"
+        try:
+            with open(temporary, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+        except OSError:
+            temporary.unlink(missing_ok=True)
+            raise
         os.replace(temporary, self.folder / name)
         self._sync_folder()
 
--- a/src/hornbeamreach/control/node.py
+++ b/src/hornbeamreach/control/node.py
@@ -16,6 +16,7 @@
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.settings import ControlSettings
+from hornbeamreach.systems.replica_limits import limits_for
 from hornbeamreach.systems.spare_pool_moves import movers
 
 LEADERSHIP_TRANSFER_TIMEOUT_MS = 1_000
@@ -46,7 +47,11 @@
             handlers=handlers,
             clock=clock,
             rng=rng,
-            snapshot_every=settings.snapshot_every,
+            limits=limits_for(
+                memory_mb=settings.memory_mb,
+                disk_mb=settings.disk_mb,
+                log_entries=settings.snapshot_every,
+            ),
             run_blocking=run_blocking,
         )
         self.leader = Leader(
--- a/src/hornbeamreach/control/raft_log.py
+++ b/src/hornbeamreach/control/raft_log.py
@@ -6,6 +6,14 @@
 
 from hornbeamreach.control.raft_messages import LogEntry, Snapshot
 
+# What an entry takes besides its data, on the disk and on the link.
+ENTRY_OVERHEAD_BYTES = 64
+
+
+def entry_bytes(entry: LogEntry) -> int:
+    """Return about how many bytes an entry takes, on the disk and on the link."""
+    return len(entry.data) + ENTRY_OVERHEAD_BYTES
+
 
 @define(kw_only=True)
 class RaftLog:
@@ -16,6 +24,8 @@
     # Entries that set the members, so that looking up the members does not search the log.
     membership_entries: list[LogEntry] = field(factory=list, init=False)
     initial_members: dict[str, str] = field(factory=dict)
+    # About how many bytes the entries take.
+    size_bytes: int = field(default=0, init=False)
 
     @property
     def base_index(self) -> int:
@@ -46,14 +56,31 @@
             return self.entries[position]
         return None
 
-    def slice_from(self, index: int, limit: int) -> list[LogEntry]:
-        """Return up to `limit` entries, starting at an index."""
+    def slice_from(self, index: int, limit: int, *, max_bytes: int | None = None) -> list[LogEntry]:
+        """Return up to `limit` entries, starting at an index.
+
+        With `max_bytes`, no more of them than take about that many bytes, but at least one.
+        """
         start = max(0, index - self.base_index - 1)
-        return self.entries[start : start + limit]
+        entries = self.entries[start : start + limit]
+        if max_bytes is None:
+            return entries
+        left_bytes = max_bytes
+        for number, entry in enumerate(entries):
+            left_bytes -= entry_bytes(entry)
+            if left_bytes < 0 and number:
+                return entries[:number]
+        return entries
+
+    def bytes_after(self, index: int) -> int:
+        """Return about how many bytes the entries after an index take."""
+        start = max(0, index - self.base_index)
+        return sum(entry_bytes(entry) for entry in self.entries[start:])
 
     def append(self, entry: LogEntry) -> None:
         """Append an entry after the last one."""
         self.entries.append(entry)
+        self.size_bytes += entry_bytes(entry)
         if entry.members is not None:
             self.membership_entries.append(entry)
 
@@ -62,6 +89,7 @@
         self.membership_entries = [
             entry for entry in self.membership_entries if entry.index < index
         ]
+        self.size_bytes -= self.bytes_after(index - 1)
         del self.entries[max(0, index - self.base_index - 1) :]
 
     def members(self) -> dict[str, str]:
@@ -88,4 +116,5 @@
         else:
             self.entries = []
         self.snapshot = snapshot
+        self.size_bytes = sum(entry_bytes(entry) for entry in self.entries)
         self.membership_entries = [entry for entry in self.entries if entry.members is not None]
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -34,11 +34,16 @@
 from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.control.storage import RaftStorage, UnsavedReady
 from hornbeamreach.control.workload_commands import WORKLOAD_COMMANDS, RecordRuns
-from hornbeamreach.exceptions import NotLeaderError
+from hornbeamreach.exceptions import DiskFullError, NotLeaderError
 from hornbeamreach.link.codec import encode
 from hornbeamreach.link.interface import HandlerTable, Link
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.relay_choice import Follower
+from hornbeamreach.systems.replica_limits import (
+    DroppableLog,
+    ReplicaLimits,
+    compaction_policies,
+)
 from hornbeamreach.tables.control_state import ControlState
 
 log = part_logger("replica")
@@ -53,6 +58,9 @@
 SLOW_SYNCS_BEFORE_TRANSFER = 3
 FASTER_DISK_FACTOR = 2
 TRANSFER_PAUSE_MS = 4_000
+COMPACTION_POLICY = "size"
+# A disk that is full stays so for seconds, and each try encodes the whole state.
+COMPACTION_RETRY_MS = 5_000
 # Importing the module registers its command classes, which decoding requires.
 REGISTERED_COMMANDS = WORKLOAD_COMMANDS
 RAFT_MESSAGES = (
@@ -111,7 +119,7 @@
         handlers: HandlerTable,
         clock: Clock,
         rng: random.Random,
-        snapshot_every: int,
+        limits: ReplicaLimits,
         run_blocking: RunBlocking = run_inline,
         started_ms: int | None = None,
     ) -> None:
@@ -120,7 +128,10 @@
         self.storage = storage
         self.link = link
         self.clock = clock
-        self.snapshot_every = snapshot_every
+        self.limits = limits
+        self.compaction_policy = compaction_policies.get(COMPACTION_POLICY)
+        # No snapshot is stored before this, as the disk had no room for one.
+        self.compaction_retry_ms = 0
         self.run_blocking = run_blocking
         stored = storage.load(members)
         self.core = RaftCore(
@@ -341,10 +352,9 @@
             del self.unsaved[: len(batch)]
             for item in batch:
                 self._finish_ready(item.ready)
+            await self._compact_if_due()
             if self.unsaved:
                 self.save_due.set()
-            else:
-                await self._compact_if_due()
             self._wake()
 
     def _record_sync(self, batch: list[UnsavedReady], took_ms: int) -> None:
@@ -430,7 +440,7 @@
 
     async def _compact_if_due(self) -> None:
         applied = self.state.applied_index
-        if applied - self.core.log.base_index < self.snapshot_every:
+        if not self._is_compaction_due(applied):
             return
         snapshot = Snapshot(
             index=applied,
@@ -438,12 +448,49 @@
             members=self.core.log.members_at(applied),
             data=encode_state(self.state),
         )
-        # Entries that arrived during the latest sync are stored by the next one.
-        arrived = self.core.ready.entries
-        last = arrived[0].index - 1 if arrived else self.core.log.last_index
-        remaining = self.core.log.slice_from(applied + 1, last - applied)
+        # What a later save stores must not be stored twice.
+        count = max(0, self._first_unsaved_index() - 1 - applied)
+        remaining = self.core.log.slice_from(applied + 1, count)
         term, voted_for = self.core.term, self.core.voted_for
-        await self.run_blocking(self.storage.save_snapshot, snapshot, remaining, term, voted_for)
+        dropped_bytes = self.storage.log_bytes
+        try:
+            await self.run_blocking(
+                self.storage.save_snapshot, snapshot, remaining, term, voted_for
+            )
+        except DiskFullError as exc:
+            log.bind(index=applied, size=len(snapshot.data), log_bytes=dropped_bytes).error(
+                "log not compacted: {}", exc
+            )
+            self.compaction_retry_ms = self.clock.now_ms() + COMPACTION_RETRY_MS
+            return
         if snapshot.index > self.core.log.base_index:
             self.core.compact(snapshot)
         self.skipped = {index for index in self.skipped if index > applied}
+        log.bind(
+            index=applied,
+            size=len(snapshot.data),
+            dropped_bytes=dropped_bytes - self.storage.log_bytes,
+            kept=len(remaining),
+        ).info("snapshot has replaced the log")
+
+    def _is_compaction_due(self, applied: int) -> bool:
+        core = self.core
+        entries = applied - core.log.base_index
+        installs = any(item.ready.installed_snapshot for item in self.unsaved)
+        if entries <= 0 or installs or self.clock.now_ms() < self.compaction_retry_ms:
+            return False
+        size_bytes = max(core.log.size_bytes, self.storage.log_bytes)
+        if size_bytes >= self.limits.log_bytes:
+            size_bytes -= core.log.bytes_after(applied)
+        droppable = DroppableLog(entries=entries, size_bytes=size_bytes)
+        return self.compaction_policy(droppable, self.limits)
+
+    def _first_unsaved_index(self) -> int:
+        """Return the first index whose entry is not stored yet."""
+        first = self.core.log.last_index + 1
+        for ready in (*[item.ready for item in self.unsaved], self.core.ready):
+            if ready.entries:
+                first = min(first, ready.entries[0].index)
+            if ready.truncate_from is not None:
+                first = min(first, ready.truncate_from)
+        return first
--- a/src/hornbeamreach/control/storage.py
+++ b/src/hornbeamreach/control/storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Sequence
 
 from attrs import define, field
@@ -11,12 +12,13 @@
 from hornbeamreach.control.raft import Ready
 from hornbeamreach.control.raft_log import RaftLog
 from hornbeamreach.control.raft_messages import LogEntry, Snapshot
-from hornbeamreach.exceptions import CorruptLogError, StorageError
+from hornbeamreach.exceptions import CorruptLogError, DiskFullError, StorageError
 from hornbeamreach.link.codec import wire_converter
 
 LOG_FILE_NAME = "control.log"
 SNAPSHOT_FILE_NAME = "control.snapshot"
 FORMAT_VERSION = 1
+DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 @define(kw_only=True)
@@ -43,6 +45,8 @@
 
     disk: Disk
     failure: StorageError | None = field(default=None)
+    # Size of the stored log, which only replacing it reduces.
+    log_bytes: int = field(default=0, init=False)
 
     def load(self, initial_members: dict[str, str]) -> StoredState:
         """Return the stored state, truncating a torn tail; raise CorruptLogError if damaged."""
@@ -51,6 +55,7 @@
         for batch in load_frames(self.disk, LOG_FILE_NAME):
             for record in batch:
                 _replay_record(stored, record)
+        self.log_bytes = self.disk.size(LOG_FILE_NAME)
         return stored
 
     def _load_snapshot(self) -> Snapshot | None:
@@ -91,18 +96,27 @@
                 records += _ready_records(item.ready)
         if records:
             # One frame per batch: a torn batch is truncated as a whole and was never acknowledged.
-            self.disk.append(LOG_FILE_NAME, encode_frame(records))
+            frame = encode_frame(records)
+            self.disk.append(LOG_FILE_NAME, frame)
             self.disk.sync(LOG_FILE_NAME)
+            self.log_bytes += len(frame)
 
     def save_snapshot(
         self, snapshot: Snapshot, entries: list[LogEntry], term: int, voted_for: str | None
     ) -> None:
-        """Store a snapshot and the log entries after it."""
+        """Store a snapshot and the log entries after it.
+
+        Raises DiskFullError if there is no room for them beside what is stored.
+        """
         if self.failure is not None:
             raise self.failure
         try:
             self._save_snapshot(snapshot, entries, term, voted_for)
         except OSError as exc:
+            if exc.errno in DISK_FULL_ERRORS:
+                # A replacement leaves the file as it was, and the earlier log continues from
+                # either snapshot.
+                raise DiskFullError(f"no room for a snapshot: {exc.strerror}") from exc
             self.failure = StorageError(f"can't write the data folder: {exc.strerror or exc}")
             raise self.failure from exc
 
@@ -113,7 +127,9 @@
         self.disk.replace(SNAPSHOT_FILE_NAME, encode_frame(wire_converter.unstructure(snapshot)))
         records = [["format", FORMAT_VERSION], ["hard", term, voted_for]]
         records += [_entry_record(entry) for entry in entries]
-        self.disk.replace(LOG_FILE_NAME, encode_frame(records))
+        frame = encode_frame(records)
+        self.disk.replace(LOG_FILE_NAME, frame)
+        self.log_bytes = len(frame)
 
 
 def _ready_records(ready: Ready) -> list[list]:
--- a/src/hornbeamreach/exceptions.py
+++ b/src/hornbeamreach/exceptions.py
@@ -75,6 +75,10 @@
     """Report that durable state can't be read or written."""
 
 
+class DiskFullError(StorageError):
+    """Report that the disk has no room for a snapshot; what is stored is as it was."""
+
+
 class CorruptLogError(StorageError):
     """Report corruption before the end of the log."""
 
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -38,10 +38,11 @@
     watch_signals,
 )
 from hornbeamreach.platform.vm_port import PlatformAdmissionPort, PlatformVmPort
+from hornbeamreach.systems.replica_limits import limits_for
 
 log = part_logger("main")
 
-# A snapshot replaces the log after this many entries; the log of a day without one fits the disk.
+# A snapshot replaces the log after this many entries, or sooner if they are large.
 SNAPSHOT_INTERVAL_ENTRIES = 30_000
 # Time for a stopping replica to transfer leadership and to answer requests in flight.
 HANDOVER_TIMEOUT_MS = 1_500
@@ -53,6 +54,11 @@
     clock, rng, metrics = suspend_aware_clock(), random.SystemRandom(), Metrics()
     started_ms = clock.now_ms() - process_age_ms()
     disk = FileDisk(current.data_folder)
+    limits = limits_for(
+        memory_mb=current.memory_mb,
+        disk_mb=current.disk_mb,
+        log_entries=SNAPSHOT_INTERVAL_ENTRIES,
+    )
     seed_addresses = [current.link_address_of(seed) for seed in current.seeds]
     identity = load_identity(
         disk,
@@ -75,7 +81,7 @@
                 clock=clock,
                 rng=rng,
                 started_ms=started_ms,
-                snapshot_every=SNAPSHOT_INTERVAL_ENTRIES,
+                limits=limits,
                 run_blocking=run_in_thread,
             )
             heartbeats = HeartbeatThread(
--- a/src/hornbeamreach/platform/settings.py
+++ b/src/hornbeamreach/platform/settings.py
@@ -43,6 +43,9 @@
     admission_address: str
     grace_ms: int
     timing: FleetTiming
+    # What the process may use of its VM's memory and disk; 0 if that isn't stated.
+    memory_mb: int = 0
+    disk_mb: int = 0
 
     @property
     def link_address(self) -> str:
@@ -75,6 +78,7 @@
         raise InvalidInputError("not a first and a last port", path="internal-port-range")
     addresses = fields.table(data, "bind-addresses")
     bounds = fields.table(data, "bounds")
+    limits = fields.table(data, "limits")
     return PlatformSettings(
         name=fields.string(data, "node-name"),
         ip=fields.string(data, "ip"),
@@ -92,6 +96,8 @@
         admission_address=_optional_address(data, "advice"),
         grace_ms=int(fields.number(bounds, "grace-s", 6) * MS_PER_S),
         timing=_decode_timing(bounds),
+        memory_mb=int(fields.number(limits, "memory-mb", 0)),
+        disk_mb=int(fields.number(limits, "disk-mb", 0)),
     )
 
 
--- a/src/hornbeamreach/settings.py
+++ b/src/hornbeamreach/settings.py
@@ -10,10 +10,14 @@
 from hornbeamreach import validators
 from hornbeamreach.converters import structure
 from hornbeamreach.exceptions import SettingsError
+from hornbeamreach.systems.replica_limits import DEFAULT_DISK_MB, DEFAULT_MEMORY_MB
 from hornbeamreach.tables.table_file import load_toml
 
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 MIN_SECRET_LENGTH = 16
+# Bounds of the settings of memory and disk.
+MIN_SIZE_MB = 64
+MAX_SIZE_MB = 1_000_000
 KIB = 1024
 MIB = 1024 * KIB
 
@@ -68,7 +72,15 @@
     join: bool = False
     # Registered policy that moves VMs between pools.
     mover: str = "payback"
+    # A snapshot replaces the log after this many entries, or when it takes a share of the memory or
+    # of the disk.
     snapshot_every: int = field(default=2_000, validator=validators.in_range(10, 1_000_000))
+    memory_mb: int = field(
+        default=DEFAULT_MEMORY_MB, validator=validators.in_range(MIN_SIZE_MB, MAX_SIZE_MB)
+    )
+    disk_mb: int = field(
+        default=DEFAULT_DISK_MB, validator=validators.in_range(MIN_SIZE_MB, MAX_SIZE_MB)
+    )
     log: LogSettings = field(factory=LogSettings)
 
     def __attrs_post_init__(self) -> None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from hornbeamreach.control import commands
+from hornbeamreach.control.raft_messages import Snapshot
 from hornbeamreach.control.state_machine import Outcome, apply_command
 from hornbeamreach.converters import to_plain
 from hornbeamreach.demo.deployment import sha256
@@ -14,6 +15,7 @@
     LinkSettings,
     choose_witnesses,
 )
+from hornbeamreach.systems.replica_limits import MIB, ReplicaLimits
 from hornbeamreach.tables.calls import CallRow, EndpointRow
 from hornbeamreach.tables.control_state import Change, ControlState, KeyEdit
 from hornbeamreach.tables.declared import (
@@ -388,3 +390,15 @@
         "bounds": {"hold-max-ms": 10_000, "grace-s": 6, "status_s": 120},
         "cloud-api": {"address": "10.200.0.82:8344"},
     }
+
+
+def replica_limits(**fields: int) -> ReplicaLimits:
+    """Return limits that a test reaches only where it sets them."""
+    columns = {"log_entries": 30_000, "log_bytes": 64 * MIB, "state_bytes": 64 * MIB, **fields}
+    return ReplicaLimits(**columns)
+
+
+def snapshot(**fields: Any) -> Snapshot:
+    """Return a snapshot of an empty state."""
+    columns = {"index": 1, "term": 1, "members": {"a": "a:1"}, "data": b"", **fields}
+    return Snapshot(**columns)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -77,6 +78,15 @@
         self.skip_sync = False
         self.sync_count = 0
         self.steps_until_crash: int | None = None
+        self.capacity_bytes: int | None = None
+        # Largest use of the disk so far, with the files that replacements wrote first.
+        self.peak_bytes = 0
+
+    def _check_space(self, added_bytes: int) -> None:
+        needed_bytes = self.used_bytes() + added_bytes
+        self.peak_bytes = max(self.peak_bytes, needed_bytes)
+        if self.capacity_bytes is not None and needed_bytes > self.capacity_bytes:
+            raise OSError(errno.ENOSPC, "No space left on device")
 
     def _begin_step(self) -> None:
         if self.steps_until_crash is not None:
@@ -87,8 +97,15 @@
     def read(self, name: str) -> bytes | None:
         return self.written.get(name)
 
+    def size(self, name: str) -> int:
+        return len(self.written.get(name, b""))
+
+    def used_bytes(self) -> int:
+        return sum(len(data) for data in self.written.values())
+
     def append(self, name: str, data: bytes) -> None:
         self._begin_step()
+        self._check_space(len(data))
         self.written[name] = self.written.get(name, b"") + data
 
     def sync(self, name: str) -> None:
@@ -106,6 +123,8 @@
 
     def replace(self, name: str, data: bytes) -> None:
         self._begin_step()
+        # Both files exist until the new one has replaced the old one.
+        self._check_space(len(data))
         self.written[name] = data
         self.synced[name] = data
 
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -33,6 +33,7 @@
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.standins.step_minions import SimulatedMinion, SimulatedMinions, SimulatedRun
 from hornbeamreach.systems.relay_choice import MAX_DIRECT_MINIONS
+from hornbeamreach.systems.replica_limits import ReplicaLimits
 from hornbeamreach.tables.declared import DeclaredTable
 from hornbeamreach.tables.workload import RunEnd, StepJobSpec, StepSpec, parse_task_key
 
@@ -69,6 +70,7 @@
         table: DeclaredTable | None = None,
         admission: AdmissionPort | None = None,
         relayed: bool = False,
+        limits: ReplicaLimits | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = virtual_clock()
@@ -84,6 +86,7 @@
         self.admission = admission
         # Whether orders go through followers instead of directly from the leader.
         self.relayed = relayed
+        self.limits = limits or builders.replica_limits(log_entries=300)
         self.specs: dict[str, StepJobSpec] = {}
         self.work_ms_by_job: dict[str, float] = {}
         self.minions = SimulatedMinions(
@@ -161,7 +164,7 @@
             handlers=handlers,
             clock=self.clock,
             rng=self.rng,
-            snapshot_every=300,
+            limits=self.limits,
             run_blocking=functools.partial(self._run_blocking, address),
         )
         discovery = Discovery(
--- a/tests/test_replica_disk.py
+++ b/tests/test_replica_disk.py
@@ -14,6 +14,7 @@
 from hornbeamreach.control.storage import RaftStorage, UnsavedReady
 from hornbeamreach.link.interface import HandlerTable
 
+from . import builders
 from .fakes import MemoryDisk, MemoryLink, MemoryNetwork, run_virtual, virtual_clock
 
 MEMBERS = {"a": "a:1"}
@@ -42,7 +43,7 @@
             handlers=HandlerTable(),
             clock=virtual_clock(),
             rng=rng,
-            snapshot_every=5,
+            limits=builders.replica_limits(log_entries=5),
             run_blocking=run_blocking,
         )
         async with trio.open_nursery() as nursery:
@@ -72,7 +73,7 @@
             handlers=HandlerTable(),
             clock=virtual_clock(),
             rng=rng,
-            snapshot_every=5,
+            limits=builders.replica_limits(log_entries=5),
         )
         core = replica.core
         core.role = Role.LEADER
