--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import attrs
 from attrs import define, field
 
 from hornbeamreach.control.state_machine import Outcome, appliers
@@ -203,8 +204,17 @@
 
 
 def _end_job(job: StepJob, job_state: StepJobState, at_ms: int) -> None:
+    """End a job, and drop what only starts need: it stays known for minutes."""
     job.state = job_state
     job.ended_ms = at_ms
+    job.spec = attrs.evolve(job.spec, payload="")
+    # New containers: the scheduler's copy of the state may share the earlier ones.
+    job.tasks = {key: task for key, task in job.tasks.items() if _is_needed_after_end(task)}
+
+
+def _is_needed_after_end(task: TaskRecord) -> bool:
+    """Return whether a run is still to be stopped, or a crash still explains others."""
+    return bool(task.minion or task.crashed_incarnations)
 
 
 @appliers.register("RecordRuns")
@@ -310,6 +320,8 @@
     elif end is RunEnd.FAILED:
         _record_failure(job, task_key, task)
     if job.ended:
+        if not _is_needed_after_end(task):
+            del job.tasks[task_key]
         return
     if end is RunEnd.DONE and job.all_done():
         _end_job(job, StepJobState.COMPLETED, at_ms)
--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -23,6 +23,14 @@
 )
 from hornbeamreach.systems.queued_work import JobWork
 from hornbeamreach.systems.refused_callers import RefusedCallers
+from hornbeamreach.systems.state_size import (
+    FULL_STATE_RETRY_MS,
+    RoomPolicy,
+    StateRoom,
+    jobs_bytes,
+    room_policies,
+    spec_bytes,
+)
 from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.workload import StepJobSpec
 
@@ -62,11 +70,15 @@
 
     scheduler: StepScheduler
     policy: AdmissionPolicy = field(factory=lambda: admission_policies.get("while_useful"))
+    room_policy: RoomPolicy = field(factory=lambda: room_policies.get("bytes"))
     refused: RefusedCallers = field(factory=RefusedCallers)
     capacities: dict[str, PoolCapacity] = field(factory=dict)
     measured_ms: int = -CAPACITY_INTERVAL_MS
     # VMs that may be moved to any pool; None if no VMs are moved.
     standby_vms: int | None = None
+    # What the stored jobs take, as of a time, with the jobs accepted since.
+    stored_bytes: int = 0
+    stored_ms: int = -CAPACITY_INTERVAL_MS
     overloads: dict[str, Overload] = field(factory=dict)
 
     def decide(
@@ -75,7 +87,11 @@
         """Decide on a job whose id is not known, and remember a refusal."""
         scheduler = self.scheduler
         now_ms, wall_ms = scheduler.clock.now_ms(), scheduler.clock.wall_ms()
+        if not self._has_state_room(job_id, spec, now_ms):
+            detail = "the stored jobs take all the room there is for them"
+            return JobDecision(accepted=False, detail=detail, retry_after_ms=FULL_STATE_RETRY_MS)
         if spec.lasting or spec.timed:
+            self.stored_bytes += spec_bytes(spec)
             return JobDecision(accepted=True)
         self.refused.expire(now_ms)
         request = self._describe(job_id, spec, queue, row, team, now_ms, wall_ms)
@@ -83,6 +99,7 @@
         if decision.accepted:
             waited_ms = self.refused.waited_ms(job_id, now_ms)
             decision = attrs.evolve(decision, waited_ms=waited_ms)
+            self.stored_bytes += spec_bytes(spec)
             if self.refused.remove(job_id, now_ms):
                 scheduler.metrics.event("job_accepted_after_refusal")
             self._note_accepted(row.pool, now_ms)
@@ -140,6 +157,29 @@
             refusals=overload.refusals if overload is not None else 0,
         )
 
+    # Room in the state
+
+    def _has_state_room(self, job_id: str, spec: StepJobSpec, now_ms: int) -> bool:
+        """Return whether the state has room for a job."""
+        if now_ms - self.stored_ms >= CAPACITY_INTERVAL_MS:
+            jobs = self.scheduler.proposed.workload.jobs.values()
+            self.stored_bytes, self.stored_ms = jobs_bytes(jobs), now_ms
+        room = StateRoom(
+            stored_bytes=self.stored_bytes,
+            job_bytes=spec_bytes(spec),
+            limit_bytes=self.scheduler.replica.limits.state_bytes,
+        )
+        if self.room_policy(room):
+            return True
+        self.scheduler.metrics.event("job_refused_full_state")
+        log.bind(
+            request=job_id,
+            stored_bytes=room.stored_bytes,
+            job_bytes=room.job_bytes,
+            limit_bytes=room.limit_bytes,
+        ).warning("job refused: the stored jobs take all the room")
+        return False
+
     # Capacity
 
     def _capacity(self, pool: str, now_ms: int) -> tuple[int, int]:
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -20,7 +20,7 @@
 from hornbeamreach.systems.filler_pacing import PacingInput, pacers, worst_latency_ratio
 from hornbeamreach.systems.task_placement import may_rely_on_capacity
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
-from hornbeamreach.tables.workload import RunEnd, parse_task_key
+from hornbeamreach.tables.workload import RunEnd, StepJob, parse_task_key
 
 if TYPE_CHECKING:
     from hornbeamreach.fleet.step_scheduler import StepScheduler
@@ -159,10 +159,8 @@
         self.scheduler.fleet.end_run(run, RunEnd.LOST)
         self.scheduler.notify()
 
-    def _build_order(self, run: ReservedRun, minion: Minion) -> StartOrder:
+    def _build_order(self, run: ReservedRun, job: StepJob, minion: Minion) -> StartOrder:
         scheduler = self.scheduler
-        job = scheduler.fleet.job(run.job_id)
-        assert job is not None
         occurrence, step, _ = parse_task_key(run.key)
         tickets = scheduler.planner.tickets.get((run.job_id, occurrence, step), {})
         return StartOrder(
@@ -186,6 +184,12 @@
         if not scheduler.is_current():
             # The process was suspended since the start was released for sending.
             return
+        job = scheduler.fleet.job(run.job_id)
+        if job is None or job.ended:
+            # It ended since the start was released for sending.
+            run.ordered = run.awaits_answer = False
+            self._drop_unsent_run(run)
+            return
         if scheduler.evacuations.is_evacuated(minion):
             # The evacuation was requested after the start was released for sending.
             run.ordered = run.awaits_answer = False
@@ -193,7 +197,7 @@
             self._drop_unsent_run(run)
             return
         try:
-            order = self._build_order(run, minion)
+            order = self._build_order(run, job, minion)
             reply = await self.port.start(minion.report, order)
         except UnknownOutcomeError as exc:
             run.awaits_answer = False
