Bound what a message between replicas carries by bytes

Cause: up to 256 entries of any size went in one append request. From 64 MiB on the receiving link refuses it, closes the connection, and the same batch is sent again.

Ruled out: the replica's speed and its membership; with the small configuration it catches up.

Change: a batch takes at most 1 MiB, a larger entry goes alone.

--- a/src/hornbeamreach/control/raft.py
+++ b/src/hornbeamreach/control/raft.py
@@ -24,11 +24,14 @@
     LogEntry,
     RaftMessage,
     Snapshot,
+    SnapshotChunk,
+    SnapshotChunkReply,
     SnapshotRequest,
     TimeoutNow,
     VoteReply,
     VoteRequest,
 )
+from hornbeamreach.control.snapshot_transfer import IncomingSnapshot, OutgoingSnapshot
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.verdict import Reason
 
@@ -36,6 +39,9 @@
 # Shorter than any election timeout, so that a lease ends before another leader is elected.
 LEADER_LEASE_MS = 600
 MAX_ENTRIES_PER_APPEND = 256
+# A larger entry goes alone. A request has to pass the link within a few heartbeats, and the leader
+# holds one for each peer.
+MAX_APPEND_BYTES = 1024 * 1024
 SNAPSHOT_RESEND_INTERVAL_MS = 2_000
 # Saving a vote delays the next candidacy by at most this, however long the disk took.
 MAX_VOTE_SAVING_EXTENSION_MS = 1_000
@@ -63,7 +69,8 @@
     acked_sent_ms: int = -1
     # When the peer's latest reply over the link arrived.
     link_reply_ms: int = -1
-    snapshot_sent_ms: int | None = None
+    # The latest snapshot sent; None once the peer has it.
+    snapshot: OutgoingSnapshot | None = None
     # Last index of the batch in flight, 0 if there is none, and when it was sent.
     in_flight_index: int = 0
     in_flight_sent_ms: int = 0
@@ -127,6 +134,7 @@
         self.lease_contact: tuple[int, dict[str, str] | None, int] = (-1, None, -1)
         # Non-voting replicas that receive the log: address by id.
         self.learners: dict[str, str] = {}
+        self.incoming_snapshot = IncomingSnapshot()
         self.leader_since_ms = 0
         # Whether the latest candidacy here followed a request of the leader to take over.
         self.took_over = False
@@ -294,6 +302,21 @@
             self._handle(message)
             self._publish_role()
 
+    def gather(self, message: RaftMessage) -> RaftMessage | None:
+        """Return a message to receive now, the whole snapshot for its last part.
+
+        None for an earlier part, to which a reply is sent.
+        """
+        if not isinstance(message, SnapshotChunk):
+            return message
+        if message.target != self.node_id or message.term < self.term:
+            return None
+        result = self.incoming_snapshot.add(message)
+        if isinstance(result, SnapshotChunkReply):
+            self._send(result)
+            return None
+        return result
+
     def _handle(self, message: RaftMessage) -> None:
         if message.target != self.node_id:
             return
@@ -305,6 +328,7 @@
             AppendRequest: self._on_append_request,
             AppendReply: self._on_append_reply,
             SnapshotRequest: self._on_snapshot_request,
+            SnapshotChunkReply: self._on_snapshot_chunk_reply,
             TimeoutNow: self._on_timeout_now,
         }[type(message)]
         handler(message)
@@ -527,7 +551,9 @@
         # the number of batches in flight would grow with each heartbeat.
         entries = []
         if not peer.in_flight_index:
-            entries = self.log.slice_from(peer.next_index, MAX_ENTRIES_PER_APPEND)
+            entries = self.log.slice_from(
+                peer.next_index, MAX_ENTRIES_PER_APPEND, max_bytes=MAX_APPEND_BYTES
+            )
         if not entries and not heartbeat:
             return
         previous = peer.next_index - 1
@@ -547,23 +573,41 @@
         )
 
     def _send_snapshot(self, member: str, peer: PeerProgress, *, heartbeat: bool) -> None:
-        last_sent_ms = peer.snapshot_sent_ms
-        if last_sent_ms is not None and last_sent_ms + SNAPSHOT_RESEND_INTERVAL_MS > self.now_ms:
+        assert self.log.snapshot is not None
+        transfer = peer.snapshot
+        # The reply to a batch in flight may show that the peer needs no snapshot.
+        waits = peer.in_flight_index >= self.log.base_index or (
+            transfer is not None and transfer.sent_ms + SNAPSHOT_RESEND_INTERVAL_MS > self.now_ms
+        )
+        if waits:
             if heartbeat:
                 self._send_empty_heartbeat(member)
             return
-        assert self.log.snapshot is not None
-        peer.snapshot_sent_ms = self.now_ms
+        if transfer is None or not transfer.offset:
+            # A transfer that has begun is completed, however often the log is compacted meanwhile.
+            transfer = OutgoingSnapshot(snapshot=self.log.snapshot, sent_ms=self.now_ms)
+            peer.snapshot = transfer
+        self._send_next_chunk(member, transfer)
+
+    def _send_next_chunk(self, member: str, transfer: OutgoingSnapshot) -> None:
         self._send(
-            SnapshotRequest(
-                source=self.node_id,
-                target=member,
-                term=self.term,
-                snapshot=self.log.snapshot,
-                sent_ms=self.now_ms,
+            transfer.next_message(
+                source=self.node_id, target=member, term=self.term, now_ms=self.now_ms
             )
         )
 
+    def _on_snapshot_chunk_reply(self, message: SnapshotChunkReply) -> None:
+        if self.role is not Role.LEADER or message.term != self.term:
+            return
+        peer = self.peers.get(message.source)
+        if peer is None:
+            return
+        peer.acked_sent_ms = max(peer.acked_sent_ms, message.sent_ms)
+        peer.link_reply_ms = self.now_ms
+        transfer = peer.snapshot
+        if transfer is not None and transfer.take_reply(message):
+            self._send_next_chunk(message.source, transfer)
+
     def _send_empty_heartbeat(self, member: str) -> None:
         self._send(
             AppendRequest(
@@ -659,7 +703,7 @@
             return
         if message.match_index > peer.match_index:
             peer.match_index = message.match_index
-            peer.snapshot_sent_ms = None
+            peer.snapshot = None
         peer.next_index = max(peer.next_index, peer.match_index + 1)
         self._advance_commit()
         if peer.next_index <= self.log.last_index:
--- a/src/hornbeamreach/control/raft_messages.py
+++ b/src/hornbeamreach/control/raft_messages.py
@@ -90,6 +90,31 @@
     sent_ms: int
 
 
+@wire_type("snapshot_chunk")
+@define(frozen=True, kw_only=True)
+class SnapshotChunk(RaftMessage):
+    """Send a part of a snapshot that is too large for one message."""
+
+    index: int
+    snapshot_term: int
+    members: dict[str, str]
+    # Of the whole snapshot, in bytes.
+    size: int
+    offset: int
+    data: bytes
+    sent_ms: int
+
+
+@wire_type("snapshot_chunk_reply")
+@define(frozen=True, kw_only=True)
+class SnapshotChunkReply(RaftMessage):
+    """Return the offset at which the next part of a snapshot is expected."""
+
+    index: int
+    offset: int
+    sent_ms: int
+
+
 @wire_type("timeout_now")
 @define(frozen=True, kw_only=True)
 class TimeoutNow(RaftMessage):
--- a/src/hornbeamreach/control/replica.py
+++ b/src/hornbeamreach/control/replica.py
@@ -25,6 +25,8 @@
     AppendRequest,
     LogEntry,
     Snapshot,
+    SnapshotChunk,
+    SnapshotChunkReply,
     SnapshotRequest,
     TimeoutNow,
     VoteReply,
@@ -69,6 +71,8 @@
     AppendRequest,
     AppendReply,
     SnapshotRequest,
+    SnapshotChunk,
+    SnapshotChunkReply,
     TimeoutNow,
 )
 
@@ -260,6 +264,10 @@
         self.work_ready.set()
 
     async def _on_raft_message(self, message: Any) -> None:
+        message = self.core.gather(message)
+        if message is None:
+            self._wake()
+            return
         if isinstance(message, SnapshotRequest) and not self._can_read(message.snapshot):
             return
         self.core.receive(message, self.clock.now_ms())
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from hornbeamreach.control import snapshot_transfer
 from hornbeamreach.control.election_timer import (
     ELECTION_TIMEOUT_MAX_MS,
     ELECTION_TIMEOUT_MIN_MS,
@@ -17,16 +18,20 @@
 )
 from hornbeamreach.control.raft import (
     LEADER_LEASE_MS,
+    MAX_APPEND_BYTES,
     MAX_ENTRIES_PER_APPEND,
     RaftCore,
     Role,
 )
+from hornbeamreach.control.raft_log import RaftLog, entry_bytes
 from hornbeamreach.control.raft_messages import (
     AppendRequest,
     LogEntry,
     Snapshot,
+    SnapshotChunk,
     SnapshotRequest,
 )
+from hornbeamreach.control.snapshot_transfer import CHUNK_BYTES
 from hornbeamreach.control.storage import RaftStorage
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 
@@ -100,8 +105,14 @@
         if not keep:
             self.in_flight.remove(message)
         if message.target in self.cores:
-            self.cores[message.target].receive(message, self.now_ms)
-            self.process(message.target)
+            self.receive(message)
+
+    def receive(self, message) -> None:
+        core = self.cores[message.target]
+        gathered = core.gather(message)
+        if gathered is not None:
+            core.receive(gathered, self.now_ms)
+        self.process(message.target)
 
     def settle(self, rounds: int = 400, cut_off: tuple[str, ...] = ()) -> None:
         """Advance the time and deliver all messages except those of nodes that are cut off."""
@@ -113,14 +124,13 @@
                 if message.source in cut_off or message.target in cut_off:
                     continue
                 if message.target in self.cores:
-                    self.cores[message.target].receive(message, self.now_ms)
-                    self.process(message.target)
+                    self.receive(message)
 
     def leader(self) -> RaftCore | None:
         leaders = [core for core in self.cores.values() if core.role is Role.LEADER]
         return max(leaders, key=lambda core: core.term, default=None)
 
-    def compact(self, name: str) -> None:
+    def compact(self, name: str, data: bytes = b"state") -> None:
         core = self.cores[name]
         index = core.delivered_index
         if index <= core.log.base_index or core.durable_index < index:
@@ -129,7 +139,7 @@
             index=index,
             term=core.log.term_at(index) or 0,
             members=core.log.members_at(index),
-            data=b"state",
+            data=data,
         )
         remaining = core.log.slice_from(index + 1, len(core.log.entries))
         self.storages[name].save_snapshot(snapshot, remaining, core.term, core.voted_for)
@@ -143,6 +153,8 @@
     def build(self, seed):
         self.cluster = Cluster(seed=seed)
         self.number = 0
+        # Snapshots of five bytes go whole or in three parts.
+        snapshot_transfer.CHUNK_BYTES = 2 if seed % 2 else CHUNK_BYTES
         # Heartbeats and replies that the threads have sent, in any order of delivery.
         self.heartbeats = []
 
@@ -220,6 +232,7 @@
     def teardown(self):
         if not hasattr(self, "cluster"):
             return
+        snapshot_transfer.CHUNK_BYTES = CHUNK_BYTES
         committed = max(self.cluster.history, default=0)
         self.cluster.settle(1_200)
         leader = self.cluster.leader()
@@ -447,6 +460,128 @@
         assert cluster.cores[follower.node_id].log.last_index == entries[-1].index
 
 
+class TestLargeEntries:
+    """What one message carries is bounded in bytes, whatever entries and snapshots weigh."""
+
+    ENTRY = b"x" * 100_000
+    PART = 1_000
+
+    @pytest.fixture(autouse=True)
+    def small_parts(self, monkeypatch):
+        monkeypatch.setattr(snapshot_transfer, "CHUNK_BYTES", self.PART)
+
+    def add_replica(self, cluster: Cluster) -> RaftCore:
+        """Add a replica with an empty disk, and return the leader."""
+        leader = cluster.leader()
+        cluster.start(NEW_NODE, {})
+        leader.propose_members({**MEMBERS, NEW_NODE: "d:1"})
+        cluster.process(leader.node_id)
+        return leader
+
+    def settle(self, cluster: Cluster, rounds: int = 600) -> list:
+        """Settle, and return the messages sent meanwhile."""
+        sent = []
+        for _ in range(rounds):
+            sent += cluster.in_flight
+            cluster.settle(1)
+        return sent
+
+    # A replica that lost its disk never got 120 large changes: the link refused the batch.
+    def test_a_replica_that_lost_its_disk_gets_large_entries_in_bounded_batches(self):
+        cluster = Cluster()
+        cluster.settle()
+        for _ in range(120):
+            cluster.leader().propose(self.ENTRY)
+        cluster.settle(600)
+        leader = self.add_replica(cluster)
+        sent = self.settle(cluster)
+        sizes = [sum(map(entry_bytes, getattr(m, "entries", ()))) for m in sent]
+        assert MAX_APPEND_BYTES / 2 < max(sizes) <= MAX_APPEND_BYTES
+        assert cluster.cores[NEW_NODE].commit_index == leader.commit_index >= 120
+
+    def test_an_entry_above_the_limit_goes_alone(self):
+        log = RaftLog()
+        for number, size in enumerate((10, MAX_APPEND_BYTES * 2, 10, 10), 1):
+            log.append(LogEntry(index=number, term=1, data=b"x" * size))
+        batches = [log.slice_from(n, 256, max_bytes=MAX_APPEND_BYTES) for n in (1, 2, 3)]
+        assert [[entry.index for entry in batch] for batch in batches] == [[1], [2], [3, 4]]
+
+    # The link refuses a snapshot above its limit too, and each peer's copy takes memory.
+    @pytest.mark.parametrize("lost", [0.0, 0.3])
+    def test_a_large_snapshot_goes_in_parts(self, lost):
+        cluster = Cluster(seed=3)
+        cluster.settle()
+        data = random.Random(1).randbytes(3 * self.PART + 5)
+        cluster.compact(cluster.leader().node_id, data)
+        leader = self.add_replica(cluster)
+        parts, now_ms = [], cluster.now_ms
+        while cluster.cores[NEW_NODE].log.snapshot is None:
+            for message in list(cluster.in_flight):
+                if isinstance(message, SnapshotChunk):
+                    parts.append(message)
+                    if cluster.rng.random() < lost:
+                        cluster.in_flight.remove(message)
+            cluster.settle(1)
+            assert cluster.now_ms < now_ms + 60_000
+        assert max(len(part.data) for part in parts) == self.PART
+        assert cluster.cores[NEW_NODE].log.snapshot.data == data
+        if not lost:
+            assert [part.offset for part in parts] == [n * self.PART for n in range(4)]
+        cluster.settle(600)
+        assert cluster.cores[NEW_NODE].commit_index == leader.commit_index
+
+    def test_a_transfer_begins_anew_if_the_replica_restarts(self):
+        cluster = Cluster(seed=3)
+        cluster.settle()
+        data = random.Random(1).randbytes(3 * self.PART)
+        cluster.compact(cluster.leader().node_id, data)
+        self.add_replica(cluster)
+        while not any(getattr(m, "offset", 0) for m in cluster.in_flight):
+            cluster.settle(1)
+        cluster.crash(NEW_NODE)
+        cluster.settle(2_000)
+        assert cluster.cores[NEW_NODE].log.snapshot.data == data
+
+    # A log that is compacted faster than a snapshot is sent would begin each transfer anew.
+    def test_a_transfer_is_completed_although_the_log_is_compacted_meanwhile(self):
+        cluster = Cluster(seed=3)
+        cluster.settle()
+        name = cluster.leader().node_id
+        cluster.compact(name, b"a" * 4 * self.PART)
+        self.add_replica(cluster)
+        for _ in range(2_000):
+            if cluster.cores[NEW_NODE].log.snapshot is not None:
+                break
+            cluster.leader().propose(b"more")
+            cluster.settle(1)
+            cluster.compact(name, b"b" * 4 * self.PART)
+        assert cluster.cores[NEW_NODE].log.snapshot.data[:1] == b"a"
+
+    # A compaction sent the whole state to a follower that was about to acknowledge its last entry.
+    def test_no_snapshot_goes_to_a_follower_whose_batch_is_in_flight(self):
+        cluster = Cluster()
+        cluster.settle()
+        leader = cluster.leader()
+        slow = next(node for node in NODES if node != leader.node_id)
+        cluster.in_flight.clear()
+        held = []
+        for compacts in (True, False, False):
+            leader.propose(b"x")
+            cluster.process(leader.node_id)
+            while any(slow not in (m.source, m.target) for m in cluster.in_flight):
+                held += [m for m in cluster.in_flight if slow in (m.source, m.target)]
+                cluster.in_flight = [m for m in cluster.in_flight if m not in held]
+                cluster.deliver(0)
+            if compacts:
+                cluster.compact(leader.node_id)
+        assert leader.log.base_index > 0
+        assert held
+        assert not any(isinstance(message, SnapshotRequest) for message in held)
+        cluster.in_flight += held
+        cluster.settle()
+        assert cluster.cores[slow].commit_index == leader.commit_index
+
+
 class TestMembership:
     def test_a_replica_is_added_and_catches_up_from_a_snapshot(self):
         cluster = Cluster()
