Read the lists of others row by row, whatever one entry holds

What callers would see: one odd entry of another writer in the list of VMs ended the leader, and each replica that led after it; in the lists of runs and ends or of admitted minions it made the whole list unreadable, so that the minion counted as silent and its runs lapsed.

Cause: lists were read whole or not at all. A VM's state that is nested deeply raised RecursionError, as the message of the enum's error prints it, and nothing on the way caught it. A number or nesting that the JSON parser refuses failed the whole document, at each reading.

Change: rows are read one by one. A run that an unreadable row names is neither taken for gone nor for stalled, and an end counts without a readable checkpoint. A document that the parser refuses is read again with such values replaced. An unexpected error of a list of VMs leaves the earlier list in force.

--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -47,6 +47,7 @@
 # A poll that waits for the event loop checks its lag again after this.
 LAG_CHECK_INTERVAL_MS = 100
 MAX_LOGGED_RUNS = 20
+MAX_LOGGED_CHARACTERS = 100
 UNKNOWN_OUTCOME_PHASES = frozenset({RunPhase.UNKNOWN, RunPhase.STOPPING})
 
 
@@ -256,6 +257,7 @@
             self._record_end(minion, ended, now_ms)
         running = {(task.task, task.run): task for task in result.running}
         self._record_running(minion, running, now_ms)
+        self._note_unread(minion, result)
         self._end_missing_runs(minion, running, sent_ms, token)
         scheduler.orders.pace_fillers(minion)
         self._stop_stragglers(minion, now_ms)
@@ -312,6 +314,9 @@
         for run in list(minion.runs.values()):
             if run.lasting or run.phase is not RunPhase.RUNNING or run.pace != FULL_PACE_PERCENT:
                 continue
+            if run.name in minion.unread_tasks:
+                # Its progress is not known.
+                continue
             if not may_be_straggler(now_ms - run.started_ms, run.percent):
                 continue
             observation = RunObservation(
@@ -342,6 +347,18 @@
             fleet.failed_on.setdefault(run.name, set()).add(run.minion)
             self.scheduler.orders.stop(run, kind.value)
 
+    def _note_unread(self, minion: Minion, result: PollResult) -> None:
+        """Log rows that could not be read, once until there are others."""
+        unread = frozenset(result.unread)
+        if unread and unread != minion.unread_tasks:
+            self.scheduler.metrics.event("rows_unread")
+            log.bind(
+                minion=minion.minion_id,
+                count=len(result.unread),
+                tasks=[task[:MAX_LOGGED_CHARACTERS] for task in result.unread[:MAX_LOGGED_RUNS]],
+            ).warning("rows of the minion's lists can't be read; their runs are kept")
+        minion.unread_tasks = unread
+
     def _end_missing_runs(
         self,
         minion: Minion,
@@ -355,7 +372,9 @@
         missing = [
             run
             for run in minion.runs.values()
-            if (run.name, run.run) not in running and self._outcome_known_before(run, sent_ms)
+            if (run.name, run.run) not in running
+            and run.name not in minion.unread_tasks
+            and self._outcome_known_before(run, sent_ms)
         ]
         if not missing:
             return
--- a/src/hornbeamreach/fleet/ports.py
+++ b/src/hornbeamreach/fleet/ports.py
@@ -69,6 +69,8 @@
     clock_ms: int
     running: list[RunningTask] = field(factory=list)
     ended: list[EndedTask] = field(factory=list)
+    # Tasks of rows of `running` that could not be read: another writer may have left them.
+    unread: list[str] = field(factory=list)
 
 
 @define(frozen=True, kw_only=True)
--- a/src/hornbeamreach/fleet/vm_inventory.py
+++ b/src/hornbeamreach/fleet/vm_inventory.py
@@ -52,6 +52,10 @@
             except UnknownOutcomeError as exc:
                 log.warning("cannot list VMs: {}", exc)
                 self.scheduler.metrics.event("machines_not_listed")
+            except Exception as exc:
+                # The scheduler that takes over would read the same list.
+                log.error("list of VMs not read, unexpected error: {!r}", exc)
+                self.scheduler.metrics.event("machines_not_listed")
             else:
                 self.vms = {vm.name: vm for vm in listed}
                 self.listed_ms = now_ms
--- a/src/hornbeamreach/platform/fields.py
+++ b/src/hornbeamreach/platform/fields.py
@@ -8,6 +8,7 @@
 import orjson
 
 from hornbeamreach.exceptions import InvalidInputError
+from hornbeamreach.platform.json_pruning import prune_json
 
 # Above any amount in a deployment, and low enough that sums stay far from the int64 limit.
 MAX_NUMBER = 1 << 53
@@ -27,6 +28,17 @@
     return value
 
 
+def decode_rows(body: bytes) -> dict[str, Any]:
+    """Decode a JSON object whose rows come from several writers, with odd values replaced.
+
+    Raise InvalidInputError if the body is no object even so.
+    """
+    try:
+        return decode_json(body)
+    except InvalidInputError:
+        return decode_json(prune_json(body))
+
+
 def string(data: dict[str, Any], name: str, default: str | None = None) -> str:
     """Return a string field."""
     value = data.get(name, default)
--- a/src/hornbeamreach/platform/minion_port.py
+++ b/src/hornbeamreach/platform/minion_port.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import functools
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import orjson
 from attrs import define, field
@@ -43,16 +44,9 @@
 RUN_ENDS = {end.value: end for end in RunEnd}
 # The tasks of a step start together and share the job's spec, which may have 256 KiB.
 CACHED_SPECS = 32
-# Raised for lists of another form; a deeply nested value in place of a text exceeds the recursion
-# limit.
-LIST_ERRORS = (
-    InvalidInputError,
-    ValueError,
-    TypeError,
-    LookupError,
-    OverflowError,
-    RecursionError,
-)
+# Raised for a row of another form.
+ROW_ERRORS = (ValueError, TypeError, LookupError)
+T = TypeVar("T")
 
 
 @define(kw_only=True, eq=False)
@@ -145,7 +139,7 @@
 
 def _decode(response: Response) -> dict[str, Any]:
     try:
-        return fields.decode_json(response.body)
+        return fields.decode_rows(response.body)
     except InvalidInputError as exc:
         raise UnknownOutcomeError(f"unreadable answer: {exc}") from None
 
@@ -177,24 +171,49 @@
 
 
 def decode_poll_result(body: dict[str, Any]) -> PollResult:
-    """Decode a minion's lists of runs; raise UnknownOutcomeError if they are malformed."""
+    """Decode a minion's lists of runs, without the rows that can't be read.
+
+    Raise UnknownOutcomeError if there are no lists or no clock.
+    """
+    unread: list[str] = []
     try:
         return PollResult(
             born_ms=fields.integer(body, "born", 0),
             clock_ms=fields.integer(body, "clock-ms"),
-            running=[_decode_running_task(row) for row in fields.items(body, "running")],
-            ended=[_decode_ended_task(row) for row in fields.items(body, "finished")],
+            running=_decode_rows(fields.items(body, "running"), _decode_running_task, unread),
+            ended=_decode_rows(fields.items(body, "finished"), _decode_ended_task, []),
+            unread=unread,
         )
-    except LIST_ERRORS as exc:
-        raise UnknownOutcomeError(f"unreadable lists: {exc!r}") from None
+    except InvalidInputError as exc:
+        raise UnknownOutcomeError(f"unreadable lists: {exc}") from None
+
+
+def _decode_rows(rows: list[Any], decode: Callable[[Any], T], unread: list[str]) -> list[T]:
+    """Decode what can be decoded; add the task of each other row to `unread`, if it has one."""
+    found = []
+    for row in rows:
+        try:
+            found.append(decode(row))
+        except ROW_ERRORS:
+            task = row[0] if isinstance(row, list) and row else None
+            if isinstance(task, str):
+                unread.append(task)
+    return found
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError("not a text")
+    return value
 
 
 def _count(value: Any) -> int:
-    """Convert a number in a row; raise ValueError for one that no order can carry back."""
-    number = int(value)
-    if not 0 <= number <= fields.MAX_NUMBER:
-        raise ValueError(f"{value} is out of range")
-    return number
+    """Return a number in a row; raise ValueError for one that no order can carry back."""
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if type(value) is not int or not 0 <= value <= fields.MAX_NUMBER:
+        raise ValueError("not a whole number in range")
+    return value
 
 
 def _decode_running_task(row: list[Any]) -> RunningTask:
@@ -202,20 +221,22 @@
     task, run, checkpoint, percent = row[:4]
     figure = row[4] if len(row) > 4 else 0
     return RunningTask(
-        task=str(task),
+        task=_text(task),
         run=_count(run),
-        checkpoint=str(checkpoint),
+        checkpoint=_text(checkpoint),
         percent=_count(percent),
         figure=_count(figure),
     )
 
 
 def _decode_ended_task(row: list[Any]) -> EndedTask:
-    number, task, run, end, checkpoint = row[:5]
+    number, task, run, end = row[:4]
+    checkpoint = row[4] if len(row) > 4 else ""
     return EndedTask(
         number=_count(number),
-        task=str(task),
+        task=_text(task),
         run=_count(run),
-        end=RUN_ENDS[end],
-        checkpoint=str(checkpoint),
+        end=RUN_ENDS[_text(end)],
+        # The end counts without it too: the next run begins anew.
+        checkpoint=checkpoint if isinstance(checkpoint, str) else "",
     )
--- a/src/hornbeamreach/platform/vm_port.py
+++ b/src/hornbeamreach/platform/vm_port.py
@@ -93,7 +93,7 @@
     if response.status not in (HTTP_OK, HTTP_CONFLICT):
         raise UnknownOutcomeError(f"unexpected status {response.status}")
     try:
-        return fields.decode_json(response.body)
+        return fields.decode_rows(response.body)
     except InvalidInputError as exc:
         raise UnknownOutcomeError(f"malformed response: {exc}") from None
 
@@ -115,15 +115,17 @@
 
 def _decode_vm(row: Any) -> PlatformVm | None:
     """Decode one row; return None if it is malformed."""
+    if not isinstance(row, dict):
+        return None
     try:
         return PlatformVm(
             name=fields.string(row, "machine"),
             pool=fields.string(row, "pool"),
-            state=PlatformVmState(row.get("state")),
+            state=PlatformVmState(fields.string(row, "state")),
             minion=fields.string(row, "id", ""),
             data_center=fields.string(row, "zone", ""),
         )
-    except (InvalidInputError, ValueError, AttributeError):
+    except (InvalidInputError, ValueError):
         return None
 
 
@@ -143,7 +145,10 @@
         rows = _decode(response).get("admitted")
         if not isinstance(rows, list):
             raise UnknownOutcomeError("malformed response: no list of admitted minions")
-        try:
-            return {str(row[0]): str(row[1]) for row in rows}
-        except (TypeError, LookupError, RecursionError) as exc:
-            raise UnknownOutcomeError(f"malformed list of admitted minions: {exc!r}") from None
+        return {row[0]: row[1] for row in rows if _is_admission(row)}
+
+
+def _is_admission(row: Any) -> bool:
+    """Return whether a row names a minion and its ticket."""
+    is_pair = isinstance(row, list) and len(row) >= 2
+    return is_pair and isinstance(row[0], str) and isinstance(row[1], str)
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -150,6 +150,8 @@
     # Number of runs by job, and names of the runs of suspects by job.
     run_counts: dict[str, int] = field(factory=dict)
     suspects: dict[str, set[str]] = field(factory=dict)
+    # Tasks of rows that the latest poll could not read.
+    unread_tasks: frozenset[str] = frozenset()
     # A foreign run's needs are not known, so nothing else may start.
     has_unknown_use: bool = False
     # When the latest answered poll was sent; -1 before the first one of this term.
