Answer a malformed declaration or change of the table 400, not 500

A change of the table in the own interface whose edits are no list got 500 too.

The patterns of names and addresses also took a trailing newline, and addresses digits of other scripts.

--- a/src/hornbeamreach/control/operator_api.py
+++ b/src/hornbeamreach/control/operator_api.py
@@ -254,6 +254,9 @@
     Raises InvalidInputError.
     """
     content = {key: body.get(key, []) for key in ("edits", "key_edits")}
+    for key, value in content.items():
+        if not isinstance(value, list):
+            raise InvalidInputError("not a list", path=key)
     unknown_keys = body.keys() - {"operation_id", "edits", "key_edits"}
     if unknown_keys:
         raise InvalidInputError("unknown key", path=sorted(unknown_keys)[0])
--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -22,6 +22,7 @@
 from hornbeamreach.tables.minions import MinionReport
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import StepJobSpec, StepSpec
+from hornbeamreach.validators import InvalidValueError
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 1_000
@@ -106,14 +107,21 @@
 
 def decode_declaration(body: bytes, *, data_center: str) -> Declaration:
     """Decode a complete configuration; raise InvalidInputError if it is malformed."""
-    data = fields.decode_json(body)
+    try:
+        return _decode_declaration(fields.decode_json(body), data_center)
+    except InvalidValueError as exc:
+        raise InvalidInputError(str(exc), path=exc.field) from None
+
+
+def _decode_declaration(data: dict[str, Any], data_center: str) -> Declaration:
     for name in ("routes", "services", "limits"):
         if name not in data:
             raise InvalidInputError("missing", path=name)
     fields.table(data, "limits")
     table = DeclaredTable()
     for row in fields.items(data, "services", required=True):
-        table.pools[_row_name(row, "services")] = _decode_pool(row)
+        name = _row_name(row, "services")
+        table.pools[name] = _decode_pool(row)
     prefixes: set[tuple[str, str]] = set()
     for row in fields.items(data, "routes", required=True):
         name = _row_name(row, "routes")
--- a/src/hornbeamreach/validators.py
+++ b/src/hornbeamreach/validators.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
-ADDRESS_PATTERN = re.compile(r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+ADDRESS_PATTERN = re.compile(r"([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}")
 MAX_PORT = 65_535
 MAX_OCTET = 255
 
@@ -22,7 +22,7 @@
 
 def name(instance: Any, attribute: Any, value: Any) -> None:
     """Require a lower-case name of at most 63 characters."""
-    if not isinstance(value, str) or not NAME_PATTERN.match(value):
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
         raise InvalidValueError(
             attribute, f"{value!r} is not a name: use a-z, 0-9, '.', '_', '-', at most 63"
         )
@@ -30,7 +30,7 @@
 
 def address(instance: Any, attribute: Any, value: Any) -> None:
     """Require an IPv4 address with a port."""
-    if not isinstance(value, str) or not ADDRESS_PATTERN.match(value):
+    if not isinstance(value, str) or not ADDRESS_PATTERN.fullmatch(value):
         raise InvalidValueError(attribute, f"{value!r} is not an address of the form 10.0.0.1:7000")
     host, port = value.split(":")
     if int(port) > MAX_PORT or any(int(octet) > MAX_OCTET for octet in host.split(".")):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,6 +21,7 @@
 from hornbeamreach.control.commands import NoOp
 from hornbeamreach.control.heartbeat_thread import _signature as sign
 from hornbeamreach.control.heartbeat_thread import decode_heartbeat
+from hornbeamreach.control.operator_api import parse_change
 from hornbeamreach.control.raft_messages import AppendRequest, LogEntry
 from hornbeamreach.converters import structure
 from hornbeamreach.entry.announcements import parse_announcement
@@ -32,7 +33,7 @@
 from hornbeamreach.link.codec import DecodeError, encode, from_tagged
 from hornbeamreach.link.frames import NOTIFY, decode_frame, encode_frame
 from hornbeamreach.platform import fields
-from hornbeamreach.platform.decoding import decode_job, decode_report
+from hornbeamreach.platform.decoding import decode_declaration, decode_job, decode_report
 from hornbeamreach.platform.http_client import Response
 from hornbeamreach.platform.minion_port import PlatformMinionPort
 from hornbeamreach.platform.settings import decode_settings
@@ -158,6 +159,13 @@
     "sequence": 1,
     "leaving": False,
 }
+CHANGE = {
+    "operation_id": "change-0001",
+    "edits": [
+        {"kind": "pools", "name": "pool-a", "columns": {"max_down": 1}, "expected_version": 0}
+    ],
+    "key_edits": [{"team": "team-a", "key_hash": "0" * 64, "key_id": "0" * 8}],
+}
 OWN_JOB = {"kind": "k", "cpu_millis": 1, "memory_mb": 1, "expected_ms": 5, "payload": "x"}
 PLATFORM_REPORT = {"vms": {"vm-a": {"up": True, "boot_operation": ""}}, "tasks": []}
 
@@ -205,6 +213,11 @@
 
 READERS = {
     "heartbeat": (lambda body: decode_report("i-1", body), HEARTBEAT, InvalidInputError),
+    "declaration": (
+        lambda body: decode_declaration(body, data_center="dc1"),
+        builders.platform_configuration(),
+        InvalidInputError,
+    ),
     "job": (decode_job, JOB, InvalidInputError),
     "settings": (
         lambda body: decode_settings(fields.decode_json(body)),
@@ -220,6 +233,11 @@
         # The interface refuses a ValueError as malformed.
         (InvalidInputError, RefusedError, ValueError),
     ),
+    "change of the table": (
+        lambda body: parse_change(fields.decode_json(body)),
+        CHANGE,
+        (InvalidInputError, RefusedError),
+    ),
     "job of the own interface": (
         lambda body: check_spec(
             structure(fields.decode_json(body), JobSpec, error=InvalidInputError)
