Ignore reports with a start time or sequence that no minion can have

What callers would see: after one report of another writer under a minion's id, with a start time or sequence far too large, all reports of the minion itself seemed older and were ignored. It got no work, and its jobs waited. Shown by a test; not reported.

Change: a report that begins over an hour in the future, or that skips a thousand million reports, is ignored and logged.

Result: test_a_report_with_a_number_too_large_hides_no_minion fails on for both numbers and passes now.

--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -27,6 +27,10 @@
 # Reports that a network partition delayed arrive seconds late; this is far above a partition of
 # one minute.
 GONE_MINION_RETENTION_MS = 120_000
+# Clocks of VMs differ by seconds.
+MAX_CLOCK_STEP_MS = 3_600_000
+# Reports of a minion that runs for ten years.
+MAX_SEQUENCE_STEP = 1_000_000_000
 
 
 @define(kw_only=True, eq=False)
@@ -57,6 +61,13 @@
         minion = self.fleet.minions.get(report.minion)
         if minion is not None and _is_older(report, minion):
             return
+        implausible = implausible_number(report, minion, self.clock.wall_ms())
+        if implausible:
+            self.metrics.event("report_ignored")
+            log.bind(
+                minion=report.minion, born_ms=report.born_ms, sequence=report.sequence
+            ).warning("report ignored: {}", implausible)
+            return
         now_ms = self.clock.now_ms()
         if minion is None or _may_serve_more(minion, report, now_ms):
             self.fleet.changed_pools.add(report.pool)
@@ -127,6 +138,20 @@
                 self.pollers.pop(minion.minion_id).stop()
 
 
+def implausible_number(report: MinionReport, known: Minion | None, wall_ms: int) -> str:
+    """Return which number of a report no minion can have sent, or an empty text.
+
+    A later report of the minion itself would seem older than such a one, and be ignored.
+    """
+    if report.born_ms > wall_ms + MAX_CLOCK_STEP_MS:
+        return "it began in the future"
+    is_same = known is not None and known.report.born_ms == report.born_ms
+    earlier = known.report.sequence if is_same and known is not None else 0
+    if report.sequence - earlier > MAX_SEQUENCE_STEP:
+        return "it skips too many reports"
+    return ""
+
+
 def _is_older(report: MinionReport, minion: Minion) -> bool:
     known = minion.report
     if report.born_ms != known.born_ms:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -39,6 +39,7 @@
 from hornbeamreach.platform.settings import decode_settings
 from hornbeamreach.platform.vm_port import PlatformAdmissionPort, PlatformVmPort
 from hornbeamreach.tables.reports import JobSpec
+from hornbeamreach.tables.resources import Resources
 from hornbeamreach.web.http_platform import HttpPlatform
 
 from . import builders
@@ -389,6 +390,20 @@
 
         run_scenario(scenario)
 
+    # After one report with a number too large, all reports of the minion itself seemed older.
+    @pytest.mark.parametrize("numbers", [{"born_ms": 2**53}, {"sequence": 2**53}])
+    def test_a_report_with_a_number_too_large_hides_no_minion(self, numbers):
+        async def scenario(fleet: StepFleet) -> None:
+            scheduler = await fleet.wait_for_scheduler()
+            await trio.sleep(2)
+            for minion in list(scheduler.fleet.minions.values()):
+                odd = attrs.evolve(minion.report, capacity=Resources(), **numbers)
+                scheduler.on_report(odd)
+            await fleet.submit(job_id(1), step_job(step(6)))
+            await fleet.wait_for_state(job_id(1), "completed", timeout_s=10)
+
+        run_scenario(scenario)
+
 
 class TestVms:
     # A state that was nested deeply ended each scheduler that read the list.
