Bound relayed calls, forwarded reports and responses by bytes

What callers would see: one message over 64 MiB between two replicas is refused by the link, which closes the connection, and all starts, results or reports in it are lost; a response of any size was held in memory.

Change: results of relayed calls go in parts of 1 MiB, starts in parts of 256, the names and labels of a report are limited to 16 KiB, so that 64 reports stay below 2.5 MiB, and a response is limited to 8 MiB.

--- a/src/hornbeamreach/fleet/order_relay.py
+++ b/src/hornbeamreach/fleet/order_relay.py
@@ -37,6 +37,10 @@
 # More pending calls mean that the leader no longer receives this replica's results.
 MAX_CALLS = 4_096
 MAX_LOGGED_TASKS = 20
+# Of the results in one message; a larger one goes alone.
+MAX_RESULTS_BYTES = 1024 * 1024
+# What a result, or a row in its lists, takes besides its texts.
+ROW_BYTES = 64
 
 
 def _target_report(call: RelayedStart | RelayedPoll) -> MinionReport:
@@ -51,6 +55,28 @@
     )
 
 
+def split_results(results: list[RelayResult]) -> list[list[RelayResult]]:
+    """Split results into parts that take at most MAX_RESULTS_BYTES each, or are one result."""
+    parts: list[list[RelayResult]] = []
+    left_bytes = 0
+    for result in results:
+        size = _result_bytes(result)
+        if not parts or size > left_bytes:
+            parts.append([])
+            left_bytes = MAX_RESULTS_BYTES
+        parts[-1].append(result)
+        left_bytes -= size
+    return parts
+
+
+def _result_bytes(result: RelayResult) -> int:
+    size = ROW_BYTES + len(result.detail)
+    if result.look is not None:
+        for row in (*result.look.running, *result.look.ended):
+            size += ROW_BYTES + len(row.task) + len(row.checkpoint)
+    return size
+
+
 @define(kw_only=True, eq=False)
 class OrderRelay:
     """Make calls to minions for whichever replica leads.
@@ -101,7 +127,8 @@
                 self.wake = trio.Event()
                 results_by_source, self.results = self.results, {}
                 for address, results in results_by_source.items():
-                    self.link.notify(address, RelayResults(results=results))
+                    for part in split_results(results):
+                        self.link.notify(address, RelayResults(results=part))
 
     async def _run_call(
         self,
--- a/src/hornbeamreach/fleet/relayed_minion_port.py
+++ b/src/hornbeamreach/fleet/relayed_minion_port.py
@@ -44,6 +44,8 @@
 
 # Calls within this span go to a follower in one message.
 BATCH_MS = 2
+# A start carries its job's payload, so that a message stays within about 1 MiB.
+MAX_STARTS = 256
 # Added to the minion's response timeout for a relayed call: two messages between replicas, and
 # the delay of a batch on a busy processor.
 RELAY_TIMEOUT_MS = 400
@@ -131,6 +133,12 @@
                 if call.due_ms <= now_ms:
                     call.done.set()
 
+    def _send_batch(self, relay: str, batch: RelayBatch) -> None:
+        pause_ms = self.batch_pause_ms()
+        if pause_ms > BATCH_MS:
+            batch = attrs.evolve(batch, results_pause_ms=pause_ms)
+        self.link.notify(relay, batch)
+
     async def _send_batches(self) -> None:
         while True:
             await self.wake.wait()
@@ -139,9 +147,7 @@
             self.wake = trio.Event()
             batches, self.batches = self.batches, {}
             for address, batch in batches.items():
-                if pause_ms > BATCH_MS:
-                    batch = attrs.evolve(batch, results_pause_ms=pause_ms)
-                self.link.notify(address, batch)
+                self._send_batch(address, batch)
 
     # Port
 
@@ -190,7 +196,10 @@
             address=report.address,
             order=order,
         )
-        self._batch_for(relay).starts.append(call)
+        batch = self._batch_for(relay)
+        batch.starts.append(call)
+        if len(batch.starts) >= MAX_STARTS:
+            self._send_batch(relay, self.batches.pop(relay))
         try:
             result = await self._result_of(relay, call, 0)
         except WrongIncarnationError:
--- a/src/hornbeamreach/platform/decoding.py
+++ b/src/hornbeamreach/platform/decoding.py
@@ -30,6 +30,9 @@
 ANONYMOUS_TEAM = ""
 DRAINING = "draining"
 MINION_STATES = ("ready", DRAINING)
+# A leader holds the latest report of each minion, and gets up to 64 in one message.
+MAX_REPORT_CHARACTERS = 16_384
+REPORT_TEXTS = ("service", "address", "zone", "machine")
 RACK_SEPARATOR = "-"
 
 
@@ -208,6 +211,9 @@
         raise InvalidInputError(f"{state!r} is no known state", path="state")
     capacity = fields.table(data, "capacity")
     labels = fields.strings(data, "labels")
+    texts = [minion, *labels, *[fields.string(data, n, "") for n in REPORT_TEXTS]]
+    if sum(map(len, texts)) > MAX_REPORT_CHARACTERS:
+        raise InvalidInputError(f"more than {MAX_REPORT_CHARACTERS} characters of names and labels")
     return MinionReport(
         minion=minion,
         born_ms=fields.integer(data, "born", 0),
--- a/src/hornbeamreach/platform/http_client.py
+++ b/src/hornbeamreach/platform/http_client.py
@@ -30,6 +30,8 @@
 # Limit for the part of a response that arrived without completing its head or a chunk.
 MAX_HEADER_BYTES = 16 * 1024
 READ_BYTES = 65_536
+# Limit for the body of a response. Lists of 500 ends take some 50 KB.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 # Raised for an address that no connection can be opened to.
 ADDRESS_ERRORS = (ValueError, OverflowError)
 JSON_HEADER = (b"Content-Type", b"application/json")
@@ -65,6 +67,7 @@
     surplus: bool = False
     # Bytes that arrived since the last progress.
     pending_bytes: int = 0
+    body_bytes: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
@@ -76,7 +79,7 @@
     def expect(self, method: str) -> None:
         """Prepare for the response to a request."""
         self.parts = []
-        self.status = self.pending_bytes = 0
+        self.status = self.pending_bytes = self.body_bytes = 0
         self.head_complete = self.complete = False
         self.without_body = method == "HEAD"
 
@@ -155,8 +158,12 @@
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
         self.pending_bytes = 0
-        if not self.complete:
-            self.parts.append(data)
+        if self.complete:
+            return
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise MalformedMessageError("body too large")
+        self.parts.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it only announces another."""
