Send an entry process the state instead of large log entries

What callers would see: an entry process that lacks up to 256 large entries got them in one reply, which the link refuses above 64 MiB; it would never have learnt a later table. The product's own path, found by reading with the batches between replicas; not seen.

Change: entries that take over 4 MiB are replaced by the state, as more than 256 were.

Result: test_a_process_gets_the_state_instead_of_large_entries passes; the choice was not a function before, so the test can't be run on the earlier code.

--- a/src/hornbeamreach/control/leader.py
+++ b/src/hornbeamreach/control/leader.py
@@ -9,6 +9,8 @@
 from hornbeamreach.control.change_coordinator import ChangeCoordinator
 from hornbeamreach.control.entry_reports import apply_report, build_free_capacity
 from hornbeamreach.control.observations import observe_vms, pool_loads
+from hornbeamreach.control.raft_log import RaftLog, entry_bytes
+from hornbeamreach.control.raft_messages import LogEntry
 from hornbeamreach.control.replica import Replica
 from hornbeamreach.control.slice_planner import SlicePlanner
 from hornbeamreach.control.snapshots import encode_state
@@ -43,10 +45,23 @@
 FREE_CAPACITY_INTERVAL_MS = 1_000
 MAX_RENEW_HOLD_MS = 1_500
 MAX_LOG_ITEMS_PER_REPLY = 256
+# Entries that take more may exceed what one message carries; the state replaces them.
+MAX_LOG_BYTES_PER_REPLY = 4 * 1024 * 1024
 # A new leader permits no drains for this long, so that every data centre can report first.
 REPORT_GRACE_MS = 3_000
 
 
+def entries_for_reply(
+    log: RaftLog, applied_index: int, committed_index: int
+) -> list[LogEntry] | None:
+    """Return the entries that a process lacks, None if it gets the state instead."""
+    backlog = committed_index - applied_index
+    if applied_index < log.base_index or backlog > MAX_LOG_ITEMS_PER_REPLY:
+        return None
+    entries = log.slice_from(applied_index + 1, backlog)
+    return entries if sum(map(entry_bytes, entries)) <= MAX_LOG_BYTES_PER_REPLY else None
+
+
 class Leader:
     """Make the fleet-wide decisions while this replica leads."""
 
@@ -149,13 +164,11 @@
 
     def _build_reply(self, holder: HolderKey, message: Renew) -> RenewReply:
         committed_index = self.replica.state.applied_index
-        base_index = self.replica.core.log.base_index
-        backlog = committed_index - message.applied_index
         state, items = None, []
-        if message.applied_index < base_index or backlog > MAX_LOG_ITEMS_PER_REPLY:
+        entries = entries_for_reply(self.replica.core.log, message.applied_index, committed_index)
+        if entries is None:
             state = encode_state(self.replica.state)
         else:
-            entries = self.replica.core.log.slice_from(message.applied_index + 1, backlog)
             items = [
                 LogItem(index=entry.index, data=self.replica.applied_data(entry))
                 for entry in entries
--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -208,7 +208,6 @@
     job.state = job_state
     job.ended_ms = at_ms
     job.spec = attrs.evolve(job.spec, payload="")
-    # New containers: the scheduler's copy of the state may share the earlier ones.
     job.tasks = {key: task for key, task in job.tasks.items() if _is_needed_after_end(task)}
 
 
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -8,6 +8,9 @@
 import pytest
 import trio
 
+from hornbeamreach.control.leader import entries_for_reply
+from hornbeamreach.control.raft_log import RaftLog
+from hornbeamreach.control.raft_messages import LogEntry
 from hornbeamreach.exceptions import InvalidInputError
 from hornbeamreach.fleet.order_relay import MAX_RESULTS_BYTES, split_results
 from hornbeamreach.fleet.ports import EndedTask, PollResult, StartOrder, UnknownOutcomeError
@@ -88,6 +91,21 @@
         assert max(len(encode(batch)) for batch in batches) < 1.2 * MIB
 
 
+class TestReplicatedLog:
+    # A reply of 256 large entries to an entry process exceeded what the link takes.
+    @pytest.mark.parametrize(
+        ("size", "applied", "expected"),
+        [(100, 5, 45), (100, 50, 0), (100, 2, None), (MIB, 46, None), (MIB, 47, 3)],
+    )
+    def test_a_process_gets_the_state_instead_of_large_entries(self, size, applied, expected):
+        log = RaftLog()
+        for index in range(1, 51):
+            log.append(LogEntry(index=index, term=1, data=b"x" * size))
+        log.compact(builders.snapshot(index=3))
+        entries = entries_for_reply(log, applied, 50)
+        assert expected == (None if entries is None else len(entries))
+
+
 class TestReports:
     def test_a_message_of_reports_is_bounded(self):
         heartbeat = {**builders.platform_heartbeat(), "labels": ["a", "x" * 16_000]}
