--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -13,6 +13,7 @@
 from hornbeamreach.exceptions import PeerTimeoutError, PeerUnreachableError
 from hornbeamreach.link.codec import DecodeError, from_tagged
 from hornbeamreach.link.connection import (
+    MAX_MESSAGE_BYTES,
     OPEN_TIMEOUT_MS,
     Connection,
     accept,
@@ -38,10 +39,10 @@
 log = part_logger("link")
 
 RECONNECT_DELAY_MS = 200
-# Notifications are dropped while the peer has not taken this many frames or bytes. The large ones,
-# those of replication, are sent again.
+# Notifications are dropped while the peer has not taken this many frames, or as many bytes as the
+# largest message has.
 MAX_QUEUED_FRAMES = 1_024
-MAX_QUEUED_BYTES = 8 * 1024 * 1024
+MAX_QUEUED_BYTES = MAX_MESSAGE_BYTES
 
 
 class PeerConnection:
