Check before a suspect's start that the known incarnation answers

Cause: polls a minion before it orders a suspect there, and took any answer. A later incarnation under the same id passed it, though the scheduler still knew the earlier one, so that the start reached an incarnation whose runs and clock are not known.

Result: test_a_later_incarnation_does_not_pass_the_check_before_an_order fails before.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -82,10 +82,10 @@
             self._send_all(members)
 
     async def _check_minion(self, minion: Minion) -> None:
-        """Count a failed call unless the minion answers."""
+        """Count a failed call unless the known incarnation of the minion answers."""
         scheduler = self.scheduler
         try:
-            await self.port.poll(
+            result = await self.port.poll(
                 minion.report,
                 token=scheduler.fencing_token(minion),
                 recorded_end=minion.recorded_end,
@@ -94,11 +94,18 @@
             )
         except WrongIncarnationError:
             scheduler.mark_minion_gone(minion, "replaced")
+            return
         except (UnknownOutcomeError, FencedError) as exc:
-            log.bind(minion=minion.minion_id).info("suspects are not started here: {}", exc)
-            scheduler.metrics.event("suspect_not_started")
-            minion.failed_calls += 1
-            self._poll_now(minion)
+            detail = str(exc)
+        else:
+            if result.born_ms == minion.report.born_ms:
+                return
+            detail = "a later incarnation has not reported yet"
+        log.bind(minion=minion.minion_id).info("suspects are not started here: {}", detail)
+        scheduler.metrics.event("suspect_not_started")
+        # The poll that follows decides what became of the minion.
+        minion.failed_calls += 1
+        self._poll_now(minion)
 
     def _split_by_gang(self, runs: list[ReservedRun]) -> list[list[ReservedRun]]:
         groups: dict[tuple, list[ReservedRun]] = {}
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -750,6 +750,21 @@
 
         run_scenario(scenario, seed=seed, minion_count=7)
 
+    # The check before an order was passed by a later incarnation, which the scheduler didn't know.
+    def test_a_later_incarnation_does_not_pass_the_check_before_an_order(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(2)
+            scheduler = await fleet.wait_for_scheduler()
+            minion = scheduler.fleet.minions["i-1"]
+            await scheduler.orders._check_minion(minion)
+            assert minion.failed_calls == 0
+            fleet.silenced.add("i-1")
+            fleet.minions.restart("i-1")
+            await scheduler.orders._check_minion(minion)
+            assert minion.failed_calls == 1
+
+        run_scenario(scenario, minion_count=1)
+
     # Orders that several dark minions left unanswered counted as a crash each once they were back.
     @pytest.mark.parametrize(("known", "expected"), [(False, 1), (True, 4)])
     def test_unanswered_orders_to_several_dark_minions_count_one_crash(self, known, expected):
