Show that a job is given up as failed because its minions crashed

A task under which two minions crash is taken for the cause of the second crash if its run was the only one there, and the job is ended as FAILED, though no run has ended `failed`. A task under which one minion has crashed is started alone on purpose, so every second crash counts.

Seen: a job of one task whose first and second minion crash, one after the other, is shown as `failed` after 0 ends `failed`, with `max-attempts` 4.

--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -168,7 +168,7 @@
     def __init__(self, minion: Minion, body: dict) -> None:
         self.task, self.number = body["task"], body["run"]
         self.token = body["fencing-token"]
-        self.minion, self.born_ms = minion.id, minion.born_ms
+        self.minion, self.minion_of = minion.id, minion
         self.began_ms = now_ms()
         self.ended_ms: int | None = None
         self.how = ""
@@ -285,6 +285,9 @@
         if token < self.token:
             return 409, {"clock-ms": self.clock_ms(), "born": self.born_ms, "reason": "fence"}
         self.token = token
+        if request.path == "/run-start" and self.machine.name in self.rig.unhealthy:
+            self.rig.record(f"{self.id}: start of {data['task']} run {data['run']} is refused")
+            return 503, {"clock-ms": self.clock_ms(), "born": self.born_ms}
         if request.path == "/run-start":
             status, content = self._start(data)
         elif request.path == "/run-stop":
@@ -435,6 +438,8 @@
         self.machines: dict[str, Machine] = {}
         self.jobs: dict[str, dict] = {}
         self.runs: list[Run] = []
+        # Tasks that a case has started, kept until it ends.
+        self.background: set[asyncio.Future] = set()
         self.version = 0
         self.host, self.key = "desk.example", "kkkkkkkkkkkkkkkkkkkk"
         # Hooks of a case.
@@ -442,6 +447,8 @@
         self.outcome = lambda run: "done"
         self.is_cut = lambda minion, token: False
         self.may_report = lambda minion, address: True
+        # Names of machines whose minions refuse starts.
+        self.unhealthy: set[str] = set()
         # Returns "ok" or "silent" for the platform's machine service.
         self.cloud_state = lambda: "ok"
         self.wave_orders: list[tuple[int, str, list[Run]]] = []
@@ -603,7 +610,9 @@
             self.wave_orders.append((now_ms(), machine.name, ended))
             machine.state = "upkeep"
             machine.end_life()
-            asyncio.ensure_future(self._return(machine, BOUNDS["maintenance-s"]))
+            self.background.add(
+                asyncio.ensure_future(self._return(machine, BOUNDS["maintenance-s"]))
+            )
             return 200, {}
         if request.path == "/machine-move":
             if machine.pool == data["pool"]:
@@ -615,7 +624,7 @@
             self.record(f"move of {machine.name} to {data['pool']} by {holder}, ends {names}")
             machine.pool, machine.state = data["pool"], "moving"
             machine.end_life()
-            asyncio.ensure_future(self._return(machine, BOUNDS["migration-s"]))
+            self.background.add(asyncio.ensure_future(self._return(machine, BOUNDS["migration-s"])))
             return 200, {}
         return 400, {}
 
