--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -63,6 +63,8 @@
     "harm-ms": 4000,
 }
 HEARTBEAT_S = 1.5
+# Of a queue with advice: times of the service, and how long a ticket is valid.
+ADVICE = {"decide-ms": 20, "each-ms": 1, "valid-ms": 5000}
 # The platform's lists name at most this many ends at a time.
 MAX_LISTED_ENDS = 500
 TERM_SHIFT = 28
@@ -310,6 +312,10 @@
             return 409, {"reason": "old"}
         if data["deadline-ms"] <= self.clock_ms():
             return 409, {"reason": "late"}
+        if self.rig.needs_ticket(task):
+            expected = self.rig.tickets.get((task.rpartition(".")[0], self.id))
+            if expected is None or data.get("ticket") != expected:
+                return 409, {"reason": "ticket"}
         step = self.rig.step_of(task)
         needs = {name: step.get(name, 0) for name in ("cpu", "mem-mb")}
         for name, amount in needs.items():
@@ -434,6 +440,7 @@
         names = [*self.control, *self.entries]
         self.ips = {name: f"{self.block}.{n}" for n, name in enumerate(names, start=1)}
         self.cloud_address = f"{self.block}.100:{self.port + 20}"
+        self.advice_address = f"{self.block}.99:{self.port + 20}"
         self.control_addresses = [f"{self.ips[name]}:{self.port + 21}" for name in self.control]
         self.machines: dict[str, Machine] = {}
         self.jobs: dict[str, dict] = {}
@@ -449,6 +456,9 @@
         self.may_report = lambda minion, address: True
         # Names of machines whose minions refuse starts.
         self.unhealthy: set[str] = set()
+        # Names of the minions that the queue with advice may use, and tickets by step and minion.
+        self.admitted: set[str] = set()
+        self.tickets: dict[tuple[str, str], str] = {}
         # Returns "ok" or "silent" for the platform's machine service.
         self.cloud_state = lambda: "ok"
         self.wave_orders: list[tuple[int, str, list[Run]]] = []
@@ -478,6 +488,7 @@
             + ["quota", "advice", "upkeep", "sharing"],
             "config_mode": "highest",
             "orders": "call",
+            "advice": self.advice_address,
         }
         if is_control:
             data = self.temporary / name
@@ -571,6 +582,7 @@
 
     async def begin(self) -> None:
         await serve(self.cloud_address, self._cloud)
+        await serve(self.advice_address, self._advise)
         for name in [*self.control, *self.entries]:
             self.start(name, first_start=True)
         for machine in self.machines.values():
@@ -628,6 +640,17 @@
             return 200, {}
         return 400, {}
 
+    async def _advise(self, request: Request) -> tuple[int, dict]:
+        step, workers = request.data["step"], request.data["workers"]
+        await asyncio.sleep((ADVICE["decide-ms"] + ADVICE["each-ms"] * len(workers)) / 1000)
+        rows = []
+        for worker in workers:
+            if worker in self.admitted:
+                ticket = self.tickets.setdefault((step, worker), f"t-{len(self.tickets)}")
+                rows.append([worker, ticket])
+        self.record(f"advice on {step}: {len(rows)} of {len(workers)} workers are admitted")
+        return 200, {"admitted": rows}
+
     async def _return(self, machine: Machine, after_s: float) -> None:
         await asyncio.sleep(after_s)
         machine.live()
@@ -705,9 +728,12 @@
         self.record(f"client: {method} {path} -> {status} {content}")
         return status, content
 
-    async def submit(self, prefix: str, job_id: str, steps: list[dict], spec: str = "s") -> None:
-        """Hand a job in until it is accepted."""
-        self.jobs[job_id] = {"spec": spec, "steps": steps}
+    async def submit(
+        self, prefix: str, job_id: str, steps: list[dict], *, advice: bool = False
+    ) -> None:
+        """Hand a job in until it is accepted; with `advice`, its starts need tickets."""
+        spec = "s"
+        self.jobs[job_id] = {"steps": steps, "advice": advice}
         for _ in range(40):
             status, _ = await self.ask("POST", prefix + job_id, {"spec": spec, "steps": steps})
             if status == 200:
@@ -719,6 +745,9 @@
         job_id, _, step, _ = task.split(".")
         return self.jobs[job_id]["steps"][int(step)]
 
+    def needs_ticket(self, task: str) -> bool:
+        return bool(self.jobs[task.split(".")[0]].get("advice"))
+
     def runs_of(self, job_id: str) -> list[Run]:
         return [run for run in self.runs if run.task.startswith(f"{job_id}.")]
 
