--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -796,6 +796,8 @@
 def main(folder: str, case) -> None:
     """Run `case(rig) -> list of breaks` and exit with 1 if the rule was broken, 2 on trouble."""
     rig = None
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         rig = Rig(folder)
         breaks = asyncio.run(asyncio.wait_for(case(rig), 110))
