Let an error of a review script end it with 2, not 1

An unexpected exception in a script ended it with Python's exit code 1, which stands for a broken rule.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -23,6 +23,7 @@
             if other.task == run.task
             and other.how == "failed"
             and other.noted_ms is not None
+            and not other.lapsed_before_noted
             and other.ended_ms < run.began_ms
         ]
         if len(failed) >= MAX_ATTEMPTS:
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -808,7 +808,8 @@
         print(f"{len(breaks)} breaks" if breaks else "the rule held")
         rig.record(f"{len(breaks)} breaks")
         code = 1 if breaks else 0
-    except (CouldNotRun, TimeoutError, OSError) as exc:
+    except Exception as exc:
+        # A fault of the script itself must not pass for a broken rule, which is exit code 1.
         print(f"the case could not run: {exc!r}")
         if rig is not None:
             rig.record(f"the case could not run: {exc!r}")
