Find accepted jobs by the path where they were accepted, not by a queue's name

Cause: the leader compared the job's queue and team with the names in today's table. Callers know no names, only a host, a path and a key. The same held after a team was renamed, a queue was opened or closed to calls without a key, or another prefix came to match the path.

Ruled out: entries with an older table (they hand host and path to the leader) and a job that was lost (its tasks ran on).

Change: the state keeps an `AcceptedQueue` for the jobs of a queue, with its host and path prefix at their acceptance, and each job the hash of its key. A job that is submitted while a version that changes its queue is committed is refused as not run: its queue would be unknown for good.

--- a/src/hornbeamreach/control/state_machine.py
+++ b/src/hornbeamreach/control/state_machine.py
@@ -12,6 +12,7 @@
 from hornbeamreach.control import commands
 from hornbeamreach.exceptions import TableError
 from hornbeamreach.registry import Registry
+from hornbeamreach.systems.accepted_queues import follow_table
 from hornbeamreach.systems.availability_budget import exceeded_budget
 from hornbeamreach.systems.change_effect import change_effect
 from hornbeamreach.tables.control_state import (
@@ -202,6 +203,7 @@
     state.version += 1
     before = state.table
     state.table = edited_table(before, change.edits)
+    follow_table(state.workload, before, state.table)
     for edit in change.edits:
         state.row_versions.setdefault(edit.kind, {})[edit.name] = state.version
         if edit.kind == "vms" and edit.columns is not None:
--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.control.state_machine import Outcome, appliers
 from hornbeamreach.link.codec import wire_type
+from hornbeamreach.systems.accepted_queues import follow_table, number_queue
 from hornbeamreach.systems.crash_evidence import (
     CrashHistory,
     clear_bystanders,
@@ -58,6 +59,8 @@
     team: str
     spec: StepJobSpec
     at_ms: int
+    # SHA-256 of the caller's key; empty without one.
+    key_hash: str = ""
 
 
 @wire_type("cancel_job")
@@ -167,6 +170,7 @@
     if command.version > workload.declared_version:
         workload.declared_version = command.version
         workload.declared_text = command.text
+        follow_table(workload, state.table, command.table)
         state.table = command.table
         state.keys = {
             key_hash: KeyRow(team=team, key_id=key_hash[:8])
@@ -188,6 +192,8 @@
             team=command.team,
             spec=command.spec,
             accepted_ms=command.at_ms,
+            queue_number=number_queue(workload, state.table, command.queue),
+            key_hash=command.key_hash,
         )
     return _accepted(state)
 
--- a/src/hornbeamreach/fleet/proposed_state.py
+++ b/src/hornbeamreach/fleet/proposed_state.py
@@ -16,6 +16,7 @@
     return attrs.evolve(
         workload,
         jobs={job_id: _copy_job(job) for job_id, job in workload.jobs.items()},
+        queues=dict(workload.queues),
         tombstones=dict(workload.tombstones),
         machine_orders=dict(workload.machine_orders),
         evacuated=dict(workload.evacuated),
--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -14,10 +14,11 @@
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.registry import Registry
+from hornbeamreach.systems.accepted_queues import belongs_to
 from hornbeamreach.systems.job_limits import exceeded_limit
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.declared import QueueRow
-from hornbeamreach.tables.workload import StepJobState
+from hornbeamreach.tables.workload import StepJob, StepJobState, Workload
 from hornbeamreach.verdict import Reason
 
 log = part_logger("queues")
@@ -26,6 +27,8 @@
 UNDECLARED_RETRY_MS = 1_000
 # The time to look up each end of a path grows with the square of its length.
 MAX_SEARCHED_PATH = 256
+# The commit of a declaration takes some round trips and disk syncs.
+DECLARING_RETRY_MS = 1_000
 
 
 @define(frozen=True, kw_only=True)
@@ -35,6 +38,8 @@
     queue: str
     row: QueueRow
     team: str
+    # SHA-256 of the caller's key; empty without one, as on an open queue.
+    key_hash: str
     # The path after the queue's prefix: the job id.
     path_suffix: str
 
@@ -123,25 +128,70 @@
             return build_refusal(reason, "the queue needs a team's key")
         team = key.team if key else row.open_team
         return AuthorizedCall(
-            queue=name, row=row, team=team, path_suffix=call.path[len(row.path_prefix) :]
+            queue=name,
+            row=row,
+            team=team,
+            key_hash=call.key_hash if key else "",
+            path_suffix=call.path[len(row.path_prefix) :],
         )
 
+    def find_job(
+        self, workload: Workload, call: QueueCall, authorized: AuthorizedCall
+    ) -> StepJob | None:
+        """Return the job that a call names, whatever its queue is called since its acceptance."""
+        job = workload.jobs.get(authorized.path_suffix)
+        if job is not None and belongs_to(workload, job, authorized.queue, authorized.row):
+            return job
+        path = call.path
+        for start in range(max(0, len(path) - MAX_SEARCHED_PATH), len(path)):
+            job = workload.jobs.get(path[start:])
+            queue = workload.queues.get(job.queue_number) if job is not None else None
+            if queue is not None and queue.address == (call.host, path[:start]):
+                return job
+        return None
+
+    def is_being_redeclared(self, call: QueueCall, authorized: AuthorizedCall) -> bool:
+        """Return whether a declaration that is not committed yet changes a call's queue."""
+        proposed = self.scheduler.proposed
+        if proposed.workload.declared_version == self.state.workload.declared_version:
+            return False
+        found = find_queue(proposed.state, call.host, call.path)
+        return found != (authorized.queue, authorized.row)
+
+
+def may_access(job: StepJob, authorized: AuthorizedCall) -> bool:
+    """Return whether a caller may ask for a job of the queue that it calls.
+
+    A key that submitted a job gives access to it whatever its team is called since. Jobs submitted
+    to an open queue, and those of a queue that is open now, have no owner.
+    """
+    if not authorized.key_hash or job.team in (authorized.team, authorized.row.open_team):
+        return True
+    return job.key_hash == authorized.key_hash
+
 
 @actions.register(QueueAction.SUBMIT.value)
 async def submit(service: QueueService, call: QueueCall, authorized: AuthorizedCall) -> QueueAnswer:
     """Accept a job; a repeated submission leaves it unchanged."""
-    scheduler, job_id = service.scheduler, authorized.path_suffix
+    scheduler = service.scheduler
     workload = scheduler.proposed.workload
     if call.spec is None:
         return build_refusal(Reason.MALFORMED, "a job is needed")
+    known = service.find_job(workload, call, authorized)
+    job_id = known.job_id if known is not None else authorized.path_suffix
     if job_id in workload.tombstones:
         return build_refusal(Reason.CANCELLED, "the job was cancelled before it came")
-    known = workload.jobs.get(job_id)
-    if known is not None and (known.queue, known.team) != (authorized.queue, authorized.team):
+    if job_id in workload.jobs and (known is None or not may_access(known, authorized)):
         return build_refusal(Reason.FOREIGN_JOB, "another job has this id")
     exceeded = exceeded_limit(call.spec)
     if known is None and exceeded is not None:
         return build_refusal(Reason.MALFORMED, exceeded)
+    if known is None and service.is_being_redeclared(call, authorized):
+        return build_refusal(
+            Reason.NOT_READY,
+            "a declaration that changes the queue is being committed",
+            retry_after_ms=DECLARING_RETRY_MS,
+        )
     at_ms = service.clock.wall_ms()
     if known is None:
         decision = scheduler.job_admission.decide(
@@ -164,6 +214,7 @@
         team=authorized.team,
         spec=call.spec,
         at_ms=at_ms,
+        key_hash=authorized.key_hash,
     )
     await scheduler.accept_job(command)
     log.bind(
@@ -179,8 +230,8 @@
 @actions.register(QueueAction.READ.value)
 async def read(service: QueueService, call: QueueCall, authorized: AuthorizedCall) -> QueueAnswer:
     """Return a job's committed state."""
-    job = service.state.workload.jobs.get(authorized.path_suffix)
-    if job is None or (job.queue, job.team) != (authorized.queue, authorized.team):
+    job = service.find_job(service.state.workload, call, authorized)
+    if job is None or not may_access(job, authorized):
         return build_refusal(Reason.UNKNOWN_JOB, "no such job")
     return QueueAnswer(served=QueueOutcome.STATE, state=job.state.value)
 
@@ -188,9 +239,11 @@
 @actions.register(QueueAction.CANCEL.value)
 async def cancel(service: QueueService, call: QueueCall, authorized: AuthorizedCall) -> QueueAnswer:
     """Cancel a job; an unknown one is refused if it is submitted later."""
-    scheduler, job_id = service.scheduler, authorized.path_suffix
-    job = scheduler.proposed.workload.jobs.get(job_id)
-    if job is not None and (job.queue, job.team) != (authorized.queue, authorized.team):
+    scheduler = service.scheduler
+    workload = scheduler.proposed.workload
+    job = service.find_job(workload, call, authorized)
+    job_id = job.job_id if job is not None else authorized.path_suffix
+    if job_id in workload.jobs and (job is None or not may_access(job, authorized)):
         return build_refusal(Reason.UNKNOWN_JOB, "no such job")
     # Commits the cancel of an ended job too: its end may not be committed yet.
     await scheduler.cancel_job(CancelJob(job_id=job_id, at_ms=service.clock.wall_ms()))
@@ -203,9 +256,11 @@
 @actions.register(QueueAction.COUNT.value)
 async def count(service: QueueService, call: QueueCall, authorized: AuthorizedCall) -> QueueAnswer:
     """Return the number of the queue's jobs with no started task."""
+    workload = service.state.workload
     queued = sum(
         1
-        for job in service.state.workload.jobs.values()
-        if job.queue == authorized.queue and job.state is StepJobState.QUEUED
+        for job in workload.jobs.values()
+        if job.state is StepJobState.QUEUED
+        and belongs_to(workload, job, authorized.queue, authorized.row)
     )
     return QueueAnswer(served=QueueOutcome.COUNT, count=queued)
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from hornbeamreach.tables.declared import QueueRow
 from hornbeamreach.tables.resources import Resources
 
 
@@ -176,6 +177,25 @@
     checkpoint: str = ""
 
 
+@define(frozen=True, kw_only=True)
+class AcceptedQueue:
+    """Describe a queue to its accepted jobs, which may outlive its row in the table."""
+
+    # Name, host and path prefix at the acceptance of its jobs; callers know only the latter two.
+    name: str
+    host: str
+    path_prefix: str
+    # Its latest row.
+    row: QueueRow
+    # Whether the table still has that row.
+    declared: bool = True
+
+    @property
+    def address(self) -> tuple[str, str]:
+        """Return the host and path prefix under which callers know its jobs."""
+        return self.host, self.path_prefix
+
+
 @define(kw_only=True)
 class StepJob:
     """Represent an accepted job."""
@@ -186,6 +206,10 @@
     team: str
     spec: StepJobSpec
     accepted_ms: int
+    # Number of its `AcceptedQueue`; 0 in the state of earlier builds, until a table is applied.
+    queue_number: int = 0
+    # SHA-256 of the key that it was submitted with; empty without one and from earlier builds.
+    key_hash: str = ""
     state: StepJobState = StepJobState.QUEUED
     ended_ms: int = 0
     # Why the scheduler gave the job up; empty otherwise.
@@ -263,6 +287,9 @@
     declared_version: int = 0
     declared_text: bytes = b""
     jobs: dict[str, StepJob] = field(factory=dict)
+    # Queues of the stored jobs, by number.
+    queues: dict[int, AcceptedQueue] = field(factory=dict)
+    last_queue_number: int = 0
     # Job id -> time, for ids cancelled before a job of that id was accepted.
     tombstones: dict[str, int] = field(factory=dict)
     waves: dict[int, MaintenanceWave] = field(factory=dict)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,9 +4,12 @@
 
 from typing import Any
 
+import attrs
+
 from hornbeamreach.control import commands
 from hornbeamreach.control.raft_messages import Snapshot
 from hornbeamreach.control.state_machine import Outcome, apply_command
+from hornbeamreach.control.workload_commands import AcceptJob
 from hornbeamreach.converters import to_plain
 from hornbeamreach.demo.deployment import sha256
 from hornbeamreach.settings import (
@@ -271,6 +274,20 @@
     )
 
 
+def queue_table(*names: str, keys_of: str = "team-a", **columns: Any) -> DeclaredTable:
+    """Return a `step_table` whose queues are the named ones, each at its own path."""
+    row = step_table(**columns).queues["queue-a"]
+    queues = {}
+    for name in names:
+        name, _, path = name.partition(" ")
+        queues[name] = attrs.evolve(row, path_prefix=path or "/jobs/")
+    return attrs.evolve(
+        step_table(),
+        queues=queues,
+        teams={keys_of: TeamRow(weight=1, max_running=1_000_000, home="dc1")},
+    )
+
+
 def step(count: int = 1, **fields: Any) -> StepSpec:
     """Return a step of tasks that need one core each."""
     return StepSpec(**{"count": count, "cpu_millis": 1_000, "estimate_ms": 600, **fields})
@@ -281,6 +298,12 @@
     return StepJobSpec(payload="work", steps=steps or (step(),), **fields)
 
 
+def accept_job(job_id: str, queue: str = "queue-a", **fields: Any) -> AcceptJob:
+    """Return the command that accepts a job of one step."""
+    columns = {"pool": "pool-a", "team": "team-a", "spec": step_job(), "at_ms": 0, **fields}
+    return AcceptJob(job_id=job_id, queue=queue, **columns)
+
+
 def minion(name: str = "i-1", **fields: Any) -> Minion:
     """Return a minion with 16 cores that has reported and was polled."""
     columns = {
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -285,13 +285,18 @@
 
     # Callers
 
-    async def declare(self, version: int, table: DeclaredTable | None = None) -> None:
+    async def declare(
+        self,
+        version: int,
+        table: DeclaredTable | None = None,
+        keys: dict[str, str] | None = None,
+    ) -> None:
         """Put a declaration in force, with retries."""
         request = DeclareRequest(
             version=version,
             text=f"version {version}".encode(),
             table=table or self.table,
-            keys={"key-1": "team-a"},
+            keys=keys or {"key-1": "team-a"},
         )
         while True:
             try:
@@ -302,9 +307,8 @@
 
     async def call(self, action: QueueAction, job_id: str = "", **fields: Any) -> QueueAnswer:
         """Make one call; raise NoLeaderError if no leader replied."""
-        call = QueueCall(
-            action=action, host="a.example", path=f"/jobs/{job_id}", key_hash="key-1", **fields
-        )
+        columns = {"host": "a.example", "path": f"/jobs/{job_id}", "key_hash": "key-1", **fields}
+        call = QueueCall(action=action, **columns)
         return (await self.finder.send_request(call, timeout_ms=3_000)).reply
 
     async def submit(self, job_id: str, spec: StepJobSpec, work_ms: float = 600) -> QueueAnswer:
