Ask the admission service about all minions of a pool in turn

Cause: each call named the 30 minions with most free capacity, and what the service had answered was forgotten when the tickets lapsed. With 30 emptier minions that the policy doesn't admit, the admitted ones were never named. A larger number ends this for no pool that is larger still.

Ruled out: calls without an answer, and a lack of room on the admitted minions.

Change: answers are kept by step and minion. Lapsed tickets are renewed alone; while tasks of the step find no room on admitted minions, the next call names others, at most 100, those with room first; a refusal holds for 10 s. The steps take turns, and the calls under way take at most 1 s together by the declared times, so that none is refused because 32 wait.

--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -178,8 +178,7 @@
                 if name not in minions or minions[name].report.data_center != data_center
             }
             if by_minion and not tickets[step_name]:
-                del tickets[step_name]
-                scheduler.ticket_requests.requested.discard(step_name)
+                scheduler.ticket_requests.forget(step_name)
         scheduler.notify()
 
     def log_given_back(self, run: ReservedRun, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -255,8 +255,7 @@
             self.fence(minion)
         if answer is StartAnswer.BAD_TICKET:
             occurrence, step, _ = parse_task_key(run.key)
-            scheduler.planner.tickets.pop((run.job_id, occurrence, step), None)
-            scheduler.ticket_requests.requested.discard((run.job_id, occurrence, step))
+            scheduler.ticket_requests.take_back((run.job_id, occurrence, step))
         scheduler.fleet.end_run(run, RunEnd.LOST)
         scheduler.notify()
 
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -54,7 +54,8 @@
     turns: SuspectTurns = field(init=False)
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]] = field(factory=dict)
-    missing_tickets: set[tuple[str, int, int]] = field(factory=set)
+    # Steps that lack tickets, in the order in which they were tried.
+    missing_tickets: dict[tuple[str, int, int], None] = field(factory=dict)
     # Pools that the present pass has still to plan.
     pending: dict[str, PoolQueue] = field(factory=dict)
     starter: StepStarter = field(init=False)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -126,6 +126,8 @@
             port=admission_port,
             metrics=metrics,
             timing=timing,
+            clock=clock,
+            planner=self.planner,
             notify=self.notify,
         )
         self.waiting_jobs = WaitingJobs(scheduler=self)
@@ -246,7 +248,7 @@
             now_ms, wall_ms, lambda: self.clock.now_ms() - began_ms >= slice_ms
         )
         assert self.nursery is not None
-        self.ticket_requests.request_missing(self.planner, self.nursery)
+        self.ticket_requests.request_missing(self.nursery)
         if not changes.jobs and not starts:
             if not self.uncommitted_proposals:
                 self.recorder.mark_ends_recorded(changes.listed_ends)
--- a/src/hornbeamreach/fleet/step_start.py
+++ b/src/hornbeamreach/fleet/step_start.py
@@ -47,7 +47,7 @@
     near_waits: NearWaits
     # Tickets of the admission service by (job, occurrence, step) and minion.
     tickets: dict[tuple[str, int, int], dict[str, str]]
-    missing_tickets: set[tuple[str, int, int]]
+    missing_tickets: dict[tuple[str, int, int], None]
     remote_factor: float
     cold_starts: ColdStarts = field(factory=ColdStarts)
 
@@ -105,6 +105,9 @@
                 continue
             if run is None:
                 # The step's other tasks have the same needs.
+                if admitted is not None:
+                    # Other minions may be admitted, too.
+                    self.missing_tickets[job.job_id, step.occurrence, step.step] = None
                 break
             starts.append(run)
             siblings[run.minion] = siblings.get(run.minion, 0) + 1
@@ -128,7 +131,7 @@
             return None
         step_name = (job.job_id, step.occurrence, step.step)
         if step_name not in self.tickets:
-            self.missing_tickets.add(step_name)
+            self.missing_tickets[step_name] = None
         return frozenset(self.tickets.get(step_name, {}))
 
     def _start_task(
--- a/src/hornbeamreach/fleet/timing.py
+++ b/src/hornbeamreach/fleet/timing.py
@@ -36,6 +36,8 @@
     ended_job_retention_ms: int = 130_000
     # Tickets are requested again after this share of their validity.
     ticket_refresh_share: float = 0.7
+    # A minion that the admission service did not admit for a step isn't named again before.
+    ticket_refusal_ms: int = 10_000
     # How many times as long a task takes outside the rack that it asks for; 1.0 if this is unknown,
     # and then no task waits for a rack.
     remote_factor: float = 1.0
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -19,6 +19,7 @@
     choose_witnesses,
 )
 from hornbeamreach.systems.replica_limits import MIB, ReplicaLimits
+from hornbeamreach.systems.ticket_choice import TicketCandidate
 from hornbeamreach.tables.calls import CallRow, EndpointRow
 from hornbeamreach.tables.control_state import Change, ControlState, KeyEdit
 from hornbeamreach.tables.declared import (
@@ -321,6 +322,12 @@
     return Minion(report=MinionReport(**columns), last_report_ms=0, polled_ms=0)
 
 
+def ticket_candidate(number: int, **fields: Any) -> TicketCandidate:
+    """Return a minion with room for which a step has no ticket."""
+    columns = {"minion_id": f"i-{number}", "free_cpu_millis": 1_000, **fields}
+    return TicketCandidate(**columns)
+
+
 def run(key: str = "0.0.0", **fields: Any) -> ReservedRun:
     """Return a reserved run of one core in the running phase."""
     columns = {
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -27,6 +27,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
+from hornbeamreach.fleet.ports import UnknownOutcomeError
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.link.interface import HandlerTable, unwrap_reply
 from hornbeamreach.link.messages import CallReply
@@ -644,3 +645,36 @@
         "deadline_ms": 5_000,
     }
     return CallRequest(**{**defaults, **fields})
+
+
+class PolicyAdmission:
+    """Stand in for the admission service: one call at a time, and a policy that doesn't change."""
+
+    def __init__(self, *, decide_ms: int = 20, each_ms: int = 1, max_waiting: int = 32) -> None:
+        self.decide_ms = decide_ms
+        self.each_ms = each_ms
+        self.max_waiting = max_waiting
+        self.allowed: set[str] = set()
+        # Steps whose calls get no answer.
+        self.silent: set[str] = set()
+        # Time in ms, step and minions of each call.
+        self.calls: list[tuple[float, str, tuple[str, ...]]] = []
+        self.refused_calls = 0
+        self.waiting = 0
+        self.turn = trio.Lock()
+
+    async def request_tickets(self, step: str, minions: list[str]) -> dict[str, str]:
+        assert 0 < len(minions) <= 100
+        self.calls.append((trio.current_time() * 1_000, step, tuple(minions)))
+        if self.waiting >= self.max_waiting:
+            self.refused_calls += 1
+            raise UnknownOutcomeError("429")
+        self.waiting += 1
+        try:
+            async with self.turn:
+                await trio.sleep((self.decide_ms + self.each_ms * len(minions)) / 1_000)
+        finally:
+            self.waiting -= 1
+        if step in self.silent:
+            raise UnknownOutcomeError("no answer")
+        return {minion: f"ticket of {minion}" for minion in minions if minion in self.allowed}
