Check earlier decisions against the present before orders are sent

Cause: a stored order that the platform had not answered was repeated as it was, and only the leader that chose a VM kept work away from it. The same held within a term: orders for upkeep and moves were sent after their commit, and stops were repeated, whatever had changed since.

Ruled out: a late effect of the first order (one order a machine, with the new leader's token) and a drain that had not ended.

Change: a VM with an unconfirmed upkeep order gets no work from any leader, by the replicated state. The order is repeated once the VM is drained again, within `may-miss`, and in a new term after the minions have reported. After their commit, orders for upkeep and moves are given back if the term has ended or the VM has changed. A repeated stop waits while it would exceed `may-miss`. The fixtures of two test modules get the members that the orders now ask for.

--- a/src/hornbeamreach/fleet/evacuation_room.py
+++ b/src/hornbeamreach/fleet/evacuation_room.py
@@ -11,7 +11,6 @@
     PlacementRequest,
     fits,
     may_rely_on_capacity,
-    usable_minions,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun
 from hornbeamreach.tables.resources import NO_RESOURCES, Resources
@@ -71,9 +70,7 @@
             members = [m for m in fleet.minions.values() if m.report.pool == pool]
             self.usable_by_pool[pool] = [
                 minion
-                for minion in usable_minions(
-                    members, self.now_ms, evacuated=state.workload.evacuated
-                )
+                for minion in fleet.usable_minions(members, self.now_ms)
                 if minion.minion_id not in fleet.held_minions
                 and may_rely_on_capacity(minion, state.table.pools.get(pool), self.now_ms)
             ]
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from attrs import define, field
 
 from hornbeamreach.fleet.proposed_state import ProposedState
@@ -14,10 +16,12 @@
     ready_steps,
     work_core_ms,
 )
+from hornbeamreach.systems.maintenance_wave import vms_to_keep_free
 from hornbeamreach.systems.queued_work import JobWork, QueuedWork
 from hornbeamreach.systems.run_times import RunTimeHistory
 from hornbeamreach.systems.stragglers import record_run_failure
 from hornbeamreach.systems.suspect_isolation import is_suspect, suspect_tasks
+from hornbeamreach.systems.task_placement import usable_minions
 from hornbeamreach.systems.team_limits import TeamResourceUse, has_limits
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.resources import Resources
@@ -119,6 +123,30 @@
         queue = self.proposed.state.table.queues.get(job.queue)
         return queue.pool if queue else job.pool
 
+    # Minions
+
+    def usable_minions(self, minions: Iterable[Minion], now_ms: int) -> list[Minion]:
+        """List the minions that may get new work now."""
+        workload = self.proposed.workload
+        return usable_minions(
+            minions,
+            now_ms,
+            evacuated=workload.evacuated,
+            kept_free=vms_to_keep_free(workload.waves.values()),
+        )
+
+    def lasting_runs_on(self, vm: str) -> list[ReservedRun]:
+        """Return the long-running tasks' runs on a VM, also on minions not heard of yet."""
+        found = [
+            run
+            for minion in self.minions.values()
+            if minion.vm == vm and not minion.gone
+            for run in minion.runs.values()
+        ]
+        for runs in self.unattached_runs.values():
+            found += [run for run in runs.values() if run.vm == vm]
+        return [run for run in found if run.lasting]
+
     # Reservations
 
     def reserve(self, run: ReservedRun) -> None:
--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -11,7 +11,7 @@
 from hornbeamreach.control.workload_commands import RecordUpkeep
 from hornbeamreach.exceptions import NotLeaderError, RefusedError
 from hornbeamreach.fleet.ports import PlatformVmState, UnknownOutcomeError, VmOrderAnswer
-from hornbeamreach.fleet.vm_inventory import VmInventory
+from hornbeamreach.fleet.vm_inventory import FIRST_REPORTS_MS, VmInventory
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.maintenance_wave import (
     WaveCandidate,
@@ -19,6 +19,7 @@
     may_stop,
     next_vms,
     unavailable_tasks,
+    vms_to_keep_free,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun
 from hornbeamreach.tables.workload import MaintenanceWave, parse_task_key
@@ -88,7 +89,7 @@
             candidates = self._candidates(wave, by_vm)
             for candidate in next_vms(wave, candidates, self._selected_vms()):
                 self._select(wave, candidate, now_ms)
-            self._resend_unconfirmed(nursery, wave)
+            self._resume_unconfirmed(nursery, wave, by_vm, now_ms)
             for vm in list(self.drain_began_ms):
                 minion = by_vm.get(vm)
                 if minion is None or vm in self.orders_in_progress or vm not in wave.machines:
@@ -97,7 +98,7 @@
                 minion.cordoned = True
                 self._stop_long_running_tasks(wave, minion)
                 self._log_slow_drain(wave, vm, minion, now_ms)
-                if self._is_drain_over(wave, minion, now_ms):
+                if self._is_drain_over(wave, minion, now_ms) and self.inventory.may_order(vm):
                     self._begin_order(nursery, wave, vm)
 
     def mark_awaiting(self) -> None:
@@ -210,10 +211,9 @@
             return True
         if any(run.lasting for run in minion.runs.values()):
             return False
-        vm = minion.report.machine or minion.minion_id
         left_ms = wave.due_ms - self.scheduler.clock.wall_ms()
         is_urgent = left_ms < URGENT_SHARE * (wave.due_ms - wave.ordered_ms)
-        return is_urgent and now_ms - self.drain_began_ms.get(vm, now_ms) > MAX_DRAIN_MS
+        return is_urgent and now_ms - self.drain_began_ms.get(minion.vm, now_ms) > MAX_DRAIN_MS
 
     # Orders
 
@@ -222,13 +222,30 @@
         self.inventory.pending_orders.setdefault(vm, self.scheduler.clock.now_ms())
         nursery.start_soon(self._order, wave, vm)
 
-    def _resend_unconfirmed(self, nursery: trio.Nursery, wave: MaintenanceWave) -> None:
-        """Repeat orders whose outcome an earlier scheduler may not have learned."""
-        for vm, confirmed in wave.ordered.items():
-            must_wait = vm in self.orders_in_progress or not self.inventory.may_order(vm)
-            if not (confirmed or must_wait or vm in wave.finished):
+    def _resume_unconfirmed(
+        self, nursery: trio.Nursery, wave: MaintenanceWave, by_vm: dict[str, Minion], now_ms: int
+    ) -> None:
+        """Repeat orders whose outcome is not known, once their VMs are drained again.
+
+        An earlier scheduler may have stored the order, so other tasks may run there by now.
+        """
+        for vm in vms_to_keep_free([wave]) - self.orders_in_progress:
+            if vm in by_vm:
+                if vm not in self.drain_began_ms:
+                    self.drain_began_ms[vm] = now_ms
+                    log.bind(wave=wave.number, machine=vm, runs=len(by_vm[vm].runs)).info(
+                        "VM with an unconfirmed maintenance order is drained again"
+                    )
+            elif self.inventory.may_order(vm) and self._has_heard_of_minions(now_ms):
                 self._begin_order(nursery, wave, vm)
 
+    def _has_heard_of_minions(self, now_ms: int) -> bool:
+        return now_ms - self.scheduler.began_ms >= FIRST_REPORTS_MS
+
+    def _may_carry_out(self, vm: str) -> bool:
+        """Return whether an order that was decided and stored before may be sent now."""
+        return self.scheduler.is_current() and not self.scheduler.fleet.lasting_runs_on(vm)
+
     async def _order(self, wave: MaintenanceWave, vm: str) -> None:
         scheduler = self.scheduler
         is_first = vm not in wave.ordered
@@ -236,6 +253,13 @@
             self.inventory.ordered_vms.add(vm)
             at_ms = scheduler.clock.wall_ms()
             await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[vm], at_ms=at_ms))
+            if not self._may_carry_out(vm):
+                log.bind(wave=wave.number, machine=vm, term=scheduler.term).info(
+                    "maintenance order given back: a long-running task is there, or the term ended"
+                )
+                scheduler.metrics.event("upkeep_given_back")
+                self.orders_in_progress.discard(vm)
+                return
             answer = await self.inventory.port.start_maintenance(
                 vm, wave=wave.number, holder=scheduler.replica.node_id, token=scheduler.term
             )
@@ -286,7 +310,7 @@
     # Return to service
 
     def _return_to_service(self, vm: str) -> None:
-        """Let a VM whose maintenance the platform refused for good take work again."""
+        """Let a VM that is back, or whose maintenance was refused for good, take work again."""
         self.drain_began_ms.pop(vm, None)
         self.inventory.end_order(vm)
         minion = self.inventory.current_minions().get(vm)
@@ -302,7 +326,7 @@
         if returned:
             log.bind(wave=wave.number, machines=returned).info("VMs are back from maintenance")
             for vm in returned:
-                self.inventory.end_order(vm)
+                self._return_to_service(vm)
             self.scheduler.propose(RecordUpkeep(number=wave.number, finished=returned))
 
     def _is_back(self, vm: str, by_vm: dict[str, Minion]) -> bool:
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -18,6 +18,11 @@
 )
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.filler_pacing import PacingInput, pacers, worst_latency_ratio
+from hornbeamreach.systems.maintenance_wave import (
+    FULL_SPEED_PERCENT,
+    may_stop,
+    unavailable_tasks,
+)
 from hornbeamreach.systems.task_placement import may_rely_on_capacity
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.workload import RunEnd, StepJob, parse_task_key
@@ -301,10 +306,13 @@
 
     async def _stop(self, run: ReservedRun) -> None:
         scheduler = self.scheduler
+        is_delayed = False
         while scheduler.fleet.find_run(run.job_id, run.key) is run and scheduler.is_current():
             minion = self._current_minion(run)
-            if minion is None:
-                # It hasn't reported in this term: its first poll or the lapse of its lease decides.
+            # A minion that hasn't reported in this term is decided about by its first poll or the
+            # lapse of its lease. A repeat must not end a task whose siblings are away by now.
+            if minion is None or (is_delayed and not self._is_within_budget(run)):
+                is_delayed = True
                 await trio.sleep(seconds(scheduler.timing.retry_ms))
                 continue
             try:
@@ -318,12 +326,24 @@
                     "stop is not confirmed and is repeated: {}", exc
                 )
                 scheduler.metrics.event("stop_unanswered")
+                is_delayed = True
                 await trio.sleep(seconds(scheduler.timing.retry_ms))
                 continue
             run.outcome_known_ms = scheduler.clock.now_ms()
             scheduler.pollers[minion.minion_id].poll_now()
             return
 
+    def _is_within_budget(self, run: ReservedRun) -> bool:
+        """Return whether a stop leaves enough tasks of its step at work, as of now."""
+        fleet = self.scheduler.fleet
+        job = fleet.job(run.job_id)
+        if job is None or job.ended or not run.lasting or run.percent < FULL_SPEED_PERCENT:
+            return True
+        step = job.spec.steps[parse_task_key(run.key)[1]]
+        now_ms = self.scheduler.clock.now_ms()
+        unavailable = unavailable_tasks(*fleet.step_tasks(job, run), now_ms)
+        return may_stop(run, len(unavailable), step.may_miss, now_ms=now_ms)
+
     # Pace
 
     def pace_fillers(self, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -28,7 +28,6 @@
     PlacementPolicy,
     may_rely_on_capacity,
     placement_policies,
-    usable_minions,
 )
 from hornbeamreach.tables.minions import Minion, ReservedRun
 from hornbeamreach.tables.resources import Resources
@@ -110,7 +109,6 @@
         fleet = self.fleet
         fleet.refresh_ready(wall_ms)
         fleet.waiting.update(fleet, wall_ms)
-        evacuated = fleet.proposed.workload.evacuated
         members: dict[str, list[Minion]] = {pool: [] for pool in self.pending}
         for minion in fleet.minions.values():
             if minion.report.pool in members:
@@ -122,7 +120,7 @@
                 self.turns.release_pool(members[pool])
             usable = [
                 minion
-                for minion in usable_minions(members[pool], now_ms, evacuated=evacuated)
+                for minion in fleet.usable_minions(members[pool], now_ms)
                 if may_rely_on_capacity(minion, row, now_ms)
             ]
             plan = PoolPlan(pool=pool, members=members[pool], minions=usable, candidates=usable)
--- a/src/hornbeamreach/fleet/ticket_requests.py
+++ b/src/hornbeamreach/fleet/ticket_requests.py
@@ -14,7 +14,6 @@
 from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
-from hornbeamreach.systems.task_placement import usable_minions
 from hornbeamreach.systems.ticket_choice import (
     MAX_OUTSTANDING_CALLS,
     MAX_OUTSTANDING_MS,
@@ -111,7 +110,7 @@
             and minion.report.data_center not in evacuated
             and not (minion.gone or minion.report.draining or minion.report.leaving)
         ]
-        usable = usable_minions(minions, now_ms, evacuated=evacuated)
+        usable = self.fleet.usable_minions(minions, now_ms)
         return PoolMembers(minions=minions, usable={minion.minion_id for minion in usable})
 
     def _request_for(
--- a/src/hornbeamreach/fleet/vm_inventory.py
+++ b/src/hornbeamreach/fleet/vm_inventory.py
@@ -21,6 +21,8 @@
 # Added where the time of the earlier order was read from another host's clock.
 CLOCK_SKEW_MS = 3_000
 
+# A new scheduler hears from every minion within two heartbeats.
+FIRST_REPORTS_MS = 3_000
 # Limits the rate of list calls, because each call to the platform has a cost.
 MIN_LIST_INTERVAL_MS = 1_500
 
@@ -81,10 +83,9 @@
         """Return the latest minion on each VM that has a live one."""
         latest: dict[str, Minion] = {}
         for minion in self.scheduler.fleet.minions.values():
-            vm = minion.report.machine or minion.minion_id
-            known = latest.get(vm)
+            known = latest.get(minion.vm)
             if known is None or known.report.born_ms < minion.report.born_ms:
-                latest[vm] = minion
+                latest[minion.vm] = minion
         # If the latest incarnation has ended, so have earlier ones whose end was not observed.
         return {vm: minion for vm, minion in latest.items() if not minion.gone}
 
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -19,9 +19,10 @@
     running_cpu,
 )
 from hornbeamreach.fleet.ports import PlatformVmState, UnknownOutcomeError, VmOrderAnswer
-from hornbeamreach.fleet.vm_inventory import VmInventory
+from hornbeamreach.fleet.vm_inventory import FIRST_REPORTS_MS, VmInventory
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.demand_forecast import Forecaster, forecasters
+from hornbeamreach.systems.maintenance_wave import vms_to_keep_free
 from hornbeamreach.systems.pool_moves import (
     PoolDemand,
     PoolDemands,
@@ -50,9 +51,6 @@
 # A long-running task or a suspect of a crash that is queued this long is taken to have no minion in
 # its pool: a start takes tens of ms, and 3 s without a run are too long.
 SHORTFALL_MS = 600
-# A new scheduler hears from every minion within two heartbeats. Until then VMs in the platform's
-# list count for their pools.
-FIRST_REPORTS_MS = 3_000
 # A pool without long-running tasks keeps this many VMs for its first jobs.
 MIN_VMS = 2
 
@@ -264,6 +262,7 @@
     def _unreported_vms(self, minions: dict[str, Minion], now_ms: int) -> Counter[str]:
         """Count by pool the VMs whose minions this scheduler has not heard from yet.
 
+        For a while VMs in the platform's list count for their pools.
         An earlier scheduler may have moved them to the pool a moment ago.
         """
         if now_ms - self.scheduler.began_ms > FIRST_REPORTS_MS:
@@ -316,6 +315,13 @@
             self.inventory.ordered_vms.add(move.vm)
             at_ms = scheduler.clock.wall_ms()
             await scheduler.commit(NoteMachineOrders(machines=[move.vm], at_ms=at_ms))
+            if not self._may_carry_out(move, minion):
+                vm_log.bind(term=scheduler.term).info(
+                    "move given back: the VM is not as it was when the move was decided"
+                )
+                scheduler.metrics.event("move_given_back")
+                self._give_back(move, minion)
+                return
             answer = await self.inventory.port.move(
                 move.vm,
                 pool=move.pool,
@@ -342,6 +348,25 @@
         await trio.sleep(seconds(ARRIVAL_MS))
         self.inventory.end_order(move.vm)
 
+    def _may_carry_out(self, move: VmMove, minion: Minion | None) -> bool:
+        """Return whether a move that was decided before its commit may be ordered now.
+
+        It ends all that runs on the VM, and the commit may have taken seconds.
+        """
+        scheduler = self.scheduler
+        if not scheduler.is_current() or self.inventory.current_minions().get(move.vm) != minion:
+            return False
+        if (minion is not None and minion.runs) or self._is_evacuated(move.vm):
+            return False
+        return move.vm not in vms_to_keep_free(scheduler.proposed.workload.waves.values())
+
+    def _give_back(self, move: VmMove, minion: Minion | None) -> None:
+        self.arriving.pop(move.vm, None)
+        self.inventory.end_order(move.vm)
+        if minion is not None:
+            minion.cordoned = False
+        self.scheduler.notify()
+
 
 def _log_moves(demands: PoolDemands, moves: list[VmMove]) -> None:
     """Log one line for each pool that gets VMs, with what decided their number."""
--- a/src/hornbeamreach/systems/maintenance_wave.py
+++ b/src/hornbeamreach/systems/maintenance_wave.py
@@ -28,6 +28,16 @@
     pool_free: float
 
 
+def vms_to_keep_free(waves: Iterable[MaintenanceWave]) -> set[str]:
+    """Return the VMs whose maintenance is ordered, by any scheduler, and may begin at any time."""
+    return {
+        vm
+        for wave in waves
+        for vm, confirmed in wave.ordered.items()
+        if not (confirmed or vm in wave.finished)
+    }
+
+
 def available_vm_slots(wave: MaintenanceWave, selected: set[str]) -> int:
     """Return how many more VMs may be taken besides those that are down or selected."""
     down = wave.ordered.keys() - wave.finished
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -154,9 +154,16 @@
 
 
 def usable_minions(
-    minions: Iterable[Minion], now_ms: int, *, evacuated: Container[str] = ()
+    minions: Iterable[Minion],
+    now_ms: int,
+    *,
+    evacuated: Container[str] = (),
+    kept_free: Container[str] = (),
 ) -> list[Minion]:
-    """List the minions that may get new work, outside the evacuated data centres."""
+    """List the minions that may get new work, outside the evacuated data centres.
+
+    `kept_free` names the VMs that get none.
+    """
     return [
         minion
         for minion in minions
@@ -170,6 +177,7 @@
         and not minion.is_silent(now_ms)
         and minion.suspect_until_ms <= now_ms
         and minion.report.data_center not in evacuated
+        and minion.vm not in kept_free
     ]
 
 
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -197,6 +197,11 @@
         """Return the minion's id."""
         return self.report.minion
 
+    @property
+    def vm(self) -> str:
+        """Return the VM that the minion runs on."""
+        return self.report.machine or self.report.minion
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the minion's clock."""
         elapsed_ms = max(0, now_ms - self.clock_received_ms)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -27,12 +27,18 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from hornbeamreach.fleet.ports import UnknownOutcomeError
+from hornbeamreach.fleet.ports import (
+    PlatformVm,
+    PlatformVmState,
+    UnknownOutcomeError,
+    VmOrderAnswer,
+)
 from hornbeamreach.link.codec import decode, encode
 from hornbeamreach.link.interface import HandlerTable, unwrap_reply
 from hornbeamreach.link.messages import CallReply
 from hornbeamreach.settings import PolicySettings
 from hornbeamreach.standins.platform import StandInPlatform
+from hornbeamreach.standins.step_minions import SimulatedMinion, SimulatedMinions, SimulatedRun
 from hornbeamreach.systems.retries import FailedAttempt
 from hornbeamreach.tables.announcement import Announcement
 from hornbeamreach.tables.control_state import Change, KeyEdit, OrderAction
@@ -678,3 +684,91 @@
         if step in self.silent:
             raise UnknownOutcomeError("no answer")
         return {minion: f"ticket of {minion}" for minion in minions if minion in self.allowed}
+
+
+@define(kw_only=True)
+class VmOrder:
+    """Record an order that ended what ran on a VM."""
+
+    at_ms: float
+    vm: str
+    ended: list[SimulatedRun]
+    # Of the same step as an ended run, the tasks that were away at the order.
+    away: list[str]
+
+
+class SimulatedVms:
+    """Stand in for the platform's API of the VMs that simulated minions run on."""
+
+    ANSWER_TIMEOUT_S = 1.5
+    MAINTENANCE_S = 2
+
+    def __init__(self, minions: SimulatedMinions) -> None:
+        self.minions = minions
+        self.silent = False
+        # Whether a silent platform carries out the orders that it doesn't answer.
+        self.applies_silently = False
+        self.orders: list[VmOrder] = []
+        self.maintained: set[tuple[int, str]] = set()
+        # The most VMs of a wave that were down at once.
+        self.most_down: dict[int, int] = {}
+
+    def _minion_on(self, vm: str) -> SimulatedMinion | None:
+        return next((m for m in self.minions.minions.values() if f"m-{m.minion}" == vm), None)
+
+    async def _answer(self, apply: Callable[[], Any]) -> VmOrderAnswer:
+        if self.silent:
+            if self.applies_silently:
+                apply()
+            await trio.sleep(self.ANSWER_TIMEOUT_S)
+            raise UnknownOutcomeError("no answer")
+        apply()
+        return VmOrderAnswer.ORDERED
+
+    async def list_vms(self) -> list[PlatformVm]:
+        if self.silent:
+            await trio.sleep(self.ANSWER_TIMEOUT_S)
+            raise UnknownOutcomeError("no answer")
+        return [
+            PlatformVm(
+                name=f"m-{minion.minion}",
+                pool=minion.pool,
+                state=PlatformVmState.UP if minion.up else PlatformVmState.MAINTENANCE,
+                minion=minion.minion,
+                data_center=minion.data_center,
+            )
+            for minion in self.minions.minions.values()
+        ]
+
+    async def start_maintenance(
+        self, vm: str, *, wave: int, holder: str, token: int
+    ) -> VmOrderAnswer:
+        return await self._answer(lambda: self._maintain(vm, wave))
+
+    async def move(self, vm: str, *, pool: str, holder: str, token: int) -> VmOrderAnswer:
+        raise AssertionError("no moves are expected: there is no standby pool")
+
+    def _maintain(self, vm: str, wave: int) -> None:
+        minion = self._minion_on(vm)
+        if (wave, vm) in self.maintained or minion is None:
+            return
+        self.maintained.add((wave, vm))
+        ended = list(minion.running.values())
+        away = [task for run in ended for task in self._away_beside(run)]
+        self.orders.append(
+            VmOrder(at_ms=trio.current_time() * 1_000, vm=vm, ended=ended, away=away)
+        )
+        self.minions.crash(minion.minion)
+        self.minions.nursery.start_soon(self._return, minion.minion)
+        down = sum(not other.up for other in self.minions.minions.values())
+        self.most_down[wave] = max(down, self.most_down.get(wave, 0))
+
+    async def _return(self, name: str) -> None:
+        await trio.sleep(self.MAINTENANCE_S)
+        self.minions.restart(name)
+
+    def _away_beside(self, ended: SimulatedRun) -> list[str]:
+        step = ended.task.rpartition(".")[0]
+        tasks = {r.task for r in self.minions.history if r.task.rpartition(".")[0] == step}
+        at_work = {task for m in self.minions.minions.values() for task in m.running}
+        return sorted(tasks - at_work)
--- a/tests/step_fleet.py
+++ b/tests/step_fleet.py
@@ -38,7 +38,7 @@
 from hornbeamreach.tables.workload import RunEnd, StepJobSpec, StepSpec, parse_task_key
 
 from . import builders
-from .fakes import MemoryDisk, MemoryLink, MemoryNetwork, virtual_clock
+from .fakes import MemoryDisk, MemoryLink, MemoryNetwork, SimulatedVms, virtual_clock
 
 REPORT_INTERVAL_MS = 1_500
 CLIENT_ADDRESS = "client"
@@ -69,6 +69,7 @@
         timing: FleetTiming | None = None,
         table: DeclaredTable | None = None,
         admission: AdmissionPort | None = None,
+        with_vms: bool = False,
         relayed: bool = False,
         limits: ReplicaLimits | None = None,
     ) -> None:
@@ -101,6 +102,8 @@
                     clock_rate=self.rng.uniform(0.98, 1.0),
                 )
             )
+        # The VMs of the minions, if their maintenance and moves are ordered.
+        self.vms = SimulatedVms(self.minions) if with_vms else None
         self.accepted_jobs: list[str] = []
         self.finder = LeaderFinder(
             link=MemoryLink(self.network, CLIENT_ADDRESS),
@@ -194,7 +197,7 @@
             replica=replica,
             handlers=handlers,
             minion_port=relayed_port,
-            vm_port=None,
+            vm_port=self.vms,
             admission_port=self.admission,
             clock=self.clock,
             metrics=Metrics(),
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -4,6 +4,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 import trio
 import trio.testing
 
@@ -216,6 +217,7 @@
             return None
 
         vm_moves.scheduler.commit = commit
+        vm_moves.scheduler.is_current = lambda: True
         vm_moves.scheduler.replica = SimpleNamespace(node_id="a")
         vm_moves.scheduler.term = 1
         vm_moves.scheduler.metrics = SimpleNamespace(event=lambda name: None)
@@ -232,6 +234,46 @@
         assert gone_minions == ["i-0"]
 
 
+class TestChangedVm:
+    # The move ended what had been placed on the VM while its commit took long.
+    @pytest.mark.parametrize("change", ["run", "incarnation", "term", "evacuation", "maintenance"])
+    def test_a_move_is_given_back_if_its_vm_has_changed_since_it_was_decided(self, change):
+        vm_moves = make_vm_moves(20_000)
+        scheduler, inventory = vm_moves.scheduler, vm_moves.inventory
+        minion = scheduler.fleet.minions["i-0"]
+        moved = []
+
+        async def move(vm, **order):
+            moved.append(vm)
+
+        async def commit(command) -> None:
+            if change == "run":
+                minion.reserve(builders.run())
+            elif change == "incarnation":
+                later = builders.minion("i-9", machine="m-0", born_ms=9_000)
+                scheduler.fleet.minions["i-9"] = later
+            elif change == "term":
+                scheduler.is_current = lambda: False
+            elif change == "evacuation":
+                scheduler.proposed.workload.evacuated["dc1"] = 1
+                inventory.vms["m-0"] = SimpleNamespace(data_center="dc1")
+            else:
+                wave = builders.wave(["m-0"])
+                wave.ordered["m-0"] = False
+                scheduler.proposed.workload.waves[1] = wave
+
+        scheduler.commit, scheduler.is_current = commit, lambda: True
+        scheduler.notify = lambda: None
+        scheduler.replica, scheduler.term = SimpleNamespace(node_id="a"), 1
+        scheduler.metrics = SimpleNamespace(event=lambda name: None)
+        inventory.port = SimpleNamespace(move=move)
+        minion.cordoned = True
+        inventory.pending_orders["m-0"], vm_moves.arriving["m-0"] = 20_000, "spare"
+        trio.run(vm_moves._move, VmMove(vm="m-0", source="pool-a", pool="spare"), minion)
+        assert not moved
+        assert (minion.cordoned, vm_moves.arriving, inventory.pending_orders) == (False, {}, {})
+
+
 class TestLateWork:
     """A backlog that comes too late to be of use kept all VMs from the queue that rises next."""
 
--- a/tests/test_vm_incarnations.py
+++ b/tests/test_vm_incarnations.py
@@ -35,6 +35,8 @@
         term=1,
         metrics=SimpleNamespace(event=lambda name: None),
         propose=proposed.apply,
+        is_current=lambda: True,
+        notify=lambda: None,
         gone_minions=[],
         polled_minions=[],
     )
@@ -159,6 +161,47 @@
         assert maintenance.scheduler.polled_minions == ["i-after"]
 
 
+class TestMaintenanceOrder:
+    def test_a_vm_with_a_lasting_task_is_drained_before_its_order_is_repeated(self, maintenance):
+        maintenance.scheduler.proposed.apply(RecordUpkeep(number=1, ordered=["m-1"], at_ms=1))
+        inventory = maintenance.inventory
+        inventory.listed_ms = inventory.list_attempt_ms = 20_000
+        add_minion(maintenance, "i-1", 1_000)
+        minion = maintenance.scheduler.fleet.minions["i-1"]
+        minion.reserve(builders.run(lasting=True))
+        stopped = []
+        maintenance.scheduler.orders = SimpleNamespace(stop=lambda run, reason: stopped.append(run))
+
+        async def tick() -> None:
+            async with trio.open_nursery() as nursery:
+                await maintenance._tick(nursery, 20_000)
+
+        trio.run(tick)
+        assert (minion.cordoned, len(stopped)) == (True, 1)
+        assert not inventory.ordered_vms
+        minion.release(stopped[0].name)
+        trio.run(tick)
+        assert inventory.ordered_vms == {"m-1"}
+
+    # A commit takes seconds on a slow disk, and a process may sleep meanwhile.
+    @pytest.mark.parametrize("ends", ["term", "drain"])
+    def test_an_order_is_given_back_if_its_ground_is_gone_after_the_commit(self, maintenance, ends):
+        async def commit(command) -> None:
+            maintenance.scheduler.proposed.apply(command)
+            if ends == "term":
+                maintenance.scheduler.is_current = lambda: False
+            else:
+                add_minion(maintenance, "i-late", 2_000)
+                minion = maintenance.scheduler.fleet.minions["i-late"]
+                minion.reserve(builders.run(lasting=True))
+
+        maintenance.scheduler.commit = commit
+        send_order(maintenance)
+        assert maintenance.scheduler.proposed.workload.waves[1].ordered == {"m-1": False}
+        assert not maintenance.confirmed_ms
+        assert not maintenance.orders_in_progress
+
+
 class TestAwaitingMaintenance:
     def test_a_vm_awaits_maintenance_until_it_is_ordered(self, maintenance):
         fleet = maintenance.scheduler.fleet
