Let accepted jobs run by the latest rows of their queue and team

Cause: the limit on attempts was read from the queue of the job's name in today's table, and no row meant no limit; a row that got the name since was taken for the same queue. Tickets, rank, target duration, pool, and the limits and weight of a team were looked up in the same way, and learnt run times were kept by the name.

Ruled out: wrong counting, as with the route kept the job ends after two attempts.

Change: a job runs by its queue's row while that is declared, and by the latest one afterwards; so does its team's row, as long as a job of it is stored. Learnt run times follow the host and path prefix of a queue.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -9,7 +9,7 @@
 
 from hornbeamreach.control.state_machine import Outcome, appliers
 from hornbeamreach.link.codec import wire_type
-from hornbeamreach.systems.accepted_queues import follow_table, number_queue
+from hornbeamreach.systems.accepted_queues import follow_table, number_queue, queue_row
 from hornbeamreach.systems.crash_evidence import (
     CrashHistory,
     clear_bystanders,
@@ -17,7 +17,7 @@
     giving_up_policies,
 )
 from hornbeamreach.tables.control_state import ControlState, KeyRow
-from hornbeamreach.tables.declared import DeclaredTable
+from hornbeamreach.tables.declared import DeclaredTable, QueueRow
 from hornbeamreach.tables.workload import (
     EvacuationRequests,
     LapsedRun,
@@ -32,6 +32,8 @@
 )
 
 GIVING_UP_POLICY = "solo"
+# For jobs of earlier builds whose queue was removed before their first table here.
+DEFAULT_MAX_ATTEMPTS = attrs.fields(QueueRow).max_attempts.default
 # A repeat arrives within seconds of its request, and operators send few requests in that time.
 MAX_EVACUATION_REQUEST_IDS = 32
 
@@ -361,8 +363,8 @@
 def _attempts_exhausted(state: ControlState, job: StepJob, task_key: str, task: TaskRecord) -> bool:
     if job.spec.steps[parse_task_key(task_key)[1]].lasting:
         return False
-    queue = state.table.queues.get(job.queue)
-    return queue is not None and task.failures >= queue.max_attempts
+    row = queue_row(state, job)
+    return task.failures >= (row.max_attempts if row is not None else DEFAULT_MAX_ATTEMPTS)
 
 
 @appliers.register("ForgetJobs")
--- a/src/hornbeamreach/fleet/first_polls.py
+++ b/src/hornbeamreach/fleet/first_polls.py
@@ -67,7 +67,7 @@
         for run in minion.runs.values():
             job = fleet.job(run.job_id)
             if job is not None:
-                queue = fleet.proposed.state.table.queues.get(job.queue)
+                queue = fleet.queue_of(job)
                 ranks.append(queue.rank if queue else 0)
                 slacks.append(job.accepted_ms + objective_ms(job.spec, queue) - wall_ms)
         return RecoveredMinion(
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import ChainMap
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field
 
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.team_shares import TeamShares
 from hornbeamreach.fleet.waiting_steps import WaitingSteps
+from hornbeamreach.systems.accepted_queues import (
+    names_by_address,
+    pool_of,
+    queue_row,
+    team_row,
+)
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
 from hornbeamreach.systems.job_progress import (
     ReadyStep,
@@ -23,6 +30,7 @@
 from hornbeamreach.systems.suspect_isolation import is_suspect, suspect_tasks
 from hornbeamreach.systems.task_placement import usable_minions
 from hornbeamreach.systems.team_limits import TeamResourceUse, has_limits
+from hornbeamreach.tables.declared import DeclaredTable, QueueRow, TeamRow
 from hornbeamreach.tables.minions import Minion, ReservedRun, RunPhase
 from hornbeamreach.tables.resources import Resources
 from hornbeamreach.tables.workload import (
@@ -89,6 +97,8 @@
     arrivals: ArrivalHistory = field(factory=ArrivalHistory)
     # Run times of tasks that ended in this term.
     run_times: RunTimeHistory = field(factory=RunTimeHistory)
+    # The table that `run_times` follow.
+    table: DeclaredTable = field(factory=DeclaredTable)
     # Work of short jobs that no run has begun yet.
     queued_work: QueuedWork = field(factory=QueuedWork)
 
@@ -119,9 +129,21 @@
             return None
 
     def pool_of(self, job: StepJob) -> str:
-        """Return the pool of the job's queue, or the pool at acceptance if the queue is gone."""
-        queue = self.proposed.state.table.queues.get(job.queue)
-        return queue.pool if queue else job.pool
+        """Return the pool in which a job runs."""
+        return pool_of(self.proposed.state, job)
+
+    def queue_of(self, job: StepJob) -> QueueRow | None:
+        """Return the row by which a job runs."""
+        return queue_row(self.proposed.state, job)
+
+    def team_of(self, team: str) -> TeamRow | None:
+        """Return the row by which a team's jobs run."""
+        return team_row(self.proposed.state, team)
+
+    def team_rows(self) -> Mapping[str, TeamRow]:
+        """Return the rows of all teams, also of removed ones that have jobs."""
+        state = self.proposed.state
+        return ChainMap(state.table.teams, state.workload.former_teams)
 
     # Minions
 
@@ -181,7 +203,7 @@
         self.unattached_runs.get(run.minion, {}).pop(run.name, None)
         self.team_use.remove(run.team, run.charged)
         self.shares.remove(run)
-        if has_limits(self.proposed.state.table.teams.get(run.team)):
+        if has_limits(self.team_of(run.team)):
             # The team's jobs may wait in any pool.
             self.all_pools_changed = True
         runs = self.runs_by_job[run.job_id]
@@ -294,6 +316,10 @@
 
     def refresh_ready(self, wall_ms: int) -> None:
         """Recompute the ready steps of stale jobs."""
+        table = self.proposed.state.table
+        if table is not self.table:
+            self.run_times.follow(names_by_address(self.table), names_by_address(table))
+            self.table = table
         for job_id in self.stale_jobs:
             job = self.job(job_id)
             if job is None or job.ended:
@@ -333,7 +359,7 @@
             count * step.needs.cpu_millis * step.estimate_ms / 1_000
             for count, step in zip(counts, job.spec.steps, strict=True)
         )
-        queue = self.proposed.state.table.queues.get(job.queue)
+        queue = self.queue_of(job)
         work = JobWork(
             pool=self.pool_of(job),
             team=job.team,
--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -128,8 +128,7 @@
         scheduler = self.scheduler
         fleet = scheduler.fleet
         queued = fleet.queued_work.ahead(row.pool, row.rank, wall_ms)
-        teams = scheduler.proposed.state.table.teams
-        rows = {name: teams[name] for name in queued if name in teams}
+        rows = {name: row for name in queued if (row := fleet.team_of(name)) is not None}
         factor, spread = fleet.run_times.factor(queue), fleet.run_times.spread(queue)
         core_ms = work_core_ms(spec) * factor
         task_count = sum(step.count for step in spec.steps)
--- a/src/hornbeamreach/fleet/near_waits.py
+++ b/src/hornbeamreach/fleet/near_waits.py
@@ -267,7 +267,7 @@
         self, racks: PoolRacks, job: StepJob, step: ReadyStep, spec: StepSpec
     ) -> NearTurn:
         factor = self.fleet.run_times.factor(job.queue)
-        queue = self.fleet.proposed.state.table.queues.get(job.queue)
+        queue = self.fleet.queue_of(job)
         left_ms = queued_since_ms(job, step.occurrence) + objective_ms(job.spec, queue)
         left_ms -= self.wall_ms
         near_ms = max(1, int(spec.estimate_ms * factor))
--- a/src/hornbeamreach/fleet/pool_queue.py
+++ b/src/hornbeamreach/fleet/pool_queue.py
@@ -284,7 +284,7 @@
         )
         for name, team in steps.teams.items()
     }
-    rows = fleet.proposed.state.table.teams
+    rows = fleet.team_rows()
     by_team = shares.order(pool, members, usable, teams, steps.total(), rows)
     queue.shared = shares.is_full(pool)
     if by_team is None:
--- a/src/hornbeamreach/fleet/proposed_state.py
+++ b/src/hornbeamreach/fleet/proposed_state.py
@@ -17,6 +17,7 @@
         workload,
         jobs={job_id: _copy_job(job) for job_id, job in workload.jobs.items()},
         queues=dict(workload.queues),
+        former_teams=dict(workload.former_teams),
         tombstones=dict(workload.tombstones),
         machine_orders=dict(workload.machine_orders),
         evacuated=dict(workload.evacuated),
--- a/src/hornbeamreach/fleet/share_report.py
+++ b/src/hornbeamreach/fleet/share_report.py
@@ -46,14 +46,13 @@
             self._log_change(team, attained[team])
 
     def attained(self, now_ms: int) -> dict[str, TeamAttainment]:
-        """Return the attainment of the declared teams that were due anything in the window."""
+        """Return the attainment of the teams that were due anything in the window."""
         fleet = self.scheduler.fleet
-        declared = fleet.proposed.state.table.teams
         totals = fleet.shares.attainment.totals(now_ms)
         return {
             team: item
             for team, item in sorted(totals.items())
-            if team in declared and item.due_core_ms
+            if fleet.team_of(team) is not None and item.due_core_ms
         }
 
     def _has_changed(self, team: str, item: TeamAttainment) -> bool:
@@ -63,7 +62,7 @@
 
     def _log_change(self, team: str, item: TeamAttainment) -> None:
         is_short = team in self.short_teams
-        row = self.scheduler.fleet.proposed.state.table.teams.get(team)
+        row = self.scheduler.fleet.team_of(team)
         log.bind(
             team=team,
             weight=row.weight if row else None,
--- a/src/hornbeamreach/fleet/step_start.py
+++ b/src/hornbeamreach/fleet/step_start.py
@@ -126,7 +126,7 @@
 
     def admitted_minions(self, job: StepJob, step: ReadyStep) -> frozenset[str] | None:
         """Return the minions with a ticket for a step; None if its queue needs no tickets."""
-        queue = self.fleet.proposed.state.table.queues.get(job.queue)
+        queue = self.fleet.queue_of(job)
         if queue is None or not queue.advice_valid_ms:
             return None
         step_name = (job.job_id, step.occurrence, step.step)
@@ -161,7 +161,7 @@
             phase=RunPhase.RESERVED,
             now_ms=now_ms,
         )
-        row = fleet.proposed.state.table.teams.get(job.team)
+        row = fleet.team_of(job.team)
         if not fleet.team_use.allows(job.team, row, run.charged):
             return None
         if near is not None and near.holds_back(request, minion):
--- a/src/hornbeamreach/fleet/ticket_requests.py
+++ b/src/hornbeamreach/fleet/ticket_requests.py
@@ -121,7 +121,7 @@
         now_ms: int,
         nursery: trio.Nursery,
     ) -> None:
-        queue = self._queue_of(job)
+        queue = self.fleet.queue_of(job)
         if queue is None:
             return
         advice = self.steps.setdefault(name, StepAdvice())
@@ -165,9 +165,6 @@
                 admitted_before=minion_id in advice.admitted,
             )
 
-    def _queue_of(self, job: StepJob) -> QueueRow | None:
-        return self.fleet.proposed.state.table.queues.get(job.queue)
-
     async def _request(
         self,
         name: StepName,
--- a/src/hornbeamreach/fleet/waiting_jobs.py
+++ b/src/hornbeamreach/fleet/waiting_jobs.py
@@ -117,7 +117,7 @@
             memory_mb=spec.memory_mb,
             accelerators=spec.accelerators,
         )
-        team = fleet.proposed.state.table.teams.get(job.team)
+        team = fleet.team_of(job.team)
         log.bind(
             request=job.job_id,
             queue=job.queue,
@@ -135,7 +135,7 @@
 
     def _placement_request(self, job: StepJob, step: ReadyStep) -> PlacementRequest:
         fleet = self.scheduler.fleet
-        queue = fleet.proposed.state.table.queues.get(job.queue)
+        queue = fleet.queue_of(job)
         admitted = None
         if queue is not None and queue.advice_valid_ms:
             step_name = (job.job_id, step.occurrence, step.step)
--- a/src/hornbeamreach/fleet/waiting_steps.py
+++ b/src/hornbeamreach/fleet/waiting_steps.py
@@ -264,7 +264,7 @@
     def _items_of(
         self, fleet: FleetState, job: StepJob, steps: list[ReadyStep], number: int
     ) -> list[WaitingStep]:
-        queue = fleet.proposed.state.table.queues.get(job.queue)
+        queue = fleet.queue_of(job)
         suspects = fleet.suspect_tasks.get(job.job_id, frozenset())
         items = []
         for position, step in enumerate(steps):
--- a/src/hornbeamreach/systems/run_times.py
+++ b/src/hornbeamreach/systems/run_times.py
@@ -60,6 +60,8 @@
         return math.sqrt(max(0.0, self.squared_ratios / self.runs - mean * mean)) / mean
 
 
+# Host and path prefix of a queue.
+Address = tuple[str, str]
 RunTimeEstimator = Callable[[RunTimeTotals], float]
 run_time_estimators: Registry[RunTimeEstimator] = Registry("run time estimate")
 
@@ -90,6 +92,22 @@
         totals = self.by_queue.setdefault(queue, RunTimeTotals())
         totals.record(declared_core_ms=declared_core_ms, taken_core_ms=taken_core_ms)
 
+    def follow(self, before: dict[Address, str], after: dict[Address, str]) -> None:
+        """Let each queue of a new table go on with the run times known for its address.
+
+        `before` and `after` hold the names of the queues by host and path prefix. A queue whose
+        name was another's starts anew; one that is removed keeps its own for its accepted jobs.
+        """
+        addresses_before = {name: address for address, name in before.items()}
+        known = {name: self.by_queue[name] for name in self.by_queue.keys() - set(after.values())}
+        for address, name in after.items():
+            source = before.get(address)
+            if source is None and addresses_before.get(name) not in after:
+                source = name
+            if source in self.by_queue:
+                known[name] = self.by_queue[source]
+        self.by_queue = known
+
     def factor(self, queue: str) -> float:
         """Return what a queue's declared work must be multiplied by."""
         totals = self.by_queue.get(queue)
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.tables.declared import QueueRow
+from hornbeamreach.tables.declared import QueueRow, TeamRow
 from hornbeamreach.tables.resources import Resources
 
 
@@ -290,6 +290,8 @@
     # Queues of the stored jobs, by number.
     queues: dict[int, AcceptedQueue] = field(factory=dict)
     last_queue_number: int = 0
+    # Latest rows of teams that have jobs and are not declared any more.
+    former_teams: dict[str, TeamRow] = field(factory=dict)
     # Job id -> time, for ids cancelled before a job of that id was accepted.
     tombstones: dict[str, int] = field(factory=dict)
     waves: dict[int, MaintenanceWave] = field(factory=dict)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -267,11 +267,12 @@
 
 def step_table(**queue_columns: Any) -> DeclaredTable:
     """Return a table with one pool and one step-job queue, routed by host and path."""
-    columns = {"host": "a.example", "path_prefix": "/jobs/", "max_attempts": 3, **queue_columns}
+    defaults = {"pool": "pool-a", "host": "a.example", "path_prefix": "/jobs/", "max_attempts": 3}
+    columns = {**defaults, **queue_columns}
     return DeclaredTable(
         teams={"team-a": TeamRow(weight=1, max_running=1_000_000, home="dc1")},
         pools={"pool-a": PoolRow(max_down=1_000_000)},
-        queues={"queue-a": QueueRow(pool="pool-a", **columns)},
+        queues={"queue-a": QueueRow(**columns)},
     )
 
 
--- a/tests/test_accepted_queues.py
+++ b/tests/test_accepted_queues.py
@@ -7,14 +7,22 @@
 
 from hornbeamreach.control.snapshots import decode_state, encode_state
 from hornbeamreach.control.state_machine import apply_command
-from hornbeamreach.control.workload_commands import ApplyDeclaration
+from hornbeamreach.control.workload_commands import ApplyDeclaration, RecordRuns
 from hornbeamreach.fleet.messages import QueueAction
+from hornbeamreach.systems.accepted_queues import (
+    names_by_address,
+    pool_of,
+    queue_row,
+    team_row,
+)
+from hornbeamreach.systems.run_times import RunTimeHistory
 from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.workload import RunEnd, StepJobSpec, StepJobState
 from hornbeamreach.verdict import Reason
 
 from . import builders
 from .builders import queue_table
-from .fakes import run_virtual
+from .fakes import PolicyAdmission, run_virtual
 from .step_fleet import StepFleet
 
 JOB = "00000000000000a6"
@@ -38,8 +46,8 @@
     return fleet_box[0]
 
 
-async def submit(fleet: StepFleet, **fields) -> None:
-    fleet.specs[JOB] = builders.step_job(builders.step(2))
+async def submit(fleet: StepFleet, spec: StepJobSpec | None = None, **fields) -> None:
+    fleet.specs[JOB] = spec or builders.step_job(builders.step(2))
     fleet.work_ms_by_job[JOB] = WORK_MS
     reply = await fleet.call(QueueAction.SUBMIT, JOB, spec=fleet.specs[JOB], **fields)
     assert reply.reason is None
@@ -239,3 +247,130 @@
         self.declare(state, 3, queue_table("queue-a", max_attempts=9))
         queue = state.workload.queues[1]
         assert (queue.declared, queue.row.max_attempts) == (True, 9)
+
+
+class TestTerms:
+    # A task that fails at each attempt was started without end once its route was removed.
+    @pytest.mark.parametrize(
+        "versions",
+        [
+            pytest.param([["queue-x /x/"]], id="removed"),
+            pytest.param([["queue-b"]], id="renamed"),
+            pytest.param([["queue-x /x/"], ["queue-a /y/"]], id="its name is another's"),
+            pytest.param([["queue-x /x/"], ["queue-b"]], id="its address is another's"),
+        ],
+    )
+    @pytest.mark.parametrize("restarts", [False, True])
+    def test_a_job_keeps_its_limit_on_attempts(self, versions, restarts):
+        async def scenario(fleet: StepFleet) -> None:
+            for minion in fleet.minions.minions.values():
+                minion.fails = True
+            fleet.specs[JOB] = builders.step_job()
+            fleet.work_ms_by_job[JOB] = 1_500
+            assert (await fleet.call(QueueAction.SUBMIT, JOB, spec=fleet.specs[JOB])).reason is None
+            await trio.sleep(0.5)
+            for number, names in enumerate(versions):
+                await fleet.declare(2 + number, queue_table(*names, max_attempts=50))
+            if restarts:
+                for address in fleet.addresses:
+                    fleet.kill_control(address)
+                for address in fleet.addresses:
+                    fleet.start_control(address)
+            await trio.sleep(25)
+            failed = [run for run in fleet.minions.history if run.end is RunEnd.FAILED]
+            assert len(failed) == len(fleet.minions.history) == 3
+            workload = (await fleet.wait_for_scheduler()).proposed.workload
+            assert workload.jobs[JOB].state is StepJobState.FAILED
+
+        run_scenario(scenario, limits=builders.replica_limits(log_entries=4))
+
+    def test_a_declared_queue_may_change_the_limit_of_its_jobs(self):
+        state = TestState.state_with_job()
+        TestState.declare(state, 1, queue_table("queue-a", max_attempts=7))
+        job = state.workload.jobs[JOB]
+        assert queue_row(state, job).max_attempts == 7
+        TestState.declare(state, 2, queue_table("queue-b", max_attempts=50))
+        assert queue_row(state, job).max_attempts == 7
+
+    def test_the_limit_of_a_queue_that_no_one_knows_any_more_is_that_of_a_new_row(self):
+        state = TestState.state_with_job()
+        job = state.workload.jobs[JOB]
+        job.queue_number, state.workload.queues, state.table.queues = 0, {}, {}
+        for run in range(1, 4):
+            start = RecordRuns(starts=[(JOB, "0.0.0", run, "i-1", 1)])
+            apply_command(state, state.applied_index + 1, start)
+            end = RecordRuns(ends=[(JOB, "0.0.0", run, "failed", "")])
+            apply_command(state, state.applied_index + 1, end)
+        assert job.state is StepJobState.FAILED
+
+    # Starts without a ticket were rejected for ever, as the row named no advice any more.
+    def test_a_job_of_a_removed_queue_still_asks_for_tickets(self):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.admission.allowed = {"i-5"}
+            fleet.silenced = set(fleet.minions.minions)
+            await trio.sleep(12)
+            spec = fleet.specs[JOB] = builders.step_job()
+            await fleet.call(QueueAction.SUBMIT, JOB, spec=spec)
+            await fleet.declare(2, queue_table("queue-x /x/"))
+            fleet.silenced.clear()
+            await trio.sleep(5)
+            assert {run.minion for run in fleet.minions.history} == {"i-5"}
+
+        table = builders.step_table(advice_valid_ms=5_000)
+        run_scenario(scenario, table=table, admission=PolicyAdmission())
+
+    @pytest.mark.parametrize(
+        ("pools", "pool"), [(("pool-a", "pool-b"), "pool-a"), (("pool-b",), "pool-b")]
+    )
+    def test_a_renamed_queue_leaves_its_jobs_in_their_pool_unless_that_is_gone(self, pools, pool):
+        state = TestState.state_with_job()
+        table = queue_table("queue-b", pool="pool-b")
+        table.pools = dict.fromkeys(pools, builders.pool())
+        TestState.declare(state, 1, table)
+        assert pool_of(state, state.workload.jobs[JOB]) == pool
+
+    # A removed team's jobs had no limit on what they may have running.
+    def test_a_removed_team_keeps_its_limits_while_it_has_jobs(self):
+        state = TestState.state_with_job()
+        limited = builders.team(max_cpu_millis=4_000)
+        state.table.teams["team-a"] = limited
+        TestState.declare(state, 1, queue_table("queue-a", keys_of="team-b"))
+        assert team_row(state, "team-a") == limited
+        TestState.declare(state, 2, queue_table("queue-a", keys_of="team-b"))
+        assert team_row(state, "team-a") == limited
+        assert decode_state(encode_state(state)).workload == state.workload
+        state.workload.jobs.clear()
+        TestState.declare(state, 3, queue_table("queue-a", keys_of="team-b"))
+        assert team_row(state, "team-a") is None
+
+    def test_a_removed_teams_jobs_run_within_its_limits(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await submit(fleet, spec=builders.step_job(builders.step(10)))
+            await fleet.declare(2, queue_table("queue-a", keys_of="team-b"))
+            await trio.sleep(5)
+            assert len(fleet.minions.history) == 4
+
+        table = builders.step_table()
+        table.teams["team-a"] = builders.team(max_cpu_millis=4_000)
+        run_scenario(scenario, table=table)
+
+
+class TestRunTimes:
+    # Run times learnt on a queue were kept by its name, which another queue may have got since.
+    @pytest.mark.parametrize(
+        ("names", "factors"),
+        [
+            (["queue-b"], {"queue-b": 2.0}),
+            (["queue-a /x/"], {"queue-a": 2.0}),
+            (["queue-a /x/", "queue-b"], {"queue-a": 1.0, "queue-b": 2.0}),
+            (["queue-b /x/"], {"queue-a": 2.0, "queue-b": 1.0}),
+        ],
+        ids=["renamed", "moved", "its name is another's", "removed"],
+    )
+    def test_they_follow_the_address_of_a_queue(self, names, factors):
+        history = RunTimeHistory()
+        for _ in range(30):
+            history.record("queue-a", declared_core_ms=100, taken_core_ms=200)
+        before = names_by_address(builders.step_table())
+        history.follow(before, names_by_address(queue_table(*names)))
+        assert {name: history.factor(name) for name in factors} == factors
