Accept jobs while a declaration changes only their queue's limits

What callers would have seen: 503 for a new job for as long as any declaration that changes a column of its queue is being committed, seconds on slow disks. Only a declaration that removes or renames the queue leaves such a job without its queue.

--- a/src/hornbeamreach/fleet/queue_service.py
+++ b/src/hornbeamreach/fleet/queue_service.py
@@ -151,12 +151,13 @@
         return None
 
     def is_being_redeclared(self, call: QueueCall, authorized: AuthorizedCall) -> bool:
-        """Return whether a declaration that is not committed yet changes a call's queue."""
+        """Return whether a declaration that is not committed yet removes or renames a queue."""
         proposed = self.scheduler.proposed
         if proposed.workload.declared_version == self.state.workload.declared_version:
             return False
         found = find_queue(proposed.state, call.host, call.path)
-        return found != (authorized.queue, authorized.row)
+        known = (authorized.queue, authorized.row.path_prefix)
+        return found is None or (found[0], found[1].path_prefix) != known
 
 
 def may_access(job: StepJob, authorized: AuthorizedCall) -> bool:
@@ -189,7 +190,7 @@
     if known is None and service.is_being_redeclared(call, authorized):
         return build_refusal(
             Reason.NOT_READY,
-            "a declaration that changes the queue is being committed",
+            "a declaration that removes or renames the queue is being committed",
             retry_after_ms=DECLARING_RETRY_MS,
         )
     at_ms = service.clock.wall_ms()
--- a/tests/test_accepted_queues.py
+++ b/tests/test_accepted_queues.py
@@ -122,6 +122,18 @@
 
         run_scenario(scenario)
 
+    def test_a_job_that_comes_while_the_limits_of_its_queue_change_is_accepted(self):
+        async def scenario(fleet: StepFleet) -> None:
+            fleet.sync_duration_ms = dict.fromkeys(fleet.addresses, 200)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.declare, 2, queue_table("queue-a", max_attempts=9))
+                await trio.sleep(0.1)
+                await submit(fleet)
+            scheduler = await fleet.wait_for_scheduler()
+            assert scheduler.fleet.queue_of(scheduler.fleet.job(JOB)).max_attempts == 9
+
+        run_scenario(scenario)
+
     def test_a_removed_queue_serves_no_calls(self):
         async def scenario(fleet: StepFleet) -> None:
             await submit(fleet)
