Repeat unconfirmed maintenance orders in the order of their VMs

The order was that of a set of names, which differs between processes, so a play could not be repeated. A comment named a duration that no run had measured.

--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -229,7 +229,7 @@
 
         An earlier scheduler may have stored the order, so other tasks may run there by now.
         """
-        for vm in vms_to_keep_free([wave]) - self.orders_in_progress:
+        for vm in sorted(vms_to_keep_free([wave]) - self.orders_in_progress):
             if vm in by_vm:
                 if vm not in self.drain_began_ms:
                     self.drain_began_ms[vm] = now_ms
--- a/src/hornbeamreach/fleet/ticket_requests.py
+++ b/src/hornbeamreach/fleet/ticket_requests.py
@@ -31,7 +31,7 @@
 
 # Job, occurrence and step.
 StepName = tuple[str, int, int]
-# Steps for which minions are chosen after one slice; a pass over a pool takes some 0.1 ms.
+# Steps for which minions are chosen after one slice, so that it doesn't delay the next one.
 MAX_STEPS_CHOSEN = 50
 FORGET_INTERVAL_MS = 5_000
 
