Order the maintenance of a shared VM under the wave that chose it

Cause: the drain of a VM didn't say for which wave it was chosen, so a wave without room ordered the maintenance of a VM that another wave had chosen.

Change: a drain is kept with the number of its wave, and other waves leave the VM alone.

--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -48,6 +48,8 @@
     inventory: VmInventory
     # Time at which draining began, by VM.
     drain_began_ms: dict[str, int] = field(factory=dict)
+    # Number of the wave that it is drained for, by VM; another wave of the VM may have no room.
+    drained_for: dict[str, int] = field(factory=dict)
     orders_in_progress: set[str] = field(factory=set)
     # VMs whose slow drain has been logged.
     slow_drains: set[str] = field(factory=set)
@@ -92,7 +94,8 @@
             self._resume_unconfirmed(nursery, wave, by_vm, now_ms)
             for vm in list(self.drain_began_ms):
                 minion = by_vm.get(vm)
-                if minion is None or vm in self.orders_in_progress or vm not in wave.machines:
+                is_other_waves = self.drained_for.get(vm, wave.number) != wave.number
+                if minion is None or vm in self.orders_in_progress or is_other_waves:
                     continue
                 # Also cordons an incarnation that began after the VM was selected.
                 minion.cordoned = True
@@ -165,6 +168,7 @@
 
     def _select(self, wave: MaintenanceWave, candidate: WaveCandidate, now_ms: int) -> None:
         self.drain_began_ms[candidate.vm] = now_ms
+        self.drained_for[candidate.vm] = wave.number
         candidate.minion.cordoned = True
         log.bind(wave=wave.number, machine=candidate.vm, runs=len(candidate.minion.runs)).info(
             "VM selected for maintenance"
@@ -233,6 +237,7 @@
             if vm in by_vm:
                 if vm not in self.drain_began_ms:
                     self.drain_began_ms[vm] = now_ms
+                    self.drained_for[vm] = wave.number
                     log.bind(wave=wave.number, machine=vm, runs=len(by_vm[vm].runs)).info(
                         "VM with an unconfirmed maintenance order is drained again"
                     )
@@ -285,7 +290,7 @@
         scheduler = self.scheduler
         if answer is VmOrderAnswer.ORDERED:
             scheduler.propose(RecordUpkeep(number=wave.number, confirmed=[vm]))
-            self.drain_began_ms.pop(vm, None)
+            self._end_drain(vm)
             self.confirmed_ms[vm] = scheduler.clock.now_ms()
             minion = self.inventory.current_minions().get(vm)
             if minion is not None and is_first:
@@ -307,11 +312,15 @@
             await trio.sleep(seconds(1_000))
         self.orders_in_progress.discard(vm)
 
+    def _end_drain(self, vm: str) -> None:
+        self.drain_began_ms.pop(vm, None)
+        self.drained_for.pop(vm, None)
+
     # Return to service
 
     def _return_to_service(self, vm: str) -> None:
         """Let a VM that is back, or whose maintenance was refused for good, take work again."""
-        self.drain_began_ms.pop(vm, None)
+        self._end_drain(vm)
         self.inventory.end_order(vm)
         minion = self.inventory.current_minions().get(vm)
         if minion is not None:
