Look up the VMs kept free for orders once in a planning slice

Cause: they were collected anew for each pool, from all waves, so the leader's time grew with pools times VMs of waves; the design is for 210 pools. Found by reading, no measurement was made.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -147,15 +147,21 @@
 
     # Minions
 
-    def usable_minions(self, minions: Iterable[Minion], now_ms: int) -> list[Minion]:
-        """List the minions that may get new work now."""
-        workload = self.proposed.workload
-        return usable_minions(
-            minions,
-            now_ms,
-            evacuated=workload.evacuated,
-            kept_free=vms_to_keep_free(workload.waves.values()),
-        )
+    def vms_kept_free(self) -> set[str]:
+        """Return the VMs that get no work, for orders that may be carried out at any time."""
+        return vms_to_keep_free(self.proposed.workload.waves.values())
+
+    def usable_minions(
+        self, minions: Iterable[Minion], now_ms: int, kept_free: set[str] | None = None
+    ) -> list[Minion]:
+        """List the minions that may get new work now.
+
+        `kept_free` is the result of `vms_kept_free`, for callers with many pools.
+        """
+        if kept_free is None:
+            kept_free = self.vms_kept_free()
+        evacuated = self.proposed.workload.evacuated
+        return usable_minions(minions, now_ms, evacuated=evacuated, kept_free=kept_free)
 
     def lasting_runs_on(self, vm: str) -> list[ReservedRun]:
         """Return the long-running tasks' runs on a VM, also on minions not heard of yet."""
--- a/src/hornbeamreach/fleet/planner.py
+++ b/src/hornbeamreach/fleet/planner.py
@@ -113,6 +113,7 @@
         for minion in fleet.minions.values():
             if minion.report.pool in members:
                 members[minion.report.pool].append(minion)
+        kept_free = fleet.vms_kept_free()
         starts: list[ReservedRun] = []
         for pool, queue in list(self.pending.items()):
             row = fleet.proposed.state.table.pools.get(pool)
@@ -120,7 +121,7 @@
                 self.turns.release_pool(members[pool])
             usable = [
                 minion
-                for minion in fleet.usable_minions(members[pool], now_ms)
+                for minion in fleet.usable_minions(members[pool], now_ms, kept_free)
                 if may_rely_on_capacity(minion, row, now_ms)
             ]
             plan = PoolPlan(pool=pool, members=members[pool], minions=usable, candidates=usable)
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -22,7 +22,6 @@
 from hornbeamreach.fleet.vm_inventory import FIRST_REPORTS_MS, VmInventory
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.demand_forecast import Forecaster, forecasters
-from hornbeamreach.systems.maintenance_wave import vms_to_keep_free
 from hornbeamreach.systems.pool_moves import (
     PoolDemand,
     PoolDemands,
@@ -358,7 +357,7 @@
             return False
         if (minion is not None and minion.runs) or self._is_evacuated(move.vm):
             return False
-        return move.vm not in vms_to_keep_free(scheduler.proposed.workload.waves.values())
+        return move.vm not in scheduler.fleet.vms_kept_free()
 
     def _give_back(self, move: VmMove, minion: Minion | None) -> None:
         self.arriving.pop(move.vm, None)
