--- a/src/hornbeamreach/fleet/job_admission.py
+++ b/src/hornbeamreach/fleet/job_admission.py
@@ -128,7 +128,8 @@
         scheduler = self.scheduler
         fleet = scheduler.fleet
         queued = fleet.queued_work.ahead(row.pool, row.rank, wall_ms)
-        rows = {name: row for name in queued if (row := fleet.team_of(name)) is not None}
+        teams = fleet.team_rows()
+        rows = {name: teams[name] for name in queued if name in teams}
         factor, spread = fleet.run_times.factor(queue), fleet.run_times.spread(queue)
         core_ms = work_core_ms(spec) * factor
         task_count = sum(step.count for step in spec.steps)
