Rename the queues in the soak's declarations

The soak changed only weights. Each second declaration now renames both queues at their paths, which callers don't know, so accepted jobs must be found under any name, also across killed, frozen and cut leaders.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,6 +31,9 @@
 # Cap of processor use by team; 0 for none.
 TEAM_CAPS = {"red": 36_000, "blue": 12_000, "green": 0}
 QUEUES = {"/fast/": 4_000, "/slow/": 0}
+# Each queue gets its next name after this many declarations, and has so many in turn.
+VERSIONS_PER_NAME = 2
+NAMES = 3
 CALL_TIMEOUT_MS = 4_000
 OPERATOR_TIMEOUT_MS = 1_500
 RETRY_MS = (300, 1_500)
@@ -249,7 +252,8 @@
             "services": [{"name": POOL, "rejects-overload": True}],
             "routes": [
                 {
-                    "name": prefix.strip("/"),
+                    # Callers know only the path, so their jobs must be found under any name.
+                    "name": f"{prefix.strip('/')}-{version // VERSIONS_PER_NAME % NAMES}",
                     "service": POOL,
                     "host": HOST,
                     "path-prefix": prefix,
