Log on which clock a lapsed lease was counted and who answered

The users' record has one line of a lapse, which doesn't tell which incarnation was believed to be there, for how long it had been known or on which clock its lease was counted. Nothing said that a poll or a start was answered by another incarnation than it was meant for.

Change: a lapse logs the incarnation, since when it is known, the latest poll, the clock and the end of the lease; a new incarnation logs the one before; a poll that another incarnation answers and a start whose answer shows a clock that is behind have a line each. No decision changes.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -220,7 +220,7 @@
         if reply.answer is not StartAnswer.STARTED:
             # The run did not begin, so its minion's crash is no evidence against its task.
             run.ordered, run.crash = False, None
-        self._record_clock(minion, reply)
+        self._record_clock(run, minion, reply)
         if scheduler.fleet.find_run(run.job_id, run.key) is not run:
             scheduler.crashes.on_order_outcome(run, begun=True)
             return
@@ -230,10 +230,21 @@
         else:
             self._on_rejected(run, minion, reply.answer)
 
-    def _record_clock(self, minion: Minion, reply: StartReply) -> None:
+    def _record_clock(self, run: ReservedRun, minion: Minion, reply: StartReply) -> None:
         if reply.clock_ms:
+            now_ms = self.scheduler.clock.now_ms()
+            if reply.clock_ms < minion.minion_clock_ms:
+                log.bind(
+                    request=run.job_id,
+                    task=run.key,
+                    run=run.run,
+                    minion=run.minion,
+                    expected_born_ms=minion.report.born_ms,
+                    clock_ms=reply.clock_ms,
+                    expected_clock_ms=minion.min_clock_ms(now_ms),
+                ).info("a start was answered by a clock that is behind the minion's")
             minion.minion_clock_ms = reply.clock_ms
-            minion.clock_received_ms = self.scheduler.clock.now_ms()
+            minion.clock_received_ms = now_ms
 
     def _on_started(self, run: ReservedRun, minion: Minion) -> None:
         now_ms = self.scheduler.clock.now_ms()
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -224,6 +224,14 @@
         if scheduler.fleet.minions.get(self.minion_id) is not minion:
             return
         if result.born_ms != minion.report.born_ms:
+            log.bind(
+                minion=minion.minion_id,
+                born_ms=result.born_ms,
+                expected_born_ms=minion.report.born_ms,
+                clock_ms=result.clock_ms,
+                lease_until_ms=minion.lease_until_ms,
+                runs=len(minion.runs),
+            ).info("another incarnation has answered a poll")
             if result.born_ms > minion.report.born_ms:
                 # The report of the new incarnation has not arrived yet.
                 scheduler.on_report(
--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -85,10 +85,13 @@
         self.notify_of_changes()
 
     def _add_incarnation(self, report: MinionReport, earlier: Minion | None, now_ms: int) -> Minion:
-        minion = Minion(report=report, last_report_ms=now_ms)
-        log.bind(minion=report.minion, pool=report.pool, born_ms=report.born_ms).info(
-            "minion heard"
-        )
+        minion = Minion(report=report, last_report_ms=now_ms, heard_ms=now_ms)
+        log.bind(
+            minion=report.minion,
+            pool=report.pool,
+            born_ms=report.born_ms,
+            earlier_born_ms=earlier.report.born_ms if earlier is not None else None,
+        ).info("minion heard")
         if earlier is not None:
             minion.token_step = earlier.token_step + 1
             self._retire_incarnation(earlier)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -56,6 +56,7 @@
 TICK_MS = 100
 FORGET_INTERVAL_MS = 10_000
 MAX_FORGOTTEN_JOBS = 500
+MAX_LOGGED_RUNS = 20
 # A fencing token consists of the term, the number of the scheduler in this process, and a counter
 # for each minion; together they stay below 2^53, the largest whole number that JSON can hold.
 TOKEN_STEP_BITS = 16
@@ -378,10 +379,18 @@
                 continue
             # A run whose order isn't sent yet extends the lease when the order is sent.
             ordered = [run for run in minion.runs.values() if run.phase is not RunPhase.RESERVED]
-            self._end_lapsed_runs(ordered, minion.minion_id)
+            if ordered:
+                self._log_lapse(minion, ordered, now_ms)
+                self._end_lapsed_runs(ordered, minion.minion_id)
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
-                self._end_lapsed_runs(list(runs.values()), minion_id)
+                if runs:
+                    log.bind(
+                        minion=minion_id,
+                        runs=[run.name for run in runs.values()][:MAX_LOGGED_RUNS],
+                        since_takeover_ms=now_ms - self.began_ms,
+                    ).warning("leases have lapsed: the minion was not heard of in this term")
+                    self._end_lapsed_runs(list(runs.values()), minion_id)
         if self.timed_jobs.check(wall_ms):
             self.notify()
         self._forget_old(now_ms, wall_ms)
@@ -422,12 +431,19 @@
             return now_ms - minion.last_report_ms > self.timing.recovered_lease_ms
         return minion.min_clock_ms(now_ms) > minion.lease_until_ms + self.timing.lapse_margin_ms
 
+    def _log_lapse(self, minion: Minion, runs: list[ReservedRun], now_ms: int) -> None:
+        log.bind(
+            minion=minion.minion_id,
+            runs=[run.name for run in runs][:MAX_LOGGED_RUNS],
+            born_ms=minion.report.born_ms,
+            heard_ago_ms=now_ms - minion.heard_ms,
+            polled_ago_ms=now_ms - minion.polled_ms if minion.polled_ms >= 0 else None,
+            clock_ms=minion.min_clock_ms(now_ms),
+            lease_until_ms=minion.lease_until_ms,
+            failed_calls=minion.failed_calls,
+        ).warning("leases have lapsed: the minion was not reached in time")
+
     def _end_lapsed_runs(self, runs: list[ReservedRun], minion: str) -> None:
-        if not runs:
-            return
-        log.bind(minion=minion, runs=[run.name for run in runs][:20]).warning(
-            "leases have lapsed: the minion was not reached in time"
-        )
         self.crashes.on_lapse(minion, runs)
         for run in runs:
             self.fleet.end_run(run, RunEnd.LEASE_LAPSED)
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -138,6 +138,8 @@
 
     report: MinionReport
     last_report_ms: int
+    # When this scheduler first heard of the incarnation.
+    heard_ms: int = 0
     # When a start for an earlier incarnation under the same id may have arrived here; -1 if none.
     inherited_ms: int = -1
     # Part of the fencing token that increases within one term of the scheduler.
