Reproduce runs that returned minions hold for longer than believed

Evidence: the new tests play control with simulated minions, which start again under their ids with a new clock, carry out a call meant for the earlier incarnation and are cut off. On this code run 2 begins while run 1 is at work, in one term and after a change of the leader, with and without an answer to the start. Two more effects of the same cause showed: a run is not started again at all, as its lease is compared with the clock of another incarnation, and a task that was done is started again, as an acknowledgement by the earlier incarnation's numbers took its end away.

--- /dev/null
+++ b/tests/test_returned_minions.py
@@ -0,0 +1,147 @@
+"""A minion that starts again under its id carries out calls meant for its earlier incarnation."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from hornbeamreach.standins.step_minions import SimulatedRun
+from hornbeamreach.tables.workload import RunEnd
+
+from .builders import step, step_job
+from .step_fleet import StepFleet
+from .test_step_jobs import job_id, run_scenario
+
+JOB = job_id(1)
+# The earlier incarnation's clock is further ahead than any lease lasts.
+EARLIER_LIFE_S = 20
+# Longer than the leases of a scheduler, shorter than the longest lease of a minion.
+LONG_TASK_MS = 8_000
+SHORT_TASK_MS = 600
+
+
+def cut_off(fleet: StepFleet, minion: str) -> None:
+    """Cut a minion off from all replicas; it runs on."""
+    fleet.silenced.add(minion)
+    fleet.minions.partitions |= {(address, minion) for address in fleet.addresses}
+
+
+async def start_on_a_returned_minion(
+    fleet: StepFleet, work_ms: int, *, answered: bool = True
+) -> SimulatedRun:
+    """Let idle minions return unnoticed and one of them start a task; return its run."""
+    await trio.sleep(EARLIER_LIFE_S)
+    for name in fleet.minions.minions:
+        fleet.silenced.add(name)
+        fleet.minions.restart(name)
+    if not answered:
+        fleet.minions.lost_response_fraction = 1
+    await fleet.submit(JOB, step_job(step(1)), work_ms=work_ms)
+    with trio.fail_after(5):
+        while not fleet.minions.history:
+            await trio.sleep(0.001)
+    run = fleet.minions.history[0]
+    assert run.born_ms == 2
+    fleet.silenced &= {run.minion}
+    return run
+
+
+async def wait_until_polled(fleet: StepFleet, run: SimulatedRun) -> None:
+    """Wait until the leader has polled the incarnation that a run is on."""
+    fleet.silenced.clear()
+    with trio.fail_after(5):
+        while True:
+            scheduler = await fleet.wait_for_scheduler()
+            minion = scheduler.fleet.minions.get(run.minion)
+            if minion is not None and minion.report.born_ms == 2 and minion.polled_ms >= 0:
+                return
+            await trio.sleep(0.001)
+
+
+def second_run(fleet: StepFleet) -> SimulatedRun:
+    """Return the second run of the task, which began elsewhere after the first had ended."""
+    first, second = fleet.minions.history[:2]
+    assert second.minion != first.minion
+    assert first.ended_ms is not None
+    assert second.began_ms > first.ended_ms
+    return second
+
+
+class TestLeases:
+    # A run on a minion that returned under its id and was cut off was started again elsewhere
+    # while it was still at work.
+    def test_a_lease_taken_on_an_earlier_clock_is_waited_for(self):
+        async def scenario(fleet: StepFleet) -> None:
+            run = await start_on_a_returned_minion(fleet, LONG_TASK_MS)
+            await wait_until_polled(fleet, run)
+            cut_off(fleet, run.minion)
+            await trio.sleep(16)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
+    @pytest.mark.parametrize("heard", [True, False])
+    def test_a_new_leader_waits_for_such_a_lease(self, heard):
+        async def scenario(fleet: StepFleet) -> None:
+            run = await start_on_a_returned_minion(fleet, LONG_TASK_MS)
+            await wait_until_polled(fleet, run)
+            fleet.kill_control(await fleet.wait_for_leader())
+            if heard:
+                await wait_until_polled(fleet, run)
+            cut_off(fleet, run.minion)
+            await trio.sleep(20)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
+    def test_a_run_of_a_new_leader_on_a_returned_minion_is_waited_for(self):
+        # The earlier leader's polls, and none of its starts, have reached the new incarnation.
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(EARLIER_LIFE_S)
+            leader = await fleet.wait_for_leader()
+            for minion in fleet.minions.minions.values():
+                fleet.minions.restart(minion.minion)
+                fleet.minions.extend_lease(minion, EARLIER_LIFE_S * 2_000)
+            fleet.kill_control(leader)
+            await fleet.submit(JOB, step_job(step(1)), work_ms=LONG_TASK_MS)
+            with trio.fail_after(10):
+                while not fleet.minions.history:
+                    await trio.sleep(0.001)
+            run = fleet.minions.history[0]
+            await trio.sleep(0.7)
+            cut_off(fleet, run.minion)
+            await trio.sleep(16)
+
+        run_scenario(scenario, minion_count=2)
+
+    # The answer to a start doesn't name the incarnation that gives it.
+    @pytest.mark.parametrize("answered", [True, False])
+    def test_a_start_that_only_the_next_incarnation_saw_is_waited_for(self, answered):
+        async def scenario(fleet: StepFleet) -> None:
+            run = await start_on_a_returned_minion(fleet, LONG_TASK_MS, answered=answered)
+            # The answer is under way.
+            await trio.sleep(0.002)
+            cut_off(fleet, run.minion)
+            fleet.minions.lost_response_fraction = 0
+            await trio.sleep(16)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
+
+class TestEnds:
+    # A task that was done was started again, as a poll meant for the earlier incarnation had let
+    # the minion forget the end.
+    def test_an_acknowledgement_for_an_earlier_incarnation_takes_no_end_away(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(job_id(2), step_job(step(30)))
+            await fleet.wait_for_state(job_id(2), "completed")
+            fleet.minions.history.clear()
+            run = await start_on_a_returned_minion(fleet, SHORT_TASK_MS, answered=False)
+            with trio.fail_after(5):
+                while run.end is not RunEnd.DONE:
+                    await trio.sleep(0.01)
+            await trio.sleep(2)
+            fleet.minions.lost_response_fraction = 0
+            fleet.silenced.clear()
+            await fleet.wait_for_state(JOB, "completed")
+
+        fleet = run_scenario(scenario, minion_count=2)
+        assert len(fleet.minions.history) == 1
