Wait for the longest lease where an earlier incarnation was called

Cause: a call names a minion by its id, so one for the earlier incarnation is carried out by the next one. Its deadline is on the earlier clock and far ahead; the minion shortens it to its longest lease, 10 s, and never shortens it again. The scheduler took the first poll's clock plus its own lease, 4 s, for the latest end, and its successor 4.4 s from the takeover. The runs lasted up to 6 s longer. A fix of a start that was inherited by an incarnation covered the time before the first poll only.

Change: an incarnation that may have carried out a call for an earlier one keeps its runs for the longest lease after the first answered poll; later calls carry a higher fencing token, so nothing is granted on the earlier clock from then on.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -36,6 +36,8 @@
 DEFAULT_MAX_ATTEMPTS = attrs.fields(QueueRow).max_attempts.default
 # A repeat arrives within seconds of its request, and operators send few requests in that time.
 MAX_EVACUATION_REQUEST_IDS = 32
+# Far above the longest lease and the differences between wall clocks.
+RETURN_RETENTION_MS = 120_000
 
 
 @wire_type("apply_declaration")
@@ -83,7 +85,8 @@
     minion, born_ms); `crashes` holds (job, task key, run, whether only runs of the job were on
     the minion, whether the run was known to have begun); `cleared` holds (job, task key, run).
     `incarnations` names the incarnation of each crash in `crashes`, in the same order. `vms` maps
-    the minions of the starts to their VMs. Items that no longer match the state are skipped.
+    the minions of the starts to their VMs. `returned` names minions that have started again under
+    their ids. Items that no longer match the state are skipped.
     """
 
     ends: list[tuple[str, str, int, str, str]] = field(factory=list)
@@ -93,6 +96,7 @@
     cleared: list[tuple[str, str, int]] = field(factory=list)
     vms: dict[str, str] = field(factory=dict)
     incarnations: list[str] = field(factory=list)
+    returned: list[str] = field(factory=list)
 
 
 @wire_type("forget_jobs")
@@ -251,9 +255,18 @@
             task = _record_start(job, task_key, run, minion, born_ms)
             task.vm = command.vms.get(minion, "")
             task.started_ms = command.at_ms
+    if command.returned:
+        _record_returns(state.workload.returns, command)
     return _accepted(state)
 
 
+def _record_returns(returns: dict[str, int], command: RecordRuns) -> None:
+    returns.update(dict.fromkeys(command.returned, command.at_ms))
+    for minion, at_ms in list(returns.items()):
+        if command.at_ms - at_ms > RETURN_RETENTION_MS:
+            del returns[minion]
+
+
 def _record_start(job: StepJob, task_key: str, run: int, minion: str, born_ms: int) -> TaskRecord:
     task = job.tasks.setdefault(task_key, TaskRecord())
     task.run = max(task.run, run)
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -256,7 +256,8 @@
         minion.fenced = False
         scheduler.crashes.on_answer(minion)
         if minion.polled_ms < 0:
-            # An upper bound of any lease that an earlier scheduler can have granted.
+            minion.wait_for_carried_lease(now_ms)
+            # An upper bound of any lease that an earlier scheduler can have granted to it.
             lease_bound_ms = result.clock_ms + scheduler.timing.lease_ms
             minion.lease_until_ms = max(minion.lease_until_ms, lease_bound_ms)
         minion.polled_ms = sent_ms
--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -5,15 +5,17 @@
 from collections.abc import Callable
 
 import attrs
-from attrs import define
+from attrs import define, field
 
 from hornbeamreach.clock import Clock
 from hornbeamreach.fleet.crash_recorder import REPLACED, CrashRecorder
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.minion_poller import MinionPoller
 from hornbeamreach.fleet.ports import MinionPort
+from hornbeamreach.fleet.timing import FleetTiming
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.lease_bounds import IncarnationHistory, LeaseBound, lease_bounds
 from hornbeamreach.tables.minions import (
     MAX_CAPACITY_AGE_MS,
     Minion,
@@ -42,12 +44,16 @@
     metrics: Metrics
     crashes: CrashRecorder
     port: MinionPort
+    timing: FleetTiming
+    # When the scheduler began.
+    began_ms: int
     pollers: dict[str, MinionPoller]
     # Adds a minion's poller to `pollers` and starts it.
     start_poller: Callable[[str], None]
     # Schedules a planning pass of all pools, and one of the pools that have changed.
     notify: Callable[[], None]
     notify_of_changes: Callable[[], None]
+    lease_bound: LeaseBound = field(factory=lambda: lease_bounds.get("any_incarnation"))
 
     def on_leave(self, minion_id: str, born_ms: int) -> None:
         """Stop assigning work to a minion that shuts down; `born_ms` 0 means any incarnation."""
@@ -97,16 +103,39 @@
             self._retire_incarnation(earlier)
         self.crashes.on_report(report, is_first=earlier is None)
         self.fleet.minions[report.minion] = minion
-        for run in list(self.fleet.unattached_runs.pop(report.minion, {}).values()):
+        inherited = list(self.fleet.unattached_runs.pop(report.minion, {}).values())
+        has_returned = earlier is not None or any(r.born_ms != report.born_ms for r in inherited)
+        if has_returned:
+            self.fleet.unrecorded_returns.add(report.minion)
+        minion.carried_lease_ms = self._carried_lease_ms(
+            report.minion, born_ms=report.born_ms, has_earlier=has_returned
+        )
+        minion.wait_for_carried_lease(now_ms)
+        for run in inherited:
             # Its order may still reach the new incarnation: the first poll there decides.
             run.born_ms = report.born_ms
-            minion.inherited_ms = now_ms
             minion.reserve(run)
         if report.minion not in self.pollers:
             self.start_poller(report.minion)
         self.pollers[report.minion].notify()
         return minion
 
+    def _carried_lease_ms(self, minion_id: str, *, born_ms: int, has_earlier: bool = False) -> int:
+        """Return how long a minion may hold a lease from a call for an earlier incarnation."""
+        history = IncarnationHistory(
+            born_ms=born_ms,
+            wall_ms=self.clock.wall_ms(),
+            led_ms=self.clock.now_ms() - self.began_ms,
+            has_earlier=has_earlier,
+            returned_ms=self.fleet.proposed.workload.returns.get(minion_id, 0),
+        )
+        return self.lease_bound(history, self.timing.carried_lease_ms)
+
+    def unheard_lease_ms(self, minion_id: str) -> int:
+        """Return how long leases last, from the start of the term, on a minion not heard of."""
+        carried_ms = self._carried_lease_ms(minion_id, born_ms=0)
+        return max(carried_ms, self.timing.recovered_lease_ms)
+
     def _retire_incarnation(self, minion: Minion) -> None:
         """Detach the runs of an incarnation, for the next one under the same id.
 
--- a/src/hornbeamreach/fleet/run_recorder.py
+++ b/src/hornbeamreach/fleet/run_recorder.py
@@ -43,7 +43,9 @@
         ]
         crashed, fleet.unrecorded_crashes = fleet.unrecorded_crashes, []
         clearings, fleet.unrecorded_clearings = fleet.unrecorded_clearings, []
+        returned, fleet.unrecorded_returns = fleet.unrecorded_returns, set()
         command = RecordRuns(
+            returned=sorted(returned),
             ends=[(e.job_id, e.key, e.run, e.end.value, e.checkpoint) for e in ended],
             crashes=[
                 (r.job_id, r.key, r.run, r.crash.solo, r.crash.begun)
@@ -63,6 +65,8 @@
                 fleet.pool_of(job) for job_id in changed_jobs if (job := fleet.job(job_id))
             )
             self.crashes.on_counted(crashed, wall_ms)
+        elif returned:
+            fleet.proposed.apply(command)
         return RunChanges(command=command, jobs=changed_jobs, listed_ends=listed_ends)
 
     def propose(
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -107,6 +107,8 @@
             metrics=metrics,
             crashes=self.crashes,
             port=minion_port,
+            timing=timing,
+            began_ms=self.began_ms,
             pollers=self.pollers,
             start_poller=self._start_poller,
             notify=self.notify,
@@ -250,7 +252,7 @@
         )
         assert self.nursery is not None
         self.ticket_requests.request_missing(self.nursery)
-        if not changes.jobs and not starts:
+        if not changes.jobs and not starts and not changes.command.returned:
             if not self.uncommitted_proposals:
                 self.recorder.mark_ends_recorded(changes.listed_ends)
             return
@@ -384,7 +386,7 @@
                 self._end_lapsed_runs(ordered, minion.minion_id)
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
-                if runs:
+                if runs and now_ms - self.began_ms > self.tracker.unheard_lease_ms(minion_id):
                     log.bind(
                         minion=minion_id,
                         runs=[run.name for run in runs.values()][:MAX_LOGGED_RUNS],
@@ -422,8 +424,8 @@
             )
 
     def _lease_lapsed(self, minion: Minion, now_ms: int) -> bool:
-        if minion.polled_ms < 0 <= minion.inherited_ms:
-            return now_ms - minion.inherited_ms > self.timing.carried_lease_ms
+        if now_ms <= minion.carried_until_ms:
+            return False
         if minion.polled_ms < 0 and now_ms - self.began_ms < self.timing.recovered_lease_ms:
             # An earlier scheduler may have granted a lease that is unknown here.
             return False
--- a/src/hornbeamreach/fleet/timing.py
+++ b/src/hornbeamreach/fleet/timing.py
@@ -49,5 +49,5 @@
 
     @property
     def carried_lease_ms(self) -> int:
-        """Return how long a lease in a start for an earlier incarnation can last, in ms."""
+        """Return how long a lease in a call for an earlier incarnation can last, in ms."""
         return int(self.max_lease_ms * 1.03) + self.lapse_margin_ms
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -140,8 +140,10 @@
     last_report_ms: int
     # When this scheduler first heard of the incarnation.
     heard_ms: int = 0
-    # When a start for an earlier incarnation under the same id may have arrived here; -1 if none.
-    inherited_ms: int = -1
+    # How long the minion may hold a lease from a call for an earlier incarnation under the same id,
+    # and the local time until which it may; 0 if no such call can have arrived.
+    carried_lease_ms: int = 0
+    carried_until_ms: int = 0
     # Part of the fencing token that increases within one term of the scheduler.
     token_step: int = 0
     # Runs by task name.
@@ -272,6 +274,15 @@
         """Return whether runs of other jobs' suspects are reserved."""
         return len(self.suspects) > (job_id in self.suspects)
 
+    def wait_for_carried_lease(self, now_ms: int) -> None:
+        """Count the lease of a call for an earlier incarnation from now on.
+
+        Later calls have a higher fencing token than any such call, so the last count is made once
+        one of them is answered.
+        """
+        if self.carried_lease_ms:
+            self.carried_until_ms = now_ms + self.carried_lease_ms
+
     def can_send(self, runs: list[ReservedRun]) -> bool:
         """Return whether starts that are reserved here but not sent fit beside what was sent."""
         if self.has_unknown_use:
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -6,6 +6,7 @@
 import trio
 
 from hornbeamreach.standins.step_minions import SimulatedRun
+from hornbeamreach.systems.lease_bounds import IncarnationHistory, lease_bounds
 from hornbeamreach.tables.workload import RunEnd
 
 from .builders import step, step_job
@@ -17,6 +18,7 @@
 EARLIER_LIFE_S = 20
 # Longer than the leases of a scheduler, shorter than the longest lease of a minion.
 LONG_TASK_MS = 8_000
+LONGEST_MS = 10_600
 SHORT_TASK_MS = 600
 
 
@@ -58,6 +60,13 @@
             await trio.sleep(0.001)
 
 
+async def wait_until_recorded(fleet: StepFleet, run: SimulatedRun) -> None:
+    """Wait until the log says that the minion of a run has returned."""
+    with trio.fail_after(5):
+        while run.minion not in (await fleet.wait_for_scheduler()).replica.state.workload.returns:
+            await trio.sleep(0.001)
+
+
 def second_run(fleet: StepFleet) -> SimulatedRun:
     """Return the second run of the task, which began elsewhere after the first had ended."""
     first, second = fleet.minions.history[:2]
@@ -67,6 +76,30 @@
     return second
 
 
+class TestPolicies:
+    # Calls for the earlier incarnation may have arrived in the first two cases and, as far as a new
+    # leader knows, in the third.
+    @pytest.mark.parametrize(
+        ("known", "expected"),
+        [
+            ({"has_earlier": True}, LONGEST_MS),
+            ({"returned_ms": 95_000}, LONGEST_MS),
+            ({"born_ms": 95_000}, LONGEST_MS),
+            ({"born_ms": 95_000, "led_ms": 60_000}, 0),
+            ({"returned_ms": 60_000, "born_ms": 59_000}, 0),
+            ({"born_ms": 0}, 0),
+        ],
+    )
+    def test_the_longest_lease_counts_where_an_earlier_incarnation_was_called(
+        self, known, expected
+    ):
+        history = IncarnationHistory(
+            **{"born_ms": 5_000, "wall_ms": 100_000, "led_ms": 1_000, **known}
+        )
+        assert lease_bounds.get("any_incarnation")(history, LONGEST_MS) == expected
+        assert lease_bounds.get("same_incarnation")(history, LONGEST_MS) == 0
+
+
 class TestLeases:
     # A run on a minion that returned under its id and was cut off was started again elsewhere
     # while it was still at work.
@@ -84,6 +117,7 @@
         async def scenario(fleet: StepFleet) -> None:
             run = await start_on_a_returned_minion(fleet, LONG_TASK_MS)
             await wait_until_polled(fleet, run)
+            await wait_until_recorded(fleet, run)
             fleet.kill_control(await fleet.wait_for_leader())
             if heard:
                 await wait_until_polled(fleet, run)
@@ -92,6 +126,15 @@
 
         second_run(run_scenario(scenario, minion_count=2))
 
+    def test_a_leader_that_dies_before_it_records_a_return(self):
+        async def scenario(fleet: StepFleet) -> None:
+            run = await start_on_a_returned_minion(fleet, LONG_TASK_MS)
+            fleet.kill_control(await fleet.wait_for_leader())
+            cut_off(fleet, run.minion)
+            await trio.sleep(20)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
     def test_a_run_of_a_new_leader_on_a_returned_minion_is_waited_for(self):
         # The earlier leader's polls, and none of its starts, have reached the new incarnation.
         async def scenario(fleet: StepFleet) -> None:
@@ -99,6 +142,7 @@
             leader = await fleet.wait_for_leader()
             for minion in fleet.minions.minions.values():
                 fleet.minions.restart(minion.minion)
+                minion.born_ms = fleet.clock.wall_ms()
                 fleet.minions.extend_lease(minion, EARLIER_LIFE_S * 2_000)
             fleet.kill_control(leader)
             await fleet.submit(JOB, step_job(step(1)), work_ms=LONG_TASK_MS)
