Tell by its clock when another incarnation answers a start

Cause: the answer to a start names no incarnation, so a start that a minion carried out after it came back under its id counted as one of the earlier incarnation. Where an answer came, its clock replaced the earlier one, and the end of a lease on the earlier clock was then compared with it: the run would have lapsed after the age of the earlier incarnation.

Evidence: test_a_start_that_only_the_next_incarnation_saw_is_waited_for failed both ways before: without an answer run 2 began beside run 1, with one the task wasn't started again.

Ruled out: a clock of a later incarnation that is ahead does no harm, since the deadline then ends sooner there.

Change: an answer whose clock is behind what the known incarnation's shows at least is that of another one. Such a run, and one whose start is not answered, is kept for the longest lease unless a poll settles it, and the minion is polled at once with a higher fencing token. No clock of another incarnation is recorded.

Result: the test passes; the tests of crashing tasks and step jobs pass.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -208,6 +208,7 @@
             scheduler.evacuations.log_given_back(run, minion)
             self._drop_unsent_run(run)
             return
+        clock_ms = minion.min_clock_ms(scheduler.clock.now_ms())
         try:
             order = self._build_order(run, job, minion)
             reply = await self.port.start(minion.report, order)
@@ -220,31 +221,53 @@
         if reply.answer is not StartAnswer.STARTED:
             # The run did not begin, so its minion's crash is no evidence against its task.
             run.ordered, run.crash = False, None
-        self._record_clock(run, minion, reply)
+        is_known = self._is_of_known_incarnation(run, minion, reply, clock_ms)
         if scheduler.fleet.find_run(run.job_id, run.key) is not run:
             scheduler.crashes.on_order_outcome(run, begun=True)
             return
         if reply.answer is StartAnswer.STARTED:
-            minion.renewed_until_ms = max(minion.renewed_until_ms, order.lease_until_ms)
+            if is_known:
+                minion.renewed_until_ms = max(minion.renewed_until_ms, order.lease_until_ms)
+            else:
+                self._await_poll(run, minion)
             self._on_started(run, minion)
         else:
             self._on_rejected(run, minion, reply.answer)
 
-    def _record_clock(self, run: ReservedRun, minion: Minion, reply: StartReply) -> None:
-        if reply.clock_ms:
-            now_ms = self.scheduler.clock.now_ms()
-            if reply.clock_ms < minion.minion_clock_ms:
-                log.bind(
-                    request=run.job_id,
-                    task=run.key,
-                    run=run.run,
-                    minion=run.minion,
-                    expected_born_ms=minion.report.born_ms,
-                    clock_ms=reply.clock_ms,
-                    expected_clock_ms=minion.min_clock_ms(now_ms),
-                ).info("a start was answered by a clock that is behind the minion's")
-            minion.minion_clock_ms = reply.clock_ms
-            minion.clock_received_ms = now_ms
+    def _is_of_known_incarnation(
+        self, run: ReservedRun, minion: Minion, reply: StartReply, clock_ms: int
+    ) -> bool:
+        """Record a reply's clock, and return False if it shows another incarnation.
+
+        A reply doesn't name its incarnation. `clock_ms` is a lower bound of the known one's clock
+        at the call. If the clock of another one is ahead of it, its lease ends sooner than that of
+        the known one would.
+        """
+        if not reply.clock_ms:
+            return True
+        if reply.clock_ms < clock_ms:
+            log.bind(
+                request=run.job_id,
+                task=run.key,
+                run=run.run,
+                minion=run.minion,
+                answer=reply.answer.value,
+                expected_born_ms=minion.report.born_ms,
+                clock_ms=reply.clock_ms,
+                expected_clock_ms=clock_ms,
+            ).info("another incarnation has answered a start: its clock is behind")
+            return False
+        minion.minion_clock_ms = reply.clock_ms
+        minion.clock_received_ms = self.scheduler.clock.now_ms()
+        return True
+
+    def _await_poll(self, run: ReservedRun, minion: Minion) -> None:
+        """Keep a run that an unknown incarnation may hold, until a poll or the longest lease."""
+        if run.phase is RunPhase.SENT:
+            run.phase = RunPhase.UNKNOWN
+        scheduler = self.scheduler
+        run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
+        self.fence(minion)
 
     def _on_started(self, run: ReservedRun, minion: Minion) -> None:
         now_ms = self.scheduler.clock.now_ms()
@@ -281,9 +304,7 @@
             "start unanswered, it may run or begin late: {}", detail
         )
         scheduler.metrics.event("start_unanswered")
-        if run.phase is RunPhase.SENT:
-            run.phase = RunPhase.UNKNOWN
-        self.fence(minion)
+        self._await_poll(run, minion)
         run.outcome_known_ms = scheduler.clock.now_ms()
 
     def fence(self, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -305,6 +305,7 @@
                 run.last_progress_ms = now_ms
             run.percent, run.load_metric = task.percent, task.figure
             run.last_listed_ms = now_ms
+            run.carried_until_ms = 0
             run.crash = None
             if run.suspect and run.lasting:
                 self.scheduler.crashes.clear_if_at_work(run, now_ms)
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -380,7 +380,11 @@
             if not minion.runs or not self._lease_lapsed(minion, now_ms):
                 continue
             # A run whose order isn't sent yet extends the lease when the order is sent.
-            ordered = [run for run in minion.runs.values() if run.phase is not RunPhase.RESERVED]
+            ordered = [
+                run
+                for run in minion.runs.values()
+                if run.phase is not RunPhase.RESERVED and now_ms > run.carried_until_ms
+            ]
             if ordered:
                 self._log_lapse(minion, ordered, now_ms)
                 self._end_lapsed_runs(ordered, minion.minion_id)
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -111,6 +111,9 @@
     checkpoint: str = ""
     stop_reason: str = ""
     expected_ms: int = 0
+    # Until then, by the local clock, an incarnation that is not known may hold the run: its start
+    # was not answered, or not by the known one.
+    carried_until_ms: int = 0
     # VM of the minion; empty if unknown.
     vm: str = ""
     # Pool in which the run counts for its team's share.
