Acknowledge ends once, and only to an incarnation that has just answered

Cause: each poll named the highest recorded end, by the numbers of the incarnation that the scheduler knew. A minion that came back under its id numbers its ends anew, and the same poll let it forget ends that no scheduler had seen. Its next poll showed the run neither running nor ended, so it counted as lost.

Evidence: test_an_acknowledgement_for_an_earlier_incarnation_takes_no_end_away failed before: run 2 began after the end of run 1 had been acknowledged. It needs a start that the next incarnation carries out while answers are lost.

Change: a poll acknowledges only what no answered poll has acknowledged yet, and nothing after a call without an answer, until the known incarnation has answered again. The check before a suspect's start acknowledges nothing. A minion that has forgotten its ends doesn't list them again.

Result: the test passes.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -93,7 +93,7 @@
             result = await self.port.poll(
                 minion.report,
                 token=scheduler.fencing_token(minion),
-                recorded_end=minion.recorded_end,
+                recorded_end=0,
                 lease_until_ms=None,
                 wait_ms=0,
             )
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -162,7 +162,7 @@
         scheduler = self.scheduler
         sent_ms = scheduler.clock.now_ms()
         token = scheduler.fencing_token(minion)
-        recorded_end = minion.recorded_end
+        recorded_end = minion.end_to_acknowledge()
         with trio.CancelScope() as scope:
             wait_ms = self._wait_ms(minion)
             # Granting leases to a silent minion would delay their lapse forever.
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -267,6 +267,15 @@
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def end_to_acknowledge(self) -> int:
+        """Return the number up to which the next poll acknowledges ends, 0 for none.
+
+        A later incarnation under the same id numbers its ends anew and would forget them unseen, so
+        ends are acknowledged once, and only after the known incarnation answered the latest call.
+        """
+        is_due = self.recorded_end > self.acknowledged_end and not self.failed_calls
+        return self.recorded_end if is_due else 0
+
     def has_other_jobs(self, job_id: str) -> bool:
         """Return whether runs of other jobs are reserved or listed."""
         if self.foreign_runs:
