Tell starts that nobody can have received from unanswered ones

Cause: whatever gave no answer counted as a start that may run in any incarnation. But a call whose connection was never opened can be carried out by nobody, and one on a connection that a minion had answered on only by the incarnation that answered there, as its end ends the connection.

Change: UnknownOutcomeError says who can have received the call, by the HTTP client and through the replicas that relay orders. An undelivered start ends its run, which begins elsewhere at once; only a start that a later incarnation can have received waits for the longest lease.

Result: test_a_start_that_was_not_delivered_is_sent_elsewhere_at_once fails without the distinction (over 3 s) and passes with it, direct and relayed; test_a_failure_tells_who_can_have_received_the_request shows the three kinds over real sockets.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -8,6 +8,7 @@
 
 from hornbeamreach.clock import seconds
 from hornbeamreach.fleet.ports import (
+    Delivery,
     FencedError,
     MinionPort,
     StartAnswer,
@@ -214,8 +215,11 @@
             reply = await self.port.start(minion.report, order)
         except UnknownOutcomeError as exc:
             run.awaits_answer = False
-            self._on_unknown_outcome(run, minion, str(exc))
-            scheduler.crashes.on_order_outcome(run)
+            if exc.delivery is Delivery.NOBODY:
+                self._on_undelivered(run, minion, exc)
+            else:
+                self._on_unknown_outcome(run, minion, exc)
+                scheduler.crashes.on_order_outcome(run)
             return
         run.awaits_answer = False
         if reply.answer is not StartAnswer.STARTED:
@@ -229,7 +233,7 @@
             if is_known:
                 minion.renewed_until_ms = max(minion.renewed_until_ms, order.lease_until_ms)
             else:
-                self._await_poll(run, minion)
+                self._await_poll(run, minion, any_incarnation=True)
             self._on_started(run, minion)
         else:
             self._on_rejected(run, minion, reply.answer)
@@ -261,12 +265,13 @@
         minion.clock_received_ms = self.scheduler.clock.now_ms()
         return True
 
-    def _await_poll(self, run: ReservedRun, minion: Minion) -> None:
-        """Keep a run that an unknown incarnation may hold, until a poll or the longest lease."""
+    def _await_poll(self, run: ReservedRun, minion: Minion, *, any_incarnation: bool) -> None:
+        """Keep a run until a poll settles it or its lease lapses, in any incarnation if asked."""
         if run.phase is RunPhase.SENT:
             run.phase = RunPhase.UNKNOWN
         scheduler = self.scheduler
-        run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
+        if any_incarnation:
+            run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
         self.fence(minion)
 
     def _on_started(self, run: ReservedRun, minion: Minion) -> None:
@@ -298,13 +303,28 @@
         scheduler.fleet.end_run(run, RunEnd.LOST)
         scheduler.notify()
 
-    def _on_unknown_outcome(self, run: ReservedRun, minion: Minion, detail: str) -> None:
+    def _on_undelivered(self, run: ReservedRun, minion: Minion, error: UnknownOutcomeError) -> None:
+        """End a run whose start no minion has received; it can begin elsewhere at once."""
+        scheduler = self.scheduler
+        log.bind(request=run.job_id, task=run.key, run=run.run, minion=run.minion).info(
+            "start not delivered, the run has not begun: {}", error
+        )
+        scheduler.metrics.event("start_undelivered")
+        run.ordered, run.crash = False, None
+        minion.failed_calls += 1
+        self._poll_now(minion)
+        scheduler.fleet.end_run(run, RunEnd.LOST)
+        scheduler.notify()
+
+    def _on_unknown_outcome(
+        self, run: ReservedRun, minion: Minion, error: UnknownOutcomeError
+    ) -> None:
         scheduler = self.scheduler
         log.bind(request=run.job_id, task=run.key, run=run.run, minion=run.minion).warning(
-            "start unanswered, it may run or begin late: {}", detail
+            "start unanswered, it may run or begin late: {}", error
         )
         scheduler.metrics.event("start_unanswered")
-        self._await_poll(run, minion)
+        self._await_poll(run, minion, any_incarnation=error.delivery is Delivery.ANY_INCARNATION)
         run.outcome_known_ms = scheduler.clock.now_ms()
 
     def fence(self, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/order_relay.py
+++ b/src/hornbeamreach/fleet/order_relay.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.clock import seconds
 from hornbeamreach.fleet.ports import (
+    Delivery,
     FencedError,
     MinionPort,
     UnknownOutcomeError,
@@ -179,4 +180,5 @@
 def _failed_result(
     call: RelayedStart | RelayedPoll, outcome: RelayOutcome, error: Exception
 ) -> RelayResult:
-    return RelayResult(number=call.number, outcome=outcome, detail=str(error))
+    delivery = getattr(error, "delivery", Delivery.ANY_INCARNATION)
+    return RelayResult(number=call.number, outcome=outcome, detail=str(error), delivery=delivery)
--- a/src/hornbeamreach/fleet/ports.py
+++ b/src/hornbeamreach/fleet/ports.py
@@ -12,9 +12,24 @@
 from hornbeamreach.tables.workload import RunEnd
 
 
+class Delivery(enum.Enum):
+    """Name who can have received a call that got no response."""
+
+    # No connection was opened, so nobody has received it or will.
+    NOBODY = "nobody"
+    # It went over a connection on which the known incarnation had answered.
+    KNOWN_INCARNATION = "known"
+    # A later incarnation may have received it.
+    ANY_INCARNATION = "any"
+
+
 class UnknownOutcomeError(HornbeamreachError):
     """Report that a call got no response: it may have taken effect or may still do so."""
 
+    def __init__(self, detail: str, delivery: Delivery = Delivery.ANY_INCARNATION) -> None:
+        super().__init__(detail)
+        self.delivery = delivery
+
 
 class FencedError(HornbeamreachError):
     """Report that another scheduler has used a higher fencing token."""
--- a/src/hornbeamreach/fleet/relay_messages.py
+++ b/src/hornbeamreach/fleet/relay_messages.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from hornbeamreach.fleet.ports import PollResult, StartOrder, StartReply
+from hornbeamreach.fleet.ports import Delivery, PollResult, StartOrder, StartReply
 from hornbeamreach.link.codec import wire_type
 
 
@@ -66,6 +66,8 @@
     look: PollResult | None = None
     start: StartReply | None = None
     detail: str = ""
+    # Who can have received a call with an unknown outcome.
+    delivery: Delivery = Delivery.ANY_INCARNATION
 
 
 @wire_type("relay_results")
--- a/src/hornbeamreach/fleet/relayed_minion_port.py
+++ b/src/hornbeamreach/fleet/relayed_minion_port.py
@@ -263,7 +263,7 @@
             raise UnknownOutcomeError(f"no result through {relay}")
         if result.outcome is RelayOutcome.UNKNOWN_OUTCOME:
             self._back_off(None, call.minion, "relay_unanswered")
-            raise UnknownOutcomeError(result.detail)
+            raise UnknownOutcomeError(result.detail, result.delivery)
         if result.outcome is RelayOutcome.FENCED:
             raise FencedError(result.detail)
         if result.outcome is RelayOutcome.WRONG_INCARNATION:
--- a/src/hornbeamreach/platform/http_client.py
+++ b/src/hornbeamreach/platform/http_client.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from hornbeamreach.clock import seconds
-from hornbeamreach.fleet.ports import UnknownOutcomeError
+from hornbeamreach.fleet.ports import Delivery, UnknownOutcomeError
 from hornbeamreach.web.http_messages import (
     CONTENT_LENGTH,
     SUPPORTED_VERSIONS,
@@ -257,9 +257,14 @@
         """
         connection: HttpConnection | None = None
         completed = False
+        delivery = Delivery.NOBODY
         try:
             with trio.CancelScope(deadline=trio.current_time() + seconds(timeout_ms)):
-                connection = self._pop_idle(address) or await _connect(address)
+                connection = self._pop_idle(address)
+                delivery = Delivery.KNOWN_INCARNATION if connection else Delivery.NOBODY
+                if connection is None:
+                    connection = await _connect(address)
+                    delivery = Delivery.ANY_INCARNATION
                 all_headers = [(b"Host", address.encode()), JSON_HEADER, *headers]
                 response = await connection.exchange(method, path, all_headers, body)
                 completed = True
@@ -270,12 +275,12 @@
             MalformedMessageError,
             *ADDRESS_ERRORS,
         ) as exc:
-            raise UnknownOutcomeError(f"{address}{path}: {exc!r}") from None
+            raise UnknownOutcomeError(f"{address}{path}: {exc!r}", delivery) from None
         finally:
             if connection is not None and not (completed and self._keep_idle(address, connection)):
                 connection.close()
         # Only the deadline ends the block above without a response.
-        raise UnknownOutcomeError(f"{address}{path}: no answer in {timeout_ms} ms")
+        raise UnknownOutcomeError(f"{address}{path}: no answer in {timeout_ms} ms", delivery)
 
     def _pop_idle(self, address: str) -> HttpConnection | None:
         connections = self.idle_connections.get(address)
--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -10,6 +10,7 @@
 
 from hornbeamreach.clock import seconds
 from hornbeamreach.fleet.ports import (
+    Delivery,
     EndedTask,
     FencedError,
     PollResult,
@@ -171,6 +172,8 @@
     on_new_id: Callable[[SimulatedMinion], None] | None = None
     # Bounds of the time that a minion takes to stop a run.
     stop_duration_ms: tuple[int, int] = (0, STOP_MAX_MS)
+    # Minions that refuse connections.
+    refusing: set[str] = field(factory=set)
     # (caller, minion) pairs without a connection.
     partitions: set[tuple[str, str]] = field(factory=set)
     poll_count: int = 0
@@ -360,6 +363,8 @@
         minion = self.fleet.minions[report.minion]
         if minion.replaced:
             raise WrongIncarnationError("another incarnation of the minion responded")
+        if report.minion in self.fleet.refusing:
+            raise UnknownOutcomeError("connection refused", Delivery.NOBODY)
         if not minion.up or (self.caller, report.minion) in self.fleet.partitions:
             await trio.sleep(0.7)
             raise UnknownOutcomeError(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from hornbeamreach.fleet.ports import UnknownOutcomeError
+from hornbeamreach.fleet.ports import Delivery, UnknownOutcomeError
 from hornbeamreach.platform import http_client
 from hornbeamreach.platform.http_client import (
     MAX_HEADER_BYTES,
@@ -414,6 +414,29 @@
 
 
 class TestRequests:
+    # A start whose connection is refused was kept for 4 s, though no minion can have received it.
+    def test_a_failure_tells_who_can_have_received_the_request(self):
+        async def exchange(client: PlatformHttpClient, address: str) -> list[Delivery]:
+            found = []
+            with pytest.raises(UnknownOutcomeError) as fresh:
+                await client.send(address, "POST", "/a", timeout_ms=50)
+            found.append(fresh.value.delivery)
+            server.answers.append(OK)
+            await client.send(address, "POST", "/a", timeout_ms=CALL_TIMEOUT_MS)
+            with pytest.raises(UnknownOutcomeError) as reused:
+                await client.send(address, "POST", "/a", timeout_ms=50)
+            found.append(reused.value.delivery)
+            with pytest.raises(UnknownOutcomeError) as refused:
+                await client.send("127.0.0.1:1", "POST", "/a", timeout_ms=CALL_TIMEOUT_MS)
+            return [*found, refused.value.delivery]
+
+        server = Server()
+        assert run(server, exchange) == [
+            Delivery.ANY_INCARNATION,
+            Delivery.KNOWN_INCARNATION,
+            Delivery.NOBODY,
+        ]
+
     def test_a_request_has_its_host_length_and_headers(self):
         server = Server(OK)
         run(server, lambda *to: send(*to, headers=((b"Expect-Instance", b"i-1"),)))
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -189,3 +189,18 @@
 
         fleet = run_scenario(scenario, minion_count=2)
         assert len(fleet.minions.history) == 1
+
+
+class TestUndeliveredStarts:
+    # A start that no minion can have received held its task back for the length of a lease.
+    @pytest.mark.parametrize("relayed", [False, True])
+    def test_a_start_that_was_not_delivered_is_sent_elsewhere_at_once(self, relayed):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(8)
+            fleet.minions.refusing = {"i-1"}
+            began = trio.current_time()
+            await fleet.submit(JOB, step_job(step(2, cpu_millis=9_000)))
+            await fleet.wait_for_state(JOB, "completed")
+            assert trio.current_time() - began < 3
+
+        run_scenario(scenario, minion_count=2, relayed=relayed)
