Drop the tickets of a minion that has returned

What callers saw: starts on a queue with advice were rejected for their ticket after a minion came back under its id, and its steps waited for new tickets of all their minions.

Cause: tickets are kept by a minion's id, and one holds during one life of a minion only.

Change: a later incarnation drops the minion's tickets, and an answer to a request that was sent before isn't used for it. The other minions' tickets stay.

--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -53,6 +53,8 @@
     # Schedules a planning pass of all pools, and one of the pools that have changed.
     notify: Callable[[], None]
     notify_of_changes: Callable[[], None]
+    # Drops the tickets for an incarnation that is over.
+    forget_tickets: Callable[[str], None]
     lease_bound: LeaseBound = field(factory=lambda: lease_bounds.get("any_incarnation"))
 
     def on_leave(self, minion_id: str, born_ms: int) -> None:
@@ -101,6 +103,7 @@
         if earlier is not None:
             minion.token_step = earlier.token_step + 1
             self._retire_incarnation(earlier)
+            self.forget_tickets(report.minion)
         self.crashes.on_report(report, is_first=earlier is None)
         self.fleet.minions[report.minion] = minion
         inherited = list(self.fleet.unattached_runs.pop(report.minion, {}).values())
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -113,6 +113,7 @@
             start_poller=self._start_poller,
             notify=self.notify,
             notify_of_changes=self.notify_of_changes,
+            forget_tickets=lambda minion_id: self.ticket_requests.forget_minion(minion_id),
         )
         self.recorder = RunRecorder(
             fleet=self.fleet, replica=replica, crashes=self.crashes, pollers=self.pollers
--- a/src/hornbeamreach/fleet/ticket_requests.py
+++ b/src/hornbeamreach/fleet/ticket_requests.py
@@ -175,6 +175,7 @@
     ) -> None:
         assert self.port is not None
         sent_ms = self.clock.now_ms()
+        asked_about = {minion_id: self._born_ms(minion_id) for minion_id in minion_ids}
         try:
             tickets = await self.port.request_tickets(f"{name[0]}.{name[1]}.{name[2]}", minion_ids)
         except UnknownOutcomeError as exc:
@@ -193,7 +194,9 @@
             # What was known of the step was dropped, and it is asked for anew.
             return
         until_ms = sent_ms + round(queue.advice_valid_ms * self.timing.ticket_refresh_share)
-        self._record(name, advice, minion_ids, tickets, until_ms)
+        # A ticket may be for an incarnation that is over by now.
+        named = [m for m in minion_ids if self._born_ms(m) == asked_about[m]]
+        self._record(name, advice, named, tickets, until_ms)
         await trio.sleep(seconds(max(0, until_ms - self.clock.now_ms())))
         self._drop_lapsed(name, advice)
 
@@ -237,6 +240,17 @@
         if not tickets:
             del self.planner.tickets[name]
 
+    def _born_ms(self, minion_id: str) -> int:
+        minion = self.fleet.minions.get(minion_id)
+        return minion.report.born_ms if minion is not None else 0
+
+    def forget_minion(self, minion_id: str) -> None:
+        """Drop the tickets for an incarnation that is over; the next one needs its own."""
+        for name, advice in self.steps.items():
+            if minion_id in advice.admitted:
+                advice.admitted[minion_id] = 0
+            self.planner.tickets.get(name, {}).pop(minion_id, None)
+
     def take_back(self, name: StepName) -> None:
         """Let the tickets of a step be renewed, as a minion has rejected one."""
         self.planner.tickets.pop(name, None)
--- a/tests/test_ticket_requests.py
+++ b/tests/test_ticket_requests.py
@@ -118,6 +118,41 @@
         run_scenario(scenario)
 
 
+class TestReturnedMinions:
+    # A ticket holds during one life of a minion; starts on the next one were rejected by their
+    # ticket, and then the tickets of all minions were requested again.
+    def test_tickets_of_a_minion_that_returned_are_requested_anew(self):
+        async def scenario(fleet: StepFleet, admission: PolicyAdmission) -> None:
+            admission.allowed = {"i-1", "i-2"}
+            await fleet.submit(JOB, builders.step_job(builders.step(80, cpu_millis=8_000)))
+            await trio.sleep(1)
+            assert admission.calls
+            admission.calls.clear()
+            scheduler = await fleet.wait_for_scheduler()
+            fleet.minions.restart("i-2")
+            scheduler.on_report(fleet.minions.minions["i-2"].report())
+            assert all("i-2" not in known for known in scheduler.planner.tickets.values())
+            await trio.sleep(1)
+            assert [minions for _, _, minions in admission.calls] == [("i-2",)]
+
+        run_scenario(scenario, valid_ms=20_000)
+
+    def test_a_ticket_that_was_requested_for_the_earlier_life_is_not_used(self):
+        async def scenario(fleet: StepFleet, admission: PolicyAdmission) -> None:
+            admission.allowed = {"i-2"}
+            await fleet.submit(JOB, builders.step_job(builders.step(4)))
+            while not admission.calls:
+                await trio.sleep(0.001)
+            scheduler = await fleet.wait_for_scheduler()
+            fleet.minions.restart("i-2")
+            scheduler.on_report(fleet.minions.minions["i-2"].report())
+            await trio.sleep(0.2)
+            assert sum("i-2" in minions for _, _, minions in admission.calls) == 2
+            await fleet.wait_for_state(JOB, "completed", timeout_s=5)
+
+        run_scenario(scenario, valid_ms=20_000)
+
+
 class TestLoad:
     # Some hundred steps wait for tickets at once, and the service takes one call at a time.
     def test_a_burst_of_steps_is_served_without_a_refused_call(self):
