End the runs that a minion listed before it returned at once

Cause: all runs of an earlier incarnation were carried over to the next one, whose first poll was to show which of them are there. A run that the earlier one has listed began there; its start can't be carried out again, so it ended with its incarnation.

Change: such a run ends when the next incarnation is heard of; only runs that no poll has listed are carried over.

Result: test_runs_that_the_earlier_incarnation_listed_begin_elsewhere_at_once fails before and passes now; the tests of crashing tasks, evacuations, incarnations and step jobs pass.

--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -142,11 +142,14 @@
     def _retire_incarnation(self, minion: Minion) -> None:
         """Detach the runs of an incarnation, for the next one under the same id.
 
-        A start may have reached either incarnation, whatever the response was. The first poll of
-        the next one shows which runs are there.
+        A start may have reached either incarnation, whatever the response was, unless the earlier
+        one has listed the run. The first poll of the next one shows which of them are there.
         """
         self.crashes.on_incarnation_over(minion, REPLACED)
         for run in list(minion.runs.values()):
+            if run.last_listed_ms:
+                self.fleet.end_run(run, RunEnd.LOST)
+                continue
             minion.release(run.name)
             if run.phase is not RunPhase.RESERVED:
                 run.phase = RunPhase.UNKNOWN
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -170,6 +170,23 @@
         second_run(run_scenario(scenario, minion_count=2))
 
 
+class TestListedRuns:
+    # Tasks that ended with their minion waited 10 s when its next incarnation was heard of and then
+    # cut off before it was polled.
+    def test_runs_that_the_earlier_incarnation_listed_begin_elsewhere_at_once(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await fleet.submit(JOB, step_job(step(1)), work_ms=LONG_TASK_MS)
+            await trio.sleep(3)
+            run = fleet.minions.history[0]
+            fleet.minions.restart(run.minion)
+            cut_off(fleet, run.minion)
+            scheduler = await fleet.wait_for_scheduler()
+            scheduler.on_report(fleet.minions.minions[run.minion].report())
+            await trio.sleep(1)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
+
 class TestEnds:
     # A task that was done was started again, as a poll meant for the earlier incarnation had let
     # the minion forget the end.
