Let the next leader wait for starts that the earlier one waited for

Cause: where a start was not answered, or was answered by a clock that is behind, the leader kept the run for the longest lease but recorded nothing. Its successor counted on the lease of the known incarnation.

Change: the minion is recorded as one that may have returned.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -272,6 +272,9 @@
         scheduler = self.scheduler
         if any_incarnation:
             run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
+            # The next leader has to wait as long.
+            scheduler.fleet.unrecorded_returns.add(minion.minion_id)
+            scheduler.notify()
         self.fence(minion)
 
     def _on_started(self, run: ReservedRun, minion: Minion) -> None:
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -297,7 +297,8 @@
     waves: dict[int, MaintenanceWave] = field(factory=dict)
     # VM -> wall time of its latest order, by any scheduler.
     machine_orders: dict[str, int] = field(factory=dict)
-    # Minion -> wall time at which a scheduler knew that it had started again under its id.
+    # Minion -> wall time at which a scheduler knew that it had started again under its id, or that
+    # it may have.
     returns: dict[str, int] = field(factory=dict)
     # Data centre -> wall time since which nothing may start there.
     evacuated: dict[str, int] = field(factory=dict)
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -135,6 +135,20 @@
 
         second_run(run_scenario(scenario, minion_count=2))
 
+    @pytest.mark.parametrize("answered", [True, False])
+    def test_a_new_leader_waits_for_a_start_that_the_earlier_one_waited_for(self, answered):
+        async def scenario(fleet: StepFleet) -> None:
+            run = await start_on_a_returned_minion(fleet, LONG_TASK_MS, answered=answered)
+            # The answer is under way.
+            await trio.sleep(0.002)
+            cut_off(fleet, run.minion)
+            fleet.minions.lost_response_fraction = 0
+            await trio.sleep(1.2)
+            fleet.kill_control(await fleet.wait_for_leader())
+            await trio.sleep(20)
+
+        second_run(run_scenario(scenario, minion_count=2))
+
     def test_a_run_of_a_new_leader_on_a_returned_minion_is_waited_for(self):
         # The earlier leader's polls, and none of its starts, have reached the new incarnation.
         async def scenario(fleet: StepFleet) -> None:
