Keep tasks that last from waiting for leases that nobody can have granted

What callers could see: a long-running task off for 10 s where its minion died for good (LOST): since on every minion of a young fleet, and on one that had just returned.

Cause: a new leader counted any young incarnation as one that an earlier leader's calls may have reached, also the first leader of a fleet, and incarnations that began under its own lead. On a minion that has returned the wait is needed, but nothing kept tasks that last away from it.

Change: an incarnation counts as called before only if it is older than the lead and there was an earlier leader, which a declaration in force shows. Tasks that last choose minions without such a wait first.

Result: test_nothing_is_waited_for_where_no_leader_has_called_before and test_a_minion_that_may_hold_such_a_lease_is_chosen_last fail before and pass now.

--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -45,8 +45,9 @@
     crashes: CrashRecorder
     port: MinionPort
     timing: FleetTiming
-    # When the scheduler began.
+    # When the scheduler began, and whether an earlier one may have called minions.
     began_ms: int
+    has_predecessor: bool
     pollers: dict[str, MinionPoller]
     # Adds a minion's poller to `pollers` and starts it.
     start_poller: Callable[[str], None]
@@ -129,6 +130,7 @@
             born_ms=born_ms,
             wall_ms=self.clock.wall_ms(),
             led_ms=self.clock.now_ms() - self.began_ms,
+            has_predecessor=self.has_predecessor,
             has_earlier=has_earlier,
             returned_ms=self.fleet.proposed.workload.returns.get(minion_id, 0),
         )
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -109,6 +109,7 @@
             port=minion_port,
             timing=timing,
             began_ms=self.began_ms,
+            has_predecessor=bool(replica.state.workload.declared_version),
             pollers=self.pollers,
             start_poller=self._start_poller,
             notify=self.notify,
@@ -378,6 +379,7 @@
         now_ms, wall_ms = self.clock.now_ms(), self.clock.wall_ms()
         self._log_effort()
         for minion in list(self.fleet.minions.values()):
+            minion.may_hold_carried_lease = now_ms <= minion.carried_until_ms
             if not minion.runs or not self._lease_lapsed(minion, now_ms):
                 continue
             # A run whose order isn't sent yet extends the lease when the order is sent.
--- a/src/hornbeamreach/systems/lease_bounds.py
+++ b/src/hornbeamreach/systems/lease_bounds.py
@@ -26,8 +26,9 @@
     # heard of the minion in this term.
     born_ms: int
     wall_ms: int
-    # How long this scheduler has led.
+    # How long this scheduler has led, and whether an earlier one may have called minions.
     led_ms: int
+    has_predecessor: bool = True
     # An earlier incarnation is known to this scheduler, or has runs in the log.
     has_earlier: bool = False
     # Wall time at which a scheduler recorded that the minion had started again; 0 if none did.
@@ -50,13 +51,14 @@
     """Wait for the longest lease wherever a call for an earlier incarnation may have arrived.
 
     An earlier scheduler's calls may have reached an incarnation that it never heard of; then only
-    the incarnation's age shows that their leases have lapsed.
+    the incarnation's age shows that their leases have lapsed, or that there were none.
     """
     recent_ms = longest_ms + MAX_CLOCK_DIFFERENCE_MS
     is_recorded = bool(history.returned_ms) and history.wall_ms - history.returned_ms < recent_ms
     is_young = (
-        bool(history.born_ms)
-        and history.wall_ms - history.born_ms < recent_ms
+        history.has_predecessor
+        and bool(history.born_ms)
+        and history.led_ms <= history.wall_ms - history.born_ms < recent_ms
         and history.led_ms < longest_ms
     )
     return longest_ms if history.has_earlier or is_recorded or is_young else 0
--- a/src/hornbeamreach/systems/task_placement.py
+++ b/src/hornbeamreach/systems/task_placement.py
@@ -141,6 +141,8 @@
         int(minion.report.rack in request.avoided_racks),
         int(remote) + int(split),
         int(step.lasting and minion.awaits_maintenance),
+        # Cut off or lost there, the task is started again only after the longest lease.
+        int(step.lasting and minion.may_hold_carried_lease),
         int(_would_disturb_serving_task(step, minion)),
         len(minion.failing_jobs),
         int(minion.report.cold_ms > 0),
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -147,6 +147,8 @@
     # and the local time until which it may; 0 if no such call can have arrived.
     carried_lease_ms: int = 0
     carried_until_ms: int = 0
+    # Whether that time is still to come, as of the latest tick.
+    may_hold_carried_lease: bool = False
     # Part of the fencing token that increases within one term of the scheduler.
     token_step: int = 0
     # Runs by task name.
@@ -294,6 +296,7 @@
         """
         if self.carried_lease_ms:
             self.carried_until_ms = now_ms + self.carried_lease_ms
+            self.may_hold_carried_lease = True
 
     def can_send(self, runs: list[ReservedRun]) -> bool:
         """Return whether starts that are reserved here but not sent fit beside what was sent."""
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -7,9 +7,12 @@
 
 from hornbeamreach.standins.step_minions import SimulatedRun
 from hornbeamreach.systems.lease_bounds import IncarnationHistory, lease_bounds
+from hornbeamreach.systems.task_placement import PlacementRequest, placement_policies
 from hornbeamreach.tables.workload import RunEnd
 
+from . import builders
 from .builders import step, step_job
+from .fakes import run_virtual
 from .step_fleet import StepFleet
 from .test_step_jobs import job_id, run_scenario
 
@@ -86,6 +89,8 @@
             ({"returned_ms": 95_000}, LONGEST_MS),
             ({"born_ms": 95_000}, LONGEST_MS),
             ({"born_ms": 95_000, "led_ms": 60_000}, 0),
+            ({"born_ms": 99_500, "led_ms": 1_000}, 0),
+            ({"born_ms": 95_000, "has_predecessor": False}, 0),
             ({"returned_ms": 60_000, "born_ms": 59_000}, 0),
             ({"born_ms": 0}, 0),
         ],
@@ -184,6 +189,38 @@
         second_run(run_scenario(scenario, minion_count=2))
 
 
+class TestLastingTasks:
+    # The first leader of a young fleet waited 10 s for a lease that nobody can have granted.
+    def test_nothing_is_waited_for_where_no_leader_has_called_before(self):
+        fleet = StepFleet(minion_count=2)
+
+        async def main() -> None:
+            for minion in fleet.minions.minions.values():
+                minion.born_ms = fleet.clock.wall_ms()
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                await fleet.submit(JOB, step_job(step(1, lasting=True)))
+                while not fleet.minions.history:
+                    await trio.sleep(0.01)
+                await trio.sleep(0.5)
+                fleet.minions.crash(fleet.minions.history[0].minion)
+                await trio.sleep(6)
+                nursery.cancel_scope.cancel()
+
+        run_virtual(main)
+        second_run(fleet)
+
+    def test_a_minion_that_may_hold_such_a_lease_is_chosen_last(self):
+        fuller = builders.minion("i-1")
+        fuller.may_hold_carried_lease = True
+        fuller.reserve(builders.run())
+        request = PlacementRequest(step=step(lasting=True), needs=step().needs)
+        for minions in ([fuller, builders.minion("i-2")], [builders.minion("i-2"), fuller]):
+            chosen = placement_policies.get("best_fit")(request, minions)
+            assert chosen is not None
+            assert chosen.minion_id == "i-2"
+
+
 class TestListedRuns:
     # Tasks that ended with their minion waited 10 s when its next incarnation was heard of and then
     # cut off before it was polled.
