Pause starts on a minion to which one could not be delivered

Cause: an undelivered start, told apart since, ended its run but kept the minion for the next pass.

Change: the minion gets no work for the time of one that refused a start.

Result: test_starts_that_are_not_delivered_are_not_repeated_at_once fails before and passes now.

--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -313,6 +313,8 @@
         )
         scheduler.metrics.event("start_undelivered")
         run.ordered, run.crash = False, None
+        # It may answer polls on connections that are open.
+        minion.suspect_until_ms = scheduler.clock.now_ms() + scheduler.timing.suspect_ms
         minion.failed_calls += 1
         self._poll_now(minion)
         scheduler.fleet.end_run(run, RunEnd.LOST)
--- a/src/hornbeamreach/standins/step_minions.py
+++ b/src/hornbeamreach/standins/step_minions.py
@@ -172,8 +172,10 @@
     on_new_id: Callable[[SimulatedMinion], None] | None = None
     # Bounds of the time that a minion takes to stop a run.
     stop_duration_ms: tuple[int, int] = (0, STOP_MAX_MS)
-    # Minions that refuse connections.
+    # Minions that refuse connections, or only those for starts, and how many were refused.
     refusing: set[str] = field(factory=set)
+    refusing_starts: set[str] = field(factory=set)
+    refused_starts: int = 0
     # (caller, minion) pairs without a connection.
     partitions: set[tuple[str, str]] = field(factory=set)
     poll_count: int = 0
@@ -437,6 +439,9 @@
 
     async def start(self, report: MinionReport, order: StartOrder) -> StartReply:
         """Start a run."""
+        if report.minion in self.fleet.refusing_starts:
+            self.fleet.refused_starts += 1
+            raise UnknownOutcomeError("connection refused", Delivery.NOBODY)
         try:
             minion = await self._connect(report)
         except WrongIncarnationError:
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -272,3 +272,14 @@
             assert trio.current_time() - began < 3
 
         run_scenario(scenario, minion_count=2, relayed=relayed)
+
+    # Some 50 starts a second went to a minion that answered polls and refused new connections.
+    def test_starts_that_are_not_delivered_are_not_repeated_at_once(self):
+        async def scenario(fleet: StepFleet) -> None:
+            await trio.sleep(8)
+            fleet.minions.refusing_starts = {"i-1"}
+            await fleet.submit(JOB, step_job(step(1)))
+            await trio.sleep(5)
+            assert 0 < fleet.minions.refused_starts < 10
+
+        run_scenario(scenario, minion_count=1)
