Pause between polls of a minion that seems to have begun earlier

Cause: an answer of an incarnation whose start lies before the known one's, as its wall clock was set back, was ignored without a pause, and without the wait of a call to a minion that answers.

Change: such a poll is repeated after the pause of a failed call. What remains: reports of that incarnation are still taken for late ones until its clock has caught up.

Result: test_a_minion_that_seems_to_have_begun_earlier_is_polled_with_pauses fails before and passes now.

--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -193,6 +193,10 @@
             minion.acknowledged_end = max(minion.acknowledged_end, recorded_end)
             minion.renewed_until_ms = max(minion.renewed_until_ms, lease_until_ms or 0)
             self._on_result(minion, result, sent_ms, token)
+            is_other = result.born_ms != minion.report.born_ms
+            if is_other and scheduler.fleet.minions.get(self.minion_id) is minion:
+                # Its reports are taken for older or implausible ones.
+                await trio.sleep(seconds(scheduler.timing.retry_ms))
 
     async def _on_unknown_outcome(self, minion: Minion, exc: UnknownOutcomeError) -> None:
         minion.failed_calls += 1
--- a/tests/test_returned_minions.py
+++ b/tests/test_returned_minions.py
@@ -221,6 +221,24 @@
             assert chosen.minion_id == "i-2"
 
 
+class TestClocksSetBack:
+    # The next incarnation's wall clock was behind, and it was polled some 300 times a second.
+    def test_a_minion_that_seems_to_have_begun_earlier_is_polled_with_pauses(self):
+        async def scenario(fleet: StepFleet) -> None:
+            minion = fleet.minions.minions["i-1"]
+            minion.born_ms = 100
+            await trio.sleep(3)
+            await fleet.submit(JOB, step_job(step(1, lasting=True)))
+            await trio.sleep(1)
+            fleet.minions.restart("i-1")
+            minion.born_ms = 50
+            polls = fleet.minions.poll_count
+            await trio.sleep(5)
+            assert fleet.minions.poll_count - polls < 60
+
+        run_scenario(scenario, minion_count=1)
+
+
 class TestListedRuns:
     # Tasks that ended with their minion waited 10 s when its next incarnation was heard of and then
     # cut off before it was polled.
