--- a/src/hornbeamreach/fleet/minion_tracker.py
+++ b/src/hornbeamreach/fleet/minion_tracker.py
@@ -29,6 +29,7 @@
 # Reports that a network partition delayed arrive seconds late; this is far above a partition of
 # one minute.
 GONE_MINION_RETENTION_MS = 120_000
+MAX_LOGGED_RUNS = 20
 # Clocks of VMs differ by seconds.
 MAX_CLOCK_STEP_MS = 3_600_000
 # Reports of a minion that runs for ten years.
@@ -160,7 +161,12 @@
 
     def mark_gone(self, minion: Minion, reason: str) -> None:
         """Mark a minion as gone and end all its runs, as crashed if there is evidence."""
-        log.bind(minion=minion.minion_id, runs=len(minion.runs)).info("minion is gone: {}", reason)
+        log.bind(
+            minion=minion.minion_id,
+            born_ms=minion.report.born_ms,
+            runs=len(minion.runs),
+            names=list(minion.runs)[:MAX_LOGGED_RUNS],
+        ).info("minion is gone: {}", reason)
         self.metrics.event(f"minion_gone_{reason}")
         self.crashes.on_incarnation_over(minion, reason)
         for run in list(minion.runs.values()):
