Cordon a minion that returns while a move of its VM may take effect

What callers could see: work that ended moments after its start (AVAIL for tasks that last), where a move without an answer took effect seconds late on a minion that had meanwhile come back under its id.

Change: while a move may take effect, the latest incarnation on its VM is cordoned; once the move is given back or refused, so is the cordon.

Result: test_a_returned_minion_gets_no_work_while_its_move_may_take_effect fails before and passes now.

--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -136,6 +136,9 @@
                 else:
                     # A move with an unknown outcome has not taken effect by now.
                     minion.cordoned = False
+            elif minion is not None and minion.report.pool != pool:
+                # A later incarnation, which the move may end as well.
+                minion.cordoned = True
 
     # Drains
 
@@ -342,8 +345,7 @@
                 scheduler.mark_minion_gone(minion, "moved")
             return
         self.arriving.pop(move.vm, None)
-        if minion is not None:
-            minion.cordoned = False
+        self._uncordon(move, minion)
         await trio.sleep(seconds(ARRIVAL_MS))
         self.inventory.end_order(move.vm)
 
@@ -362,10 +364,15 @@
     def _give_back(self, move: VmMove, minion: Minion | None) -> None:
         self.arriving.pop(move.vm, None)
         self.inventory.end_order(move.vm)
-        if minion is not None:
-            minion.cordoned = False
+        self._uncordon(move, minion)
         self.scheduler.notify()
 
+    def _uncordon(self, move: VmMove, minion: Minion | None) -> None:
+        """Let a VM whose move is not ordered get work again, in its latest incarnation too."""
+        for incarnation in (minion, self.inventory.current_minions().get(move.vm)):
+            if incarnation is not None:
+                incarnation.cordoned = False
+
 
 def _log_moves(demands: PoolDemands, moves: list[VmMove]) -> None:
     """Log one line for each pool that gets VMs, with what decided their number."""
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -412,3 +412,20 @@
         # The other order may still take effect.
         assert (gone_minions, list(moves.arriving)) == (["i-0"], ["m-1"])
         assert minions["m-0"].cordoned and minions["m-1"].cordoned
+
+
+class TestReturnedMinions:
+    # A cordon was gone with the incarnation, and what its successor got ended with the move.
+    def test_a_returned_minion_gets_no_work_while_its_move_may_take_effect(self):
+        vm_moves = make_vm_moves(20_000)
+        scheduler, inventory = vm_moves.scheduler, vm_moves.inventory
+        first = scheduler.fleet.minions["i-0"]
+        first.cordoned = True
+        inventory.pending_orders["m-0"], vm_moves.arriving["m-0"] = 20_000, "spare"
+        later = builders.minion("i-0", machine="m-0", born_ms=21_000)
+        scheduler.fleet.minions["i-0"] = later
+        vm_moves._clear_arrivals(inventory.current_minions(), 21_000)
+        assert later.cordoned
+        scheduler.notify = lambda: None
+        vm_moves._give_back(VmMove(vm="m-0", source="pool-a", pool="spare"), first)
+        assert not later.cordoned
