Bound the connections of HTTP clients and what they hold in memory

What callers saw: in a trial of the users, clients that nobody controls ended a process, which ran out of memory: heads over the limit or without end, empty lines without end before a request.

Cause: the limit of a head, 512 KiB, counted bytes on the wire of one connection. A head of tiny lines takes some 25 times that in objects, all pipelined requests that arrived together were parsed at once, bodies and answers that aren't read were not counted at all, and nothing bounded the sum over as many connections as a process has descriptors. Silent connections took every descriptor, so that callers found no place.

Change: a listener has a pool with a share of memory-mb and max-fds. What a connection holds is counted in memory, not on the wire, also answers that its client doesn't take. Over the sum, those that hold the most are closed, with 503 and Retry-After where the request has not been served; without a place left, the connection that has waited for its client the longest. A request that is being served is never closed. A head has 64 KiB, four times the users' limit.

test_a_request_is_read_the_same_in_any_pieces now asks for the requests behind the first one, which the reader no longer parses at once; it checks the same events.

--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import signal
 
@@ -30,6 +31,7 @@
 from hornbeamreach.platform.process import (
     ReloadableSettings,
     link_secret,
+    listener_limits,
     metrics_app,
     process_age_ms,
     serve,
@@ -46,6 +48,10 @@
 SNAPSHOT_INTERVAL_ENTRIES = 30_000
 # Time for a stopping replica to transfer leadership and to answer requests in flight.
 HANDOVER_TIMEOUT_MS = 1_500
+# Part of the memory that the connections use, and the listeners' shares of it.
+MEMORY_SHARE = 0.25
+CONTROL_SHARE = 0.6
+METRICS_SHARE = 0.1
 
 
 async def run(settings: ReloadableSettings) -> None:
@@ -152,13 +158,16 @@
                 describe=service.describe,
                 latest_evacuation_ms=lambda name: replica.state.workload.latest_evacuation_ms(name),
             )
+            limits = functools.partial(listener_limits, current, memory_share=MEMORY_SHARE)
             server = LinkServer(address=current.link_address, secret=secret, handlers=handlers)
             nursery.start_soon(watch_signals, signals, stop, settings)
             nursery.start_soon(watch_settings, settings, discovery.add_addresses)
             await nursery.start(server.run)
             requests_done = trio.Event()
-            await nursery.start(serve, app, current.control_address, stop, requests_done)
-            await nursery.start(serve, metrics_app(metrics), current.metrics_address, stop)
+            address, done = current.control_address, requests_done
+            await nursery.start(serve, app, address, stop, limits(share=CONTROL_SHARE), done)
+            app_of_metrics, address = metrics_app(metrics), current.metrics_address
+            await nursery.start(serve, app_of_metrics, address, stop, limits(share=METRICS_SHARE))
             if current.heartbeat_port:
                 heartbeats.start()
             nursery.start_soon(replica.run)
--- a/src/hornbeamreach/platform/entry_daemon.py
+++ b/src/hornbeamreach/platform/entry_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import signal
 
 import trio
@@ -16,6 +17,7 @@
 from hornbeamreach.platform.process import (
     ReloadableSettings,
     link_secret,
+    listener_limits,
     metrics_app,
     serve,
     suspend_aware_clock,
@@ -35,6 +37,10 @@
 BALANCER_NOTICE_MS = 2_600
 # Time for requests in flight after that; together they stay below a grace period of 6 s.
 FINISH_TIMEOUT_MS = 2_600
+# Part of the memory that the connections use, and the listeners' shares of it.
+MEMORY_SHARE = 0.5
+CALLERS_SHARE = 0.8
+OTHERS_SHARE = 0.1
 
 
 async def run(settings: ReloadableSettings) -> None:
@@ -56,10 +62,15 @@
             nursery.start_soon(watch_signals, signals, stop, settings)
             nursery.start_soon(watch_settings, settings, finder.add_replicas)
             nursery.start_soon(_poll_leader_status, finder)
-            await nursery.start(serve, app, current.callers_address, stop_serving, requests_done)
+            limits = functools.partial(listener_limits, current, memory_share=MEMORY_SHARE)
+            callers_limits, others_limits = limits(share=CALLERS_SHARE), limits(share=OTHERS_SHARE)
+            address, done = current.callers_address, requests_done
+            await nursery.start(serve, app, address, stop_serving, callers_limits, done)
             readiness = ReadinessApp(is_ready=is_ready)
-            await nursery.start(serve, readiness, current.readiness_address, stop_serving)
-            await nursery.start(serve, metrics_app(metrics), current.metrics_address, stop_serving)
+            address = current.readiness_address
+            await nursery.start(serve, readiness, address, stop_serving, others_limits)
+            app_of_metrics, address = metrics_app(metrics), current.metrics_address
+            await nursery.start(serve, app_of_metrics, address, stop_serving, others_limits)
             log.bind(name=current.name).info("entry started")
             await stop.wait()
             app.closing = True
--- a/src/hornbeamreach/platform/process.py
+++ b/src/hornbeamreach/platform/process.py
@@ -16,11 +16,14 @@
 from hornbeamreach.metrics import Metrics
 from hornbeamreach.platform import asgi
 from hornbeamreach.platform.settings import PlatformSettings, load_settings
+from hornbeamreach.web.connection_pool import ConnectionLimits, connection_limits
 from hornbeamreach.web.lean_server import serve_requests
 
 log = part_logger("main")
 
 SETTINGS_CHECK_INTERVAL_MS = 1_000
+# Headers that the applications read.
+KEPT_HEADERS = frozenset((b"accept", b"credential", b"deadline-ms"))
 
 
 def suspend_aware_clock() -> Clock:
@@ -98,16 +101,36 @@
         on_seeds([current.link_address_of(seed) for seed in current.seeds])
 
 
+def listener_limits(
+    settings: PlatformSettings, *, memory_share: float, share: float
+) -> ConnectionLimits:
+    """Return the limits of a listener with a share of what the connections may use."""
+    return connection_limits(
+        memory_mb=settings.memory_mb,
+        memory_share=memory_share,
+        max_descriptors=settings.max_descriptors,
+        share=share,
+    )
+
+
 async def serve(
     app: Any,
     address: str,
     stop: trio.Event,
+    limits: ConnectionLimits,
     finished: trio.Event | None = None,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until `stop`; set `finished` once its last request is done."""
     try:
-        await serve_requests(app, address, stop=stop, task_status=task_status)
+        await serve_requests(
+            app,
+            address,
+            stop=stop,
+            limits=limits,
+            kept_headers=KEPT_HEADERS,
+            task_status=task_status,
+        )
     finally:
         if finished is not None:
             finished.set()
--- a/src/hornbeamreach/platform/settings.py
+++ b/src/hornbeamreach/platform/settings.py
@@ -46,6 +46,8 @@
     # What the process may use of its VM's memory and disk; 0 if that isn't stated.
     memory_mb: int = 0
     disk_mb: int = 0
+    # How many descriptors the process may have open; 0 if that isn't stated.
+    max_descriptors: int = 0
 
     @property
     def link_address(self) -> str:
@@ -98,6 +100,7 @@
         timing=_decode_timing(bounds),
         memory_mb=int(fields.number(limits, "memory-mb", 0)),
         disk_mb=int(fields.number(limits, "disk-mb", 0)),
+        max_descriptors=int(fields.number(limits, "max-fds", 0)),
     )
 
 
--- a/src/hornbeamreach/web/lean_server.py
+++ b/src/hornbeamreach/web/lean_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server for plain ASGI applications, with httptools (llhttp) on trio.
 
-For daemons that start often and serve many small requests: unlike hypercorn it loads no HTTP/2 and
-no WebSockets, and a request costs a fraction of the processor time.
+For daemons that start often and serve many small requests to clients that nobody controls: it
+bounds the connections and the memory that they hold, and loads no HTTP/2 and no WebSockets.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 
 from hornbeamreach.clock import seconds
 from hornbeamreach.logs import part_logger
+from hornbeamreach.web.connection_pool import ConnectionLimits, ConnectionPool, PooledConnection
 from hornbeamreach.web.http_messages import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
@@ -37,10 +38,14 @@
 GRACEFUL_TIMEOUT_MS = 35_000
 # A connection on which nothing arrives for this long is closed.
 IDLE_TIMEOUT_MS = 60_000
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 # A response that the client does not read for this long is given up.
 SEND_TIMEOUT_MS = 30_000
 INTERNAL_ERROR = 500
+TOO_LARGE = 413
+UNAVAILABLE = 503
+# The crowd that used up the memory has been closed by then.
+RETRY_AFTER_S = b"1"
 MIN_STATUS = 200
 MAX_STATUS = 999
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -48,6 +53,8 @@
 CONTINUE = b"HTTP/1.1 100 \r\n\r\n"
 CLOSE = encode_header(b"Connection", b"close")
 LAST_CHUNK = b"0\r\n\r\n"
+# What the scopes of all requests have in common.
+SCOPE = {"type": "http", "asgi": {"version": "3.0"}, "scheme": "http", "root_path": ""}
 CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -56,9 +63,15 @@
     address: str,
     *,
     stop: trio.Event,
+    limits: ConnectionLimits | None = None,
+    kept_headers: frozenset[bytes] | None = None,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until `stop` is set, then finish the requests in flight."""
+    """Serve until `stop` is set, then finish the requests in flight.
+
+    Requests keep only the headers that `kept_headers` names in lower case, None for all.
+    """
+    pool = ConnectionPool(limits=limits or ConnectionLimits())
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
     # Scopes of the connections that wait for a next request.
@@ -68,7 +81,14 @@
         sock = socket.socket(fileno=accepted.socket.detach())
         sock.setblocking(False)
         stream = TcpStream(sock)
-        await ConnectionServer(app=app, stream=stream, stop=stop, idle_reads=idle_reads).run()
+        place = pool.open()
+        if place is None:
+            stream.close()
+            return
+        reader = RequestReader(pool.limits.max_head_bytes, kept_headers)
+        await ConnectionServer(
+            app=app, stream=stream, stop=stop, idle_reads=idle_reads, place=place, reader=reader
+        ).run()
 
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
@@ -85,6 +105,13 @@
         connections.cancel_scope.deadline = trio.current_time() + seconds(GRACEFUL_TIMEOUT_MS)
 
 
+class OverloadedError(MalformedMessageError):
+    """Report that there is no memory for a request now."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, UNAVAILABLE)
+
+
 class ResponseError(Exception):
     """Report a response that contradicts itself or that comes twice."""
 
@@ -140,6 +167,9 @@
     stop: trio.Event
     idle_reads: set[trio.CancelScope]
     reader: RequestReader = field(factory=RequestReader)
+    place: PooledConnection = field(factory=lambda: PooledConnection(pool=ConnectionPool()))
+    # Part of an answer that the client has not taken yet.
+    unsent_bytes: int = 0
     # One scope for all reads of a connection's heads: a scope for each read costs several times as
     # much as to move its deadline.
     scope: trio.CancelScope = field(factory=trio.CancelScope)
@@ -158,8 +188,11 @@
     async def run(self) -> None:
         """Serve until the connection is closed; no error of a request leaves this method."""
         try:
-            while await self._serve_until_cancelled():
-                self.scope = trio.CancelScope()
+            with self.place.scope:
+                while await self._serve_until_cancelled():
+                    self.scope = trio.CancelScope()
+            if self.place.evicted:
+                self._refuse_now()
         except CONNECTION_ERRORS as exc:
             log.debug("connection lost: {!r}", exc)
         except MalformedMessageError as exc:
@@ -169,6 +202,7 @@
             log.exception("request failed")
             await self._reject(INTERNAL_ERROR)
         finally:
+            self.place.close()
             self.reader.close()
             if isinstance(self.stream, TcpStream):
                 self.stream.close()
@@ -194,6 +228,9 @@
         Return False once the connection is closed, or if it is idle as the server stops.
         """
         reader = self.reader
+        self.place.begin_waiting()
+        if not reader.events:
+            reader.resume()
         # A response doesn't wait if the kernel accepts it: requests that arrived together would
         # be served in one step of the event loop.
         if reader.events:
@@ -211,9 +248,21 @@
             self.scope.deadline = math.inf
             if not data:
                 return False
-            reader.feed(data)
+            self._feed(data)
         return True
 
+    def _feed(self, data: bytes) -> None:
+        """Parse received data; raise OverloadedError if there is no memory for it now."""
+        self.reader.feed(data)
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        held_bytes = self.reader.held_bytes + self.unsent_bytes
+        if held_bytes > self.place.pool.limits.max_bytes:
+            raise MalformedMessageError("takes more memory than all requests may", TOO_LARGE)
+        if not self.place.hold(held_bytes):
+            raise OverloadedError("no memory for the request")
+
     def _take_request(self) -> Request:
         event = self.reader.events.popleft()
         # Before anything is raised: the response to a malformed request is still due.
@@ -228,11 +277,15 @@
         """Serve a request; return whether another may follow."""
         self.body_complete = False
         self.sends_continue = request.expects_continue
+        if self.reader.events and self.reader.events[0] is END_OF_REQUEST:
+            self.place.begin_serving()
         path, _, query = request.target.partition(b"?")
         scope = {
-            "type": "http",
+            **SCOPE,
+            "http_version": "1.1" if request.is_http_1_1 else "1.0",
             "method": request.method,
             "path": unquote(path.decode("ascii")),
+            "raw_path": path,
             "query_string": query,
             "headers": request.headers,
         }
@@ -240,6 +293,8 @@
         while not self.body_complete:
             if await self._next_part() is None:
                 return False
+        self.reader.release_request()
+        self.place.hold(self.reader.held_bytes)
         return self.phase is ResponsePhase.COMPLETE and not self.closes
 
     async def _receive(self) -> dict[str, Any]:
@@ -256,7 +311,7 @@
     async def _next_part(self) -> bytes | None:
         """Return the next part of the request's body, or None if none arrives in time."""
         events = self.reader.events
-        while not events:
+        while not events and not self.reader.resume():
             if self.sends_continue:
                 self.sends_continue = False
                 await self._send_bytes(CONTINUE)
@@ -266,20 +321,24 @@
                 return None
             if not data:
                 raise MalformedMessageError("closed before the request was complete")
-            self.reader.feed(data)
+            self._feed(data)
         event = events.popleft()
         if isinstance(event, MalformedMessageError):
             raise event
         self.sends_continue = False
         if event is END_OF_REQUEST:
-            self.body_complete = True
+            self._complete_body()
             return b""
         assert isinstance(event, bytes)
         if events and events[0] is END_OF_REQUEST:
             events.popleft()
-            self.body_complete = True
+            self._complete_body()
         return event
 
+    def _complete_body(self) -> None:
+        self.body_complete = True
+        self.place.begin_serving()
+
     async def _send(self, message: dict[str, Any]) -> None:
         if message["type"] == "http.response.start":
             self._begin_response(message["status"], tuple(message["headers"]))
@@ -327,13 +386,33 @@
         if isinstance(self.stream, TcpStream):
             data = self.stream.send_now(data)
         if data:
+            self.place.begin_waiting()
+            self.unsent_bytes = len(data)
+            self._count_memory()
             with trio.fail_after(seconds(SEND_TIMEOUT_MS)):
                 await self.stream.send_all(data)
+            self.unsent_bytes = 0
+            self.place.begin_serving()
 
     async def _reject(self, status: int) -> None:
         """Answer with an empty response, unless another one has begun."""
         if self.phase is not ResponsePhase.NOT_BEGUN:
             return
-        head = encode_response_head(status, ((CONTENT_LENGTH, b"0"),))
         with trio.move_on_after(seconds(SEND_TIMEOUT_MS)), suppress(*CONNECTION_ERRORS):
-            await self.stream.send_all(b"%s%s\r\n" % (head.encoded, CLOSE))
+            await self.stream.send_all(encode_refusal(status))
+
+    def _refuse_now(self) -> None:
+        """Tell a client whose request has not been served that it may come back, if it reads."""
+        has_begun = self.reader.begun or bool(self.reader.events)
+        is_due = self.phase is ResponsePhase.NOT_BEGUN and has_begun
+        if is_due and isinstance(self.stream, TcpStream):
+            self.stream.send_now(encode_refusal(UNAVAILABLE))
+
+
+def encode_refusal(status: int) -> bytes:
+    """Encode an empty response that closes the connection."""
+    headers = ((CONTENT_LENGTH, b"0"),)
+    if status == UNAVAILABLE:
+        headers += ((b"Retry-After", RETRY_AFTER_S),)
+    head = encode_response_head(status, headers)
+    return b"%s%s\r\n" % (head.encoded, CLOSE)
--- a/src/hornbeamreach/web/request_reader.py
+++ b/src/hornbeamreach/web/request_reader.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from hornbeamreach.web.http_messages import (
+    CONTENT_LENGTH,
     HEADERS_TOO_LARGE,
     SUPPORTED_VERSIONS,
     TRANSFER_ENCODING,
@@ -17,7 +18,26 @@
 )
 
 # Limit for the part of a request that arrived without completing its head or a chunk.
-MAX_HEADER_BYTES = 512 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+# What is parsed at once where the next request may begin: as many as fit may be held as events.
+SLICE_BYTES = 512
+# Memory of one header, or one part of a body, besides its characters: a tuple and bytes objects.
+OBJECT_BYTES = 160
+# Memory that one value of JSON content takes when decoded. The number of values is counted by the
+# characters before them.
+VALUE_BYTES = 80
+VALUE_SEPARATORS = (b",", b"[", b"{")
+# Headers that the server itself reads.
+SERVER_HEADERS = frozenset(
+    (
+        b"host",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
 OWS = b" \t"
 UPGRADE = b"upgrade"
 
@@ -42,13 +62,22 @@
 END_OF_REQUEST = EndOfRequest()
 
 
+def content_bytes(data: bytes) -> int:
+    """Return the memory that a part of a body takes, decoded as JSON, at most."""
+    values = sum(data.count(separator) for separator in VALUE_SEPARATORS)
+    return len(data) + OBJECT_BYTES + VALUE_BYTES * values
+
+
 @define(eq=False)
 class RequestReader:
     """Turn received bytes into events: a request, the parts of its body, its end, or an error.
 
-    All requests that arrived together are parsed at once; nothing follows an error.
+    What follows a request is parsed once that is taken; nothing follows an error.
     """
 
+    max_head_bytes: int = MAX_HEAD_BYTES
+    # Lower-case names of the headers that a request keeps, besides SERVER_HEADERS; None for all.
+    kept_headers: frozenset[bytes] | None = None
     events: deque[Request | bytes | EndOfRequest | MalformedMessageError] = field(factory=deque)
     # Whether part of a request has arrived that isn't complete.
     begun: bool = False
@@ -59,6 +88,14 @@
     in_head: bool = False
     # Bytes that arrived since the last event.
     pending_bytes: int = 0
+    # What arrived behind a complete request, and the memory of each request from the first one that
+    # isn't released.
+    unparsed: bytearray = field(factory=bytearray)
+    request_bytes: deque[int] = field(factory=deque)
+    # Bytes that the announced length of a body leaves.
+    body_left: int = 0
+    # A request is complete, so nothing more is parsed until `resume`.
+    paused: bool = False
     # A request that asks for an upgrade, parsed again without it.
     refused_upgrade: Request | None = None
 
@@ -70,15 +107,50 @@
         # Some clients pad the sizes of chunks.
         self.parser.set_dangerous_leniencies(lenient_spaces_after_chunk_size=True)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that received data takes."""
+        return sum(self.request_bytes) + self.pending_bytes + len(self.unparsed)
+
     def feed(self, data: bytes | bytearray) -> None:
-        """Parse received bytes and add their events."""
+        """Parse received bytes and add their events, up to the end of a request."""
+        if self.paused or self.unparsed or len(data) > SLICE_BYTES:
+            self.unparsed += data
+            self._parse_slices()
+        else:
+            self._parse_slice(data)
+
+    def resume(self) -> bool:
+        """Parse what arrived behind the requests so far; return whether there are events."""
+        self.paused = False
+        self._parse_slices()
+        return bool(self.events)
+
+    def release_request(self) -> None:
+        """Stop counting the memory of the earliest request."""
+        if self.request_bytes:
+            self.request_bytes.popleft()
+
+    def _parse_slices(self) -> None:
+        while self.unparsed and not self.paused:
+            size = max(SLICE_BYTES, self.body_left)
+            data = bytes(self.unparsed[:size])
+            del self.unparsed[:size]
+            self._parse_slice(data)
+
+    def _parse_slice(self, data: bytes | bytearray) -> None:
         self.pending_bytes += len(data)
         try:
             self._parse(data)
         except MalformedMessageError as exc:
-            self.events.append(exc)
-        if self.pending_bytes > MAX_HEADER_BYTES:
-            self.events.append(MalformedMessageError("headers too large", HEADERS_TOO_LARGE))
+            self._fail(exc)
+        if self.pending_bytes > self.max_head_bytes:
+            self._fail(MalformedMessageError("headers too large", HEADERS_TOO_LARGE))
+
+    def _fail(self, error: MalformedMessageError) -> None:
+        self.events.append(error)
+        self.paused = True
+        self.unparsed.clear()
 
     def _parse(self, data: bytes | bytearray) -> None:
         while data:
@@ -116,20 +188,27 @@
         self.begun = self.in_head = True
         self.target = b""
         self.headers = []
+        if self.refused_upgrade is None:
+            self.request_bytes.append(OBJECT_BYTES)
 
     def on_url(self, part: bytes) -> None:
         """Add a part of the target."""
         self.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; those that follow a chunked body are ignored."""
-        if self.in_head:
-            self.headers.append((name.lower(), value.rstrip(OWS)))
+        """Add a header to keep; those that follow a chunked body are ignored."""
+        if not self.in_head:
+            return
+        lowered, kept = name.lower(), self.kept_headers
+        if kept is None or lowered in kept or lowered in SERVER_HEADERS:
+            self.headers.append((lowered, value.rstrip(OWS)))
+            self.request_bytes[-1] += len(name) + len(value) + OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         """Check the head and add the request."""
         self.in_head = False
         self.pending_bytes = 0
+        self.request_bytes[-1] += len(self.target)
         request = self.refused_upgrade
         if request is None:
             request = self._check_head()
@@ -145,12 +224,15 @@
             raise MalformedMessageError(f"unsupported version {version}")
         is_http_1_1 = version == "1.1"
         hosts = 0
+        self.body_left = 0
         expects_continue = False
         for name, value in self.headers:
             if name == b"host":
                 hosts += 1
             elif name == TRANSFER_ENCODING:
                 check_transfer_encoding(value)
+            elif name == CONTENT_LENGTH:
+                self.body_left = int(value)
             elif name == b"expect":
                 expects_continue = is_http_1_1 and b"100-continue" in value.lower()
         if hosts > 1 or (is_http_1_1 and not hosts):
@@ -167,6 +249,8 @@
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
         self.pending_bytes = 0
+        self.body_left -= len(data)
+        self.request_bytes[-1] += content_bytes(data)
         self.events.append(data)
 
     def on_message_complete(self) -> None:
@@ -174,4 +258,6 @@
         self.pending_bytes = 0
         if self.refused_upgrade is None:
             self.begun = False
+            self.paused = True
+            self.body_left = 0
             self.events.append(END_OF_REQUEST)
--- a/tests/test_lean_server.py
+++ b/tests/test_lean_server.py
@@ -464,6 +464,8 @@
             reader = RequestReader()
             for begin in range(0, len(data), size):
                 reader.feed(data[begin : begin + size])
+            while reader.unparsed:
+                reader.resume()
             found = [e.headers for e in reader.events if isinstance(e, Request)]
             assert found == [e.headers for e in whole.events if isinstance(e, Request)]
             assert b"".join(e for e in reader.events if isinstance(e, bytes)) == b"abc"
