Bound the opening handshakes of links

Cause: a handshake had 1.2 s and up to 128 lines of 8 KiB, and nothing bounded how many of them were open at a time.

Change: a handshake may take 16 KiB, and the connections on which no peer has proved to know the secret have a pool of their own, in which the longest wait makes room. Connections of peers don't count.

--- a/src/hornbeamreach/link/connection.py
+++ b/src/hornbeamreach/link/connection.py
@@ -31,6 +31,8 @@
 # First bytes of ping and pong frames, which are always sent whole (FIN is set).
 PING_OR_PONG = (0x80 | Opcode.PING, 0x80 | Opcode.PONG)
 HTTP_UNAUTHORIZED = 401
+# Of the opening handshake, which takes some 300 bytes.
+MAX_HANDSHAKE_BYTES = 16 * 1024
 
 
 class Connection:
@@ -176,8 +178,12 @@
 async def _handshake_event(connection: Connection) -> Any:
     """Return the peer's request or response, None if there was none before the end."""
     protocol = connection.protocol
+    received_bytes = 0
     while not protocol.events:
         data = await connection.stream.receive()
+        received_bytes += len(data)
+        if received_bytes > MAX_HANDSHAKE_BYTES and isinstance(protocol, ServerProtocol):
+            return None
         if data:
             protocol.receive_data(data)
         else:
--- a/src/hornbeamreach/link/websocket.py
+++ b/src/hornbeamreach/link/websocket.py
@@ -25,6 +25,7 @@
 from hornbeamreach.link.pending_reply import PendingReply, ReplyLostError, current_timer
 from hornbeamreach.link.socket_stream import SocketStream, current_flusher
 from hornbeamreach.logs import part_logger
+from hornbeamreach.web.connection_pool import ConnectionLimits, ConnectionPool
 
 __all__ = [
     "NOTIFY",
@@ -194,10 +195,19 @@
 class LinkServer:
     """Serve the requests and notifications of other processes over WebSockets."""
 
-    def __init__(self, *, address: str, secret: str, handlers: HandlerTable) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        secret: str,
+        handlers: HandlerTable,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
         self.address = address
         self.secret = secret
         self.handlers = handlers
+        # Connections on which no peer has proved to know the secret.
+        self.unknown_peers = ConnectionPool(limits=limits or ConnectionLimits())
 
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Listen until cancelled."""
@@ -209,9 +219,7 @@
         try:
             stream = SocketStream(tcp_stream)
             try:
-                connection = None
-                with trio.move_on_after(seconds(OPEN_TIMEOUT_MS)):
-                    connection = await accept(stream, secret=self.secret)
+                connection = await self._accept(stream)
                 if connection is not None:
                     await Dispatcher(connection, self.handlers).run()
                     log.debug("connection of a peer to {} closed", self.address)
@@ -221,3 +229,14 @@
             log.debug("connection of a peer to {} lost: {!r}", self.address, exc)
         except Exception as exc:
             log.error("unexpected error on a connection of a peer: {!r}", exc)
+
+    async def _accept(self, stream: SocketStream) -> Connection | None:
+        place = self.unknown_peers.open()
+        if place is None:
+            return None
+        try:
+            with place.scope, trio.move_on_after(seconds(OPEN_TIMEOUT_MS)):
+                return await accept(stream, secret=self.secret)
+        finally:
+            place.close()
+        return None
--- a/src/hornbeamreach/platform/control_daemon.py
+++ b/src/hornbeamreach/platform/control_daemon.py
@@ -48,9 +48,11 @@
 SNAPSHOT_INTERVAL_ENTRIES = 30_000
 # Time for a stopping replica to transfer leadership and to answer requests in flight.
 HANDOVER_TIMEOUT_MS = 1_500
-# Part of the memory that the connections use, and the listeners' shares of it.
+# Part of the memory that the connections use, and the listeners' shares of it; peers that have
+# proved to know the secret don't count.
 MEMORY_SHARE = 0.25
 CONTROL_SHARE = 0.6
+LINK_SHARE = 0.3
 METRICS_SHARE = 0.1
 
 
@@ -159,7 +161,12 @@
                 latest_evacuation_ms=lambda name: replica.state.workload.latest_evacuation_ms(name),
             )
             limits = functools.partial(listener_limits, current, memory_share=MEMORY_SHARE)
-            server = LinkServer(address=current.link_address, secret=secret, handlers=handlers)
+            server = LinkServer(
+                address=current.link_address,
+                secret=secret,
+                handlers=handlers,
+                limits=limits(share=LINK_SHARE),
+            )
             nursery.start_soon(watch_signals, signals, stop, settings)
             nursery.start_soon(watch_settings, settings, discovery.add_addresses)
             await nursery.start(server.run)
