Let at most four reads of the declaration be answered at a time

Cause: each read holds a copy of the whole declaration from the leader's reply on, before the connection's memory counts it as an answer.

Change: four reads at a time ask the leader; others wait, with only their small request held.

--- a/src/hornbeamreach/platform/operator_app.py
+++ b/src/hornbeamreach/platform/operator_app.py
@@ -10,7 +10,7 @@
 
 import attrs
 import trio
-from attrs import define
+from attrs import define, field
 
 from hornbeamreach.exceptions import InvalidInputError, RefusedError
 from hornbeamreach.fleet.messages import (
@@ -35,6 +35,8 @@
 
 # The platform's heartbeats are at most 4 MiB; a configuration of 1,000 routes is below 1 MiB.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Each reply holds a whole declaration until its client has read it.
+MAX_CONCURRENT_READS = 4
 # Minions and operators treat a second without a response as a failure.
 REPORT_TIMEOUT_MS = 800
 OPERATOR_TIMEOUT_MS = 900
@@ -61,6 +63,9 @@
     operator_finder: LeaderFinder | None = None
     # Returns what identifies a data centre's latest evacuation request that this replica knows.
     latest_evacuation_ms: Callable[[str], int] = lambda _: ANY_REQUEST
+    reads: trio.CapacityLimiter = field(
+        factory=lambda: trio.CapacityLimiter(MAX_CONCURRENT_READS), init=False
+    )
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -96,7 +101,8 @@
             case "POST", ["config", "replace"]:
                 return await self._replace_configuration(body)
             case "GET", ["config", "read"]:
-                reply = await self._ask_leader(ReadDeclaration())
+                async with self.reads:
+                    reply = await self._ask_leader(ReadDeclaration())
                 return (200, reply.text) if reply.version else (HTTP_UNAVAILABLE, {})
             case "GET", ["operator", "v1", "status"]:
                 return 200, self.describe()
