Serve the product's own interfaces within the same bounds

Change: the entries' and the replicas' own interfaces, and the stand-ins, are served by the project's server, as the platform's are; its scopes have what Starlette reads. Their links are bounded alike.

tests/test_layers.py names httptools, which replaces hypercorn, among the modules that the pure layers may not import.

--- a/src/hornbeamreach/daemons/control.py
+++ b/src/hornbeamreach/daemons/control.py
@@ -15,7 +15,14 @@
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.websocket import LinkServer, WebSocketLink
 from hornbeamreach.settings import ControlSettings
-from hornbeamreach.web.server import serve_http
+from hornbeamreach.web.connection_pool import connection_limits
+from hornbeamreach.web.lean_server import serve_requests
+
+# Part of the memory that the connections use, and the listeners' shares of it; peers that have
+# proved to know the secret don't count.
+MEMORY_SHARE = 0.25
+OPERATORS_SHARE = 0.7
+LINK_SHARE = 0.3
 
 
 async def run_control(
@@ -43,7 +50,12 @@
                 run_blocking=run_in_thread,
             )
             server = LinkServer(
-                address=process.link_address, secret=process.link_secret, handlers=handlers
+                address=process.link_address,
+                secret=process.link_secret,
+                handlers=handlers,
+                limits=connection_limits(
+                    memory_mb=settings.memory_mb, memory_share=MEMORY_SHARE, share=LINK_SHARE
+                ),
             )
             http_stop = trio.Event()
             await nursery.start(server.run)
@@ -64,7 +76,12 @@
     stop: trio.Event,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await serve_http(node.api.build_app(), address, stop=stop, task_status=task_status)
+    limits = connection_limits(
+        memory_mb=node.settings.memory_mb, memory_share=MEMORY_SHARE, share=OPERATORS_SHARE
+    )
+    await serve_requests(
+        node.api.build_app(), address, stop=stop, limits=limits, task_status=task_status
+    )
 
 
 def main() -> None:
--- a/src/hornbeamreach/daemons/entry.py
+++ b/src/hornbeamreach/daemons/entry.py
@@ -15,8 +15,17 @@
 from hornbeamreach.link.interface import HandlerTable
 from hornbeamreach.link.websocket import LinkServer, WebSocketLink
 from hornbeamreach.settings import EntrySettings
+from hornbeamreach.web.connection_pool import connection_limits
 from hornbeamreach.web.http_platform import HttpPlatform
-from hornbeamreach.web.server import GRACEFUL_TIMEOUT_MS, serve_http
+from hornbeamreach.web.lean_server import GRACEFUL_TIMEOUT_MS, serve_requests
+
+# Part of the memory that the connections use, and the listeners' shares of it; peers that have
+# proved to know the secret don't count.
+MEMORY_SHARE = 0.25
+CALLERS_SHARE = 0.7
+LINK_SHARE = 0.3
+# Of the largest request line, besides the headers.
+REQUEST_LINE_BYTES = 8_192
 
 
 async def run_entry(
@@ -45,7 +54,12 @@
                 disk=disk,
             )
             server = LinkServer(
-                address=process.link_address, secret=process.link_secret, handlers=handlers
+                address=process.link_address,
+                secret=process.link_secret,
+                handlers=handlers,
+                limits=connection_limits(
+                    memory_mb=settings.memory_mb, memory_share=MEMORY_SHARE, share=LINK_SHARE
+                ),
             )
             http_stop, http_ended = trio.Event(), trio.Event()
             await nursery.start(server.run)
@@ -71,7 +85,16 @@
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     try:
-        await serve_http(node.api.build_app(), address, stop=stop, task_status=task_status)
+        settings = node.settings
+        limits = connection_limits(
+            memory_mb=settings.memory_mb,
+            memory_share=MEMORY_SHARE,
+            share=CALLERS_SHARE,
+            max_head_bytes=settings.limits.max_header_bytes + REQUEST_LINE_BYTES,
+        )
+        await serve_requests(
+            node.api.build_app(), address, stop=stop, limits=limits, task_status=task_status
+        )
     finally:
         ended.set()
 
--- a/src/hornbeamreach/settings.py
+++ b/src/hornbeamreach/settings.py
@@ -133,6 +133,10 @@
     record_retention_ms: int = field(
         default=24 * 3_600_000, validator=validators.in_range(60_000, 30 * 24 * 3_600_000)
     )
+    # Of the process. Callers' connections use a part of it.
+    memory_mb: int = field(
+        default=DEFAULT_MEMORY_MB, validator=validators.in_range(MIN_SIZE_MB, MAX_SIZE_MB)
+    )
     limits: HttpLimits = field(factory=HttpLimits)
     policy: PolicySettings = field(factory=PolicySettings)
     log: LogSettings = field(factory=LogSettings)
--- a/src/hornbeamreach/standins/minion.py
+++ b/src/hornbeamreach/standins/minion.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 
 from hornbeamreach.clock import Clock, seconds
-from hornbeamreach.web.server import serve_http
+from hornbeamreach.web.lean_server import serve_requests
 
 ANNOUNCE_INTERVAL_MS = 1_000
 ANNOUNCE_TIMEOUT_MS = 1_000
@@ -157,4 +157,4 @@
     stop: trio.Event,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await serve_http(app, address, stop=stop, task_status=task_status)
+    await serve_requests(app, address, stop=stop, task_status=task_status)
--- a/src/hornbeamreach/standins/platform.py
+++ b/src/hornbeamreach/standins/platform.py
@@ -17,8 +17,8 @@
 from hornbeamreach.link.codec import wire_converter
 from hornbeamreach.tables.jobs import Resources
 from hornbeamreach.tables.reports import VmReport
+from hornbeamreach.web.lean_server import serve_requests
 from hornbeamreach.web.problems import json_response, read_json
-from hornbeamreach.web.server import serve_http
 
 REBOOT_MS = 1_500
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -270,4 +270,4 @@
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until stopped or cancelled."""
         app = self.build_app()
-        await serve_http(app, self.address, stop=self.stop, task_status=task_status)
+        await serve_requests(app, self.address, stop=self.stop, task_status=task_status)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 IMPURE_MODULES = {
     "trio",
     "httpcore",
-    "hypercorn",
+    "httptools",
     "starlette",
     "websockets",
     "time",
