Test processes against clients that ignore the limits

The tests start the project's own processes on loopback with lowered limits and hold a crowd's connections open: the process lives, its peak memory and its descriptors stay under the bound, and an ordinary request is answered. Crowds and bounds were fixed on, before the product changed.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import attrs
@@ -430,6 +431,80 @@
     }
 
 
+def platform_process(
+    role: str, ip: str, *, control_ip: str, first_port: int, data_folder: str, **limits: int
+) -> dict[str, Any]:
+    """Return the settings file of a process on loopback, with ports that follow `first_port`.
+
+    In this order: the link, the metrics, and what the role serves.
+    """
+    control_port = first_port + 2
+    served = {
+        "control": {"control": f"{ip}:{control_port}"},
+        "entry": {"frontend": f"{ip}:{first_port + 3}", "readiness": f"{ip}:{first_port + 4}"},
+    }
+    return {
+        **platform_settings(),
+        "node-name": f"{role}-1",
+        "ip": ip,
+        "internal-port-range": [first_port, first_port + 1],
+        "seeds": [f"{control_ip}:{control_port}"],
+        "data-dir": data_folder if role == "control" else "",
+        "bind-addresses": served[role],
+        "limits": limits,
+        "cloud-api": {},
+    }
+
+
+def daemon_process(
+    kind: str, ip: str, *, control_ip: str, first_port: int, data_folder: str
+) -> dict[str, Any]:
+    """Return the settings file of a daemon on loopback: the first port is the link's."""
+    process_id, link_address = f"{kind}-1", f"{ip}:{first_port}"
+    settings: dict[str, Any] = {
+        "operator_credential_sha256": sha256(OPERATOR_CREDENTIAL),
+        "process": {
+            "id": process_id,
+            "data_center": "dc1",
+            "link_address": link_address,
+            "http_address": f"{ip}:{first_port + 5}",
+            "link_secret": LINK_SECRET,
+        },
+    }
+    if kind == "control":
+        return {**settings, "data_folder": data_folder, "replicas": {process_id: link_address}}
+    return {
+        **settings,
+        "endpoint_credential_sha256": sha256(ENDPOINT_CREDENTIAL),
+        "platform_url": f"http://{control_ip}:{first_port}",
+        "control": {"control-1": f"{control_ip}:{first_port}"},
+        "peers": {process_id: link_address},
+    }
+
+
+def to_toml(settings: dict[str, Any]) -> str:
+    """Return a settings file with tables of one level as TOML."""
+    tables = {name: value for name, value in settings.items() if isinstance(value, dict)}
+    plain = {name: value for name, value in settings.items() if name not in tables}
+    lines = [f"{name} = {json.dumps(value)}" for name, value in plain.items()]
+    for table_name, columns in tables.items():
+        lines.append(f"[{table_name}]")
+        lines += [f"{name} = {json.dumps(value)}" for name, value in columns.items()]
+    return "\n".join(lines) + "\n"
+
+
+def large_platform_configuration(routes: int) -> dict[str, Any]:
+    """Return a configuration of some 250 bytes a route in the platform's wire format."""
+    configuration = platform_configuration()
+    (route,) = configuration["routes"]
+    configuration["version"] += 1
+    configuration["routes"] = [
+        {**route, "name": f"queue-{number}", "path-prefix": f"/jobs/{number}/"}
+        for number in range(routes)
+    ]
+    return configuration
+
+
 def replica_limits(**fields: int) -> ReplicaLimits:
     """Return limits that a test reaches only where it sets them."""
     columns = {"log_entries": 30_000, "log_bytes": 64 * MIB, "state_bytes": 64 * MIB, **fields}
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -38,11 +39,23 @@
 class Daemon:
     """Run a program in the background and write its output to a log file."""
 
-    def __init__(self, *arguments: str, log_path: Path) -> None:
+    def __init__(
+        self, *arguments: str, log_path: Path, max_fds: int | None = None, **extra: str
+    ) -> None:
         self.log_path = log_path
         self.log_file = log_path.open("w")
+
+        def limit_descriptors() -> None:
+            if max_fds is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))
+
         self.process = subprocess.Popen(
-            arguments, cwd=ROOT, env=environment(), stdout=self.log_file, stderr=subprocess.STDOUT
+            arguments,
+            cwd=ROOT,
+            env=environment(**extra),
+            stdout=self.log_file,
+            stderr=subprocess.STDOUT,
+            preexec_fn=limit_descriptors,
         )
 
     def output(self) -> str:
