Count evicted connections no more, and spare small ones beside large ones in service

Cause: a connection that was evicted while its task had data to read was counted again, and stayed the one that had waited the longest. The policy went on below the limit also where only requests in service held the memory, and closed callers that held next to nothing. A later request on a connection that was refused got no answer.

Change: an evicted connection holds nothing and waits for nothing. Below the limit only connections that hold 16 KiB or more are closed. The state of an answer begins anew with each request.

--- a/src/hornbeamreach/systems/connection_eviction.py
+++ b/src/hornbeamreach/systems/connection_eviction.py
@@ -16,6 +16,8 @@
 # After an eviction the connections hold this share of the limit at most: the next choice, which
 # looks at all of them, comes only once clients have sent the rest again.
 TARGET_SHARE = 0.75
+# Below the limit, no connection is closed for less than this.
+MIN_EVICTED_BYTES = 16 * 1024
 
 
 @define(frozen=True, kw_only=True)
@@ -41,13 +43,16 @@
 @eviction_policies.register("largest")
 def evict_largest(loads: list[ConnectionLoad], max_bytes: int) -> list[int]:
     """Close those that hold the most, which spares callers with small requests."""
-    excess = sum(load.held_bytes for load in loads) - int(max_bytes * TARGET_SHARE)
+    held_bytes = sum(load.held_bytes for load in loads)
     candidates = [index for index, load in enumerate(loads) if not load.is_serving]
     candidates.sort(key=lambda index: loads[index].held_bytes, reverse=True)
     chosen = []
     for index in candidates:
-        if excess <= 0:
+        size = loads[index].held_bytes
+        is_over = held_bytes > max_bytes
+        is_worth_it = held_bytes > max_bytes * TARGET_SHARE and size >= MIN_EVICTED_BYTES
+        if not size or not (is_over or is_worth_it):
             break
         chosen.append(index)
-        excess -= loads[index].held_bytes
+        held_bytes -= size
     return chosen
--- a/src/hornbeamreach/web/connection_pool.py
+++ b/src/hornbeamreach/web/connection_pool.py
@@ -81,6 +81,9 @@
 
     def hold(self, held_bytes: int) -> bool:
         """Record how much memory the connection holds; return False if that is too much now."""
+        if self.evicted:
+            # Its task has not noticed yet.
+            return False
         grows = held_bytes > self.held_bytes
         self.pool.held_bytes += held_bytes - self.held_bytes
         self.held_bytes = held_bytes
@@ -95,6 +98,8 @@
 
     def begin_waiting(self) -> None:
         """Note that the connection waits for its client, from now on."""
+        if self.evicted:
+            return
         self.is_serving = False
         self.pool.waiting.pop(self, None)
         self.pool.waiting[self] = None
@@ -136,9 +141,9 @@
 
     def remove(self, connection: PooledConnection) -> None:
         """Forget a connection."""
+        self.waiting.pop(connection, None)
         if connection in self.connections:
             del self.connections[connection]
-            self.waiting.pop(connection, None)
             self.held_bytes -= connection.held_bytes
             connection.held_bytes = 0
 
--- a/src/hornbeamreach/web/lean_server.py
+++ b/src/hornbeamreach/web/lean_server.py
@@ -228,6 +228,7 @@
         Return False once the connection is closed, or if it is idle as the server stops.
         """
         reader = self.reader
+        self.phase = ResponsePhase.NOT_BEGUN
         self.place.begin_waiting()
         if not reader.events:
             reader.resume()
