Record a possible return without planning all pools

What callers could see: a leader that is busy planning while a cut leaves many starts without answers.

Cause: each of them scheduled a pass over all pools since, to record that the minion may have returned.

Change: a return that isn't recorded schedules a pass by itself, as an end does.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -85,7 +85,7 @@
     # Ended runs under which a crash is to be counted, and runs whose tasks are cleared.
     unrecorded_crashes: list[ReservedRun] = field(factory=list)
     unrecorded_clearings: list[ReservedRun] = field(factory=list)
-    # Minions that have started again under their ids.
+    # Minions that have started again under their ids, or may have.
     unrecorded_returns: set[str] = field(factory=set)
     # Minions where a run failed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -273,7 +273,7 @@
         run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
         # The next leader has to wait as long.
         scheduler.fleet.unrecorded_returns.add(minion.minion_id)
-        scheduler.notify()
+        scheduler.notify_of_changes()
         self.fence(minion)
 
     def _on_started(self, run: ReservedRun, minion: Minion) -> None:
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -224,9 +224,14 @@
         self.wake.set()
 
     def notify_of_changes(self) -> None:
-        """Schedule a planning pass if runs have ended or pools have changed."""
+        """Schedule a planning pass if there is something to record or pools have changed."""
         fleet = self.fleet
-        if fleet.unrecorded_ends or fleet.changed_pools or fleet.all_pools_changed:
+        if (
+            fleet.unrecorded_ends
+            or fleet.unrecorded_returns
+            or fleet.changed_pools
+            or fleet.all_pools_changed
+        ):
             self.wake.set()
 
     async def _plan_forever(self) -> None:
