review: case 15 cuts the minion off 0.7 s after the kill

The cut of 6 s began with the kill and ended 0.1 to 0.7 s after the second start. It begins 0.7 s later now, while there is still no leader, and is as long as before.

--- a/review/15/play.py
+++ b/review/15/play.py
@@ -1,4 +1,4 @@
-"""An idle minion starts again under its id, starts a task and is cut off, and the leader is killed."""
+"""An idle minion starts again under its id and starts a task; leader and minion are lost."""
 
 from __future__ import annotations
 
@@ -23,13 +23,16 @@
 DOWN_S = 0.3
 # Heartbeats come about every 1.5 s, so the first one after a start need not come at once.
 FIRST_BEAT_S = 1.4
-CUT_S = 6.0
+# The cut begins while there is no leader.
+CUT_AFTER_S, CUT_S = 0.7, 6.0
 LEADER_DOWN_S = 3.0
 
 
 class Returning(harness.Minion):
     """Start again under the id that it had (PROTOCOL.md, Service discovery)."""
 
+    killed = False
+
     @property
     def id(self) -> str:
         """Return the id, the same in all lives."""
@@ -46,16 +49,20 @@
 
     async def _on_start(self, body: Any) -> tuple[int, Any]:
         result = await super()._on_start(body)
-        if result[0] == 200 and self.lives > 1 and self.deployment.trouble and not self.cut:
-            self.cut = True
-            self.deployment.record(f"{self.id} is cut off")
+        if result[0] == 200 and self.lives > 1 and self.deployment.trouble and not self.killed:
+            self.killed = True
             leader = self.deployment.known_leader
             self.deployment.signal_process(leader, signal.SIGKILL)
             loop = asyncio.get_running_loop()
             loop.call_later(LEADER_DOWN_S, self.deployment.start_process, leader)
-            loop.call_later(CUT_S, self._join)
+            loop.call_later(CUT_AFTER_S, self._cut_off)
+            loop.call_later(CUT_AFTER_S + CUT_S, self._join)
         return result
 
+    def _cut_off(self) -> None:
+        self.cut = True
+        self.deployment.record(f"{self.id} is cut off")
+
     def _join(self) -> None:
         self.cut = False
         self.deployment.record(f"{self.id} is reached again")
