Refuse an evacuation as unknown only by a list requested after it

What callers saw: an evacuation of a data centre whose first machine had just been added is refused as naming no data centre.

Cause: a list of machines up to 1.5 s older than the request was taken as proof that the data centre has none.

Change: the list is read for the request, at most every 200 ms; until one requested after it is there, the request is answered as not ready, and the operator asks again.

Result: test_a_data_centre_that_a_list_is_older_than_is_known fails before and passes now.

--- a/src/hornbeamreach/fleet/evacuations.py
+++ b/src/hornbeamreach/fleet/evacuations.py
@@ -12,6 +12,7 @@
 from hornbeamreach.exceptions import RefusedError
 from hornbeamreach.fleet.evacuation_room import EvacuationRoom
 from hornbeamreach.fleet.messages import ANY_REQUEST, ChangeEvacuation, EvacuationReply
+from hornbeamreach.fleet.vm_inventory import MIN_REQUESTED_LIST_INTERVAL_MS
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.evacuation import (
     Budget,
@@ -118,13 +119,15 @@
         """
         if self._is_named(data_center):
             return True
+        scheduler = self.scheduler
+        asked_ms = scheduler.clock.now_ms()
         if self.inventory is not None:
-            await self.inventory.refresh()
+            await self.inventory.refresh(min_interval_ms=MIN_REQUESTED_LIST_INTERVAL_MS)
             if self._is_named(data_center):
                 return True
-        scheduler = self.scheduler
         age_ms = scheduler.clock.now_ms() - scheduler.began_ms
-        has_list = self.inventory is None or self.inventory.listed_ms >= 0
+        # Only a list that was requested since shows that the data centre has no VM now.
+        has_list = self.inventory is None or self.inventory.listed_ms >= asked_ms
         if age_ms < FIRST_REPORTS_MS or not has_list:
             detail = "the leader doesn't know all VMs and minions yet"
             raise RefusedError(Reason.NOT_READY, detail)
--- a/src/hornbeamreach/fleet/vm_inventory.py
+++ b/src/hornbeamreach/fleet/vm_inventory.py
@@ -25,6 +25,8 @@
 FIRST_REPORTS_MS = 3_000
 # Limits the rate of list calls, because each call to the platform has a cost.
 MIN_LIST_INTERVAL_MS = 1_500
+# The same for an operator's request that waits for the list.
+MIN_REQUESTED_LIST_INTERVAL_MS = 200
 
 
 @define(kw_only=True, eq=False)
@@ -44,10 +46,10 @@
     # VMs that this scheduler has given orders for.
     ordered_vms: set[str] = field(factory=set)
 
-    async def refresh(self) -> bool:
+    async def refresh(self, *, min_interval_ms: int = MIN_LIST_INTERVAL_MS) -> bool:
         """Read the list again if it is old, and return whether there is a list."""
         now_ms = self.scheduler.clock.now_ms()
-        if now_ms - self.list_attempt_ms >= MIN_LIST_INTERVAL_MS:
+        if now_ms - self.list_attempt_ms >= min_interval_ms:
             self.list_attempt_ms = now_ms
             try:
                 listed = await self.port.list_vms()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -710,6 +710,8 @@
         self.applies_silently = False
         # VMs that exist no longer, for a time or for good.
         self.missing: set[str] = set()
+        # VMs that are listed and have no minion yet.
+        self.added: list[PlatformVm] = []
         self.orders: list[VmOrder] = []
         self.maintained: set[tuple[int, str]] = set()
         # Wave of each VM that is down for it, and the most of a wave that were down at once.
@@ -742,7 +744,7 @@
             )
             for minion in self.minions.minions.values()
             if f"m-{minion.minion}" not in self.missing
-        ]
+        ] + self.added
 
     async def start_maintenance(
         self, vm: str, *, wave: int, holder: str, token: int
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -14,7 +14,7 @@
 from hornbeamreach.control.workload_commands import BeginEvacuation, EndEvacuation
 from hornbeamreach.exceptions import PeerTimeoutError, RefusedError
 from hornbeamreach.fleet.messages import ChangeEvacuation
-from hornbeamreach.fleet.ports import UnknownOutcomeError
+from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState, UnknownOutcomeError
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.report_forwarder import ReportForwarder
 from hornbeamreach.link.leader_finder import LeaderFinder, NoLeaderError
@@ -262,6 +262,20 @@
 
         play(scenario)
 
+    # A data centre whose first VM had just been added was refused as unknown by an older list.
+    def test_a_data_centre_that_a_list_is_older_than_is_known(self):
+        async def scenario(fleet):
+            await trio.sleep(4)
+            inventory = (await fleet.wait_for_scheduler()).evacuations.inventory
+            while not await inventory.refresh() or fleet.now_ms() - inventory.listed_ms < 300:
+                await trio.sleep(0.1)
+            fleet.vms.added.append(
+                PlatformVm(name="m-new", pool="a", state=PlatformVmState.DOWN, data_center="dc9")
+            )
+            assert await fleet.change("dc9", begin=True)
+
+        play(scenario, with_vms=True)
+
 
 class RecordingLink(MemoryLink):
     """Record what one replica forwards, and lose it while the link is stalled."""
