Wait for starts that the earlier leader had not settled

Cause: a start names the minion by its id, so an incarnation that nobody has heard of carries it out, under a deadline of the earlier clock, and holds it for hold-max-ms. The leader learns this from the answer. Its successor knows only what was committed and counted on the known clock, 4.4 s.

Change: starts are numbered in the log, and the log says up to which number they are settled: answered by a clock that isn't behind, listed by a poll, ended, or on a minion that is recorded as one that may have returned. Each leader keeps a start that isn't settled for hold-max-ms from the beginning of its term, unless a poll lists it.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -86,7 +86,8 @@
     the minion, whether the run was known to have begun); `cleared` holds (job, task key, run).
     `incarnations` names the incarnation of each crash in `crashes`, in the same order. `vms` maps
     the minions of the starts to their VMs. `returned` names minions that have started again under
-    their ids. Items that no longer match the state are skipped.
+    their ids. `first_number` is the number of the first start; the others follow. Every start up
+    to `settled_through` is settled. Items that no longer match the state are skipped.
     """
 
     ends: list[tuple[str, str, int, str, str]] = field(factory=list)
@@ -97,6 +98,8 @@
     vms: dict[str, str] = field(factory=dict)
     incarnations: list[str] = field(factory=list)
     returned: list[str] = field(factory=list)
+    first_number: int = 0
+    settled_through: int = 0
 
 
 @wire_type("forget_jobs")
@@ -252,14 +255,19 @@
         task = job.tasks.get(task_key) if job is not None else None
         if task is not None and task.run == run and task.minion:
             clear_task(task)
-    for job_id, task_key, run, minion, born_ms in command.starts:
+    for position, (job_id, task_key, run, minion, born_ms) in enumerate(command.starts):
         job = jobs.get(job_id)
         if job is not None and not job.ended:
             task = _record_start(job, task_key, run, minion, born_ms)
             task.vm = command.vms.get(minion, "")
             task.started_ms = command.at_ms
+            # Entries of earlier builds number no starts.
+            task.start_number = command.first_number and command.first_number + position
     if command.returned:
         _record_returns(state.workload.returns, command)
+    if command.first_number:
+        state.workload.last_start_number = command.first_number + len(command.starts) - 1
+    state.workload.settled_through = max(state.workload.settled_through, command.settled_through)
     return _accepted(state)
 
 
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -9,6 +9,7 @@
 
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.team_shares import TeamShares
+from hornbeamreach.fleet.unsettled_starts import UnsettledStarts
 from hornbeamreach.fleet.waiting_steps import WaitingSteps
 from hornbeamreach.systems.accepted_queues import (
     names_by_address,
@@ -17,6 +18,7 @@
     team_row,
 )
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
+from hornbeamreach.systems.inherited_leases import InheritedLease, InheritedStart, known_clock
 from hornbeamreach.systems.job_progress import (
     ReadyStep,
     objective_ms,
@@ -87,6 +89,7 @@
     unrecorded_clearings: list[ReservedRun] = field(factory=list)
     # Minions that have started again under their ids, or may have.
     unrecorded_returns: set[str] = field(factory=set)
+    starts: UnsettledStarts = field()
     # Minions where a run failed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
     # Minions that crashed under a task, by job and task key.
@@ -104,6 +107,13 @@
     # Work of short jobs that no run has begun yet.
     queued_work: QueuedWork = field(factory=QueuedWork)
 
+    @starts.default
+    def _default_starts(self) -> UnsettledStarts:
+        workload = self.proposed.workload
+        return UnsettledStarts(
+            last_number=workload.last_start_number, recorded_through=workload.settled_through
+        )
+
     def record_arrival(self, job: StepJob, now_ms: int) -> None:
         """Record the work of a newly accepted job that may start at once."""
         if not job.spec.lasting and not job.spec.timed:
@@ -203,6 +213,7 @@
         """Release a run's resources and keep its end for the log."""
         if self.find_run(run.job_id, run.key) is not run:
             return
+        self.starts.settle(run)
         minion = self.minions.get(run.minion)
         if minion is not None:
             minion.release(run.name)
@@ -380,13 +391,30 @@
 
     # Start of a term
 
-    def recover_runs(self, now_ms: int) -> None:
+    def recover_runs(
+        self,
+        now_ms: int,
+        inherited_lease: InheritedLease = known_clock,
+        longest_lease_ms: int = 0,
+    ) -> None:
         """Reserve the runs of earlier schedulers, as UNKNOWN until their minions are polled."""
-        for job in self.proposed.workload.jobs.values():
+        workload = self.proposed.workload
+        unsettled = []
+        for job in workload.jobs.values():
             self.stale_jobs.add(job.job_id)
             for key, task in job.tasks.items():
-                if task.minion:
-                    self.reserve(self._recovered_run(job, key, task, now_ms))
+                if not task.minion:
+                    continue
+                run = self._recovered_run(job, key, task, now_ms)
+                start = InheritedStart(
+                    number=task.start_number, settled_through=workload.settled_through
+                )
+                lease_ms = inherited_lease(start, longest_lease_ms)
+                if lease_ms:
+                    run.carried_until_ms = now_ms + lease_ms
+                    unsettled.append(run)
+                self.reserve(run)
+        self.starts.inherit(unsettled)
 
     def _recovered_run(self, job: StepJob, key: str, task: TaskRecord, now_ms: int) -> ReservedRun:
         run = build_run(
@@ -401,6 +429,7 @@
         run.recovered = True
         run.ordered = True
         run.vm = task.vm
+        run.start_number = task.start_number
         return run
 
 
--- a/src/hornbeamreach/fleet/minion_orders.py
+++ b/src/hornbeamreach/fleet/minion_orders.py
@@ -226,6 +226,8 @@
             # The run did not begin, so its minion's crash is no evidence against its task.
             run.ordered, run.crash = False, None
         is_known = self._is_of_known_incarnation(run, minion, reply, clock_ms)
+        if is_known and reply.clock_ms:
+            scheduler.fleet.starts.settle(run)
         if scheduler.fleet.find_run(run.job_id, run.key) is not run:
             scheduler.crashes.on_order_outcome(run, begun=True)
             return
@@ -273,6 +275,7 @@
         run.carried_until_ms = scheduler.clock.now_ms() + scheduler.timing.carried_lease_ms
         # The next leader has to wait as long.
         scheduler.fleet.unrecorded_returns.add(minion.minion_id)
+        scheduler.fleet.starts.settle(run)
         scheduler.notify_of_changes()
         self.fence(minion)
 
--- a/src/hornbeamreach/fleet/minion_poller.py
+++ b/src/hornbeamreach/fleet/minion_poller.py
@@ -311,6 +311,7 @@
             run.last_listed_ms = now_ms
             run.carried_until_ms = 0
             run.crash = None
+            self.scheduler.fleet.starts.settle(run)
             if run.suspect and run.lasting:
                 self.scheduler.crashes.clear_if_at_work(run, now_ms)
         if foreign or minion.foreign_runs:
--- a/src/hornbeamreach/fleet/run_recorder.py
+++ b/src/hornbeamreach/fleet/run_recorder.py
@@ -55,6 +55,7 @@
             incarnations=[f"{r.minion}@{r.crash.born_ms}" for r in crashed if r.crash is not None],
             cleared=[(r.job_id, r.key, r.run) for r in clearings],
             at_ms=wall_ms,
+            settled_through=fleet.starts.settled_through,
         )
         changed_jobs = {item.job_id for item in (*ended, *crashed, *clearings)}
         if changed_jobs:
@@ -75,8 +76,15 @@
         """Propose changes and starts in one log append."""
         reserved = [(r.job_id, r.key, r.run, r.minion, r.born_ms) for r in starts]
         vms = {run.minion: run.vm for run in starts}
-        self.fleet.proposed.apply(RecordRuns(starts=reserved, vms=vms, at_ms=wall_ms))
-        return self.replica.submit(attrs.evolve(changes.command, starts=reserved, vms=vms))
+        numbers = self.fleet.starts
+        first_number = numbers.add(starts) if starts else 0
+        self.fleet.proposed.apply(
+            RecordRuns(starts=reserved, vms=vms, at_ms=wall_ms, first_number=first_number)
+        )
+        numbers.recorded_through = changes.command.settled_through
+        return self.replica.submit(
+            attrs.evolve(changes.command, starts=reserved, vms=vms, first_number=first_number)
+        )
 
     def mark_ends_recorded(self, listed_ends: list[tuple[Minion, int]]) -> None:
         """Note that the log has the ends that minions have listed."""
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -35,6 +35,7 @@
 from hornbeamreach.fleet.waiting_jobs import WaitingJobs
 from hornbeamreach.logs import part_logger
 from hornbeamreach.metrics import Metrics
+from hornbeamreach.systems.inherited_leases import inherited_leases
 from hornbeamreach.systems.overload import Effort, overload_policies
 from hornbeamreach.tables.minions import (
     Minion,
@@ -88,7 +89,9 @@
         self.began_ms = clock.now_ms()
         self.proposed = ProposedState.of(replica.state)
         self.fleet = FleetState(proposed=self.proposed)
-        self.fleet.recover_runs(self.began_ms)
+        self.fleet.recover_runs(
+            self.began_ms, inherited_leases.get("unsettled_start"), timing.carried_lease_ms
+        )
         self.crashes = CrashRecorder(self)
         self.crashes.recover()
         self.planner = Planner(
@@ -206,7 +209,12 @@
 
     async def run(self) -> None:
         """Schedule until this replica no longer leads in this term."""
-        log.bind(term=self.term, jobs=len(self.proposed.workload.jobs)).info("scheduling begins")
+        log.bind(
+            term=self.term,
+            jobs=len(self.proposed.workload.jobs),
+            runs=sum(len(runs) for runs in self.fleet.runs_by_job.values()),
+            unsettled_starts=len(self.fleet.starts.unsettled),
+        ).info("scheduling begins")
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self._plan_forever)
@@ -259,7 +267,8 @@
         )
         assert self.nursery is not None
         self.ticket_requests.request_missing(self.nursery)
-        if not changes.jobs and not starts and not changes.command.returned:
+        has_settled = self.fleet.starts.is_due(now_ms)
+        if not (changes.jobs or starts or changes.command.returned or has_settled):
             if not self.uncommitted_proposals:
                 self.recorder.mark_ends_recorded(changes.listed_ends)
             return
@@ -398,19 +407,22 @@
                 self._end_lapsed_runs(ordered, minion.minion_id)
         if now_ms - self.began_ms > self.timing.recovered_lease_ms:
             for minion_id, runs in list(self.fleet.unattached_runs.items()):
-                if runs and now_ms - self.began_ms > self.tracker.unheard_lease_ms(minion_id):
+                lapsed = [run for run in runs.values() if now_ms > run.carried_until_ms]
+                if lapsed and now_ms - self.began_ms > self.tracker.unheard_lease_ms(minion_id):
                     log.bind(
                         minion=minion_id,
-                        runs=[run.name for run in runs.values()][:MAX_LOGGED_RUNS],
+                        runs=[run.name for run in lapsed][:MAX_LOGGED_RUNS],
                         since_takeover_ms=now_ms - self.began_ms,
                     ).warning("leases have lapsed: the minion was not heard of in this term")
-                    self._end_lapsed_runs(list(runs.values()), minion_id)
+                    self._end_lapsed_runs(lapsed, minion_id)
         if self.timed_jobs.check(wall_ms):
             self.notify()
         self._forget_old(now_ms, wall_ms)
         self.waiting_jobs.tick(now_ms, wall_ms)
         self.evacuations.tick(now_ms)
         self.share_report.tick(now_ms)
+        if self.fleet.starts.is_due(now_ms):
+            self.wake.set()
         unrecorded = any(m.listed_end > m.recorded_end for m in self.fleet.minions.values())
         if self.fleet.ready or self.fleet.unrecorded_ends or unrecorded:
             self.notify()
--- a/src/hornbeamreach/tables/minions.py
+++ b/src/hornbeamreach/tables/minions.py
@@ -114,6 +114,8 @@
     # Until then, by the local clock, an incarnation that is not known may hold the run: its start
     # was not answered, or not by the known one.
     carried_until_ms: int = 0
+    # Number of its start, by which the log tells whether the start is settled.
+    start_number: int = 0
     # VM of the minion; empty if unknown.
     vm: str = ""
     # Pool in which the run counts for its team's share.
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -172,6 +172,8 @@
     # VM of the minion and wall time of the start of the latest run.
     vm: str = ""
     started_ms: int = 0
+    # Number of the latest start; 0 if it was recorded by an earlier build.
+    start_number: int = 0
     lapsed: LapsedRun | None = None
     done: bool = False
     checkpoint: str = ""
@@ -302,6 +304,10 @@
     # Minion -> wall time at which a scheduler knew that it had started again under its id, or that
     # it may have.
     returns: dict[str, int] = field(factory=dict)
+    # Number of the latest start of a run, and the number up to which every start was settled: its
+    # leader knew which incarnation has the run, or recorded that its minion may have returned.
+    last_start_number: int = 0
+    settled_through: int = 0
     # Data centre -> wall time since which nothing may start there.
     evacuated: dict[str, int] = field(factory=dict)
     # Data centre -> wall time of the latest withdrawal of an evacuation.
