Keep what is known of a VM's maintenance by its wave

Cause: the incarnation that an order ended was kept by the VM's name, and set only with the answer to a first order. After a 503 to the first order of a second wave, the repeated one left the value of the first wave, so the incarnation that was being ended counted as the one that had returned.

Change: a VM is back once its minion answers a poll, or a list shows it as up, that was sent after the platform accepted the order; the start times of incarnations no longer count. What a scheduler knows of a VM's maintenance is kept by wave and VM and dropped when the VM is finished or gone. A maintenance ends only its own pending order and cordon, a VM that is down for one wave isn't taken for another, and each wave counts its own VMs.

tests/test_vm_incarnations.py reads the new state; a return needs an answered poll there, where a report was enough.

--- a/src/hornbeamreach/fleet/maintenance_waves.py
+++ b/src/hornbeamreach/fleet/maintenance_waves.py
@@ -13,6 +13,7 @@
 from hornbeamreach.fleet.ports import PlatformVmState, UnknownOutcomeError, VmOrderAnswer
 from hornbeamreach.fleet.vm_absences import VmAbsences
 from hornbeamreach.fleet.vm_inventory import FIRST_REPORTS_MS, VmInventory
+from hornbeamreach.fleet.vm_upkeep import VmUpkeep, VmUpkeeps
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.maintenance_wave import (
     WaveCandidate,
@@ -48,17 +49,7 @@
     scheduler: StepScheduler
     inventory: VmInventory
     vm_absences: VmAbsences = field(factory=VmAbsences)
-    # Time at which draining began, by VM.
-    drain_began_ms: dict[str, int] = field(factory=dict)
-    # Number of the wave that it is drained for, by VM; another wave of the VM may have no room.
-    drained_for: dict[str, int] = field(factory=dict)
-    orders_in_progress: set[str] = field(factory=set)
-    # VMs whose slow drain has been logged.
-    slow_drains: set[str] = field(factory=set)
-    # When maintenance was confirmed in this term, by VM.
-    confirmed_ms: dict[str, int] = field(factory=dict)
-    # Start time of the incarnation that an order of this term ended, by VM.
-    ended_born_ms: dict[str, int] = field(factory=dict)
+    upkeeps: VmUpkeeps = field(factory=VmUpkeeps)
 
     async def run(self) -> None:
         """Work on the waves until cancelled."""
@@ -80,7 +71,7 @@
         waves = list(self.scheduler.proposed.workload.waves.values())
         # The list may take long, so whatever depends on the present is read after it.
         waiting = {wave.number for wave in waves if self._needs_list(wave)}
-        wants_list = waiting or any(self._has_silent_minion(wave, now_ms) for wave in waves)
+        wants_list = waiting or any(self._wants_list(wave, now_ms) for wave in waves)
         if wants_list and await self.inventory.refresh():
             waiting.clear()
         now_ms = self.scheduler.clock.now_ms()
@@ -92,42 +83,49 @@
             self._record_finished(wave, by_vm)
             self._order_standby_vms(nursery, wave, by_vm)
             candidates = self._candidates(wave, by_vm)
-            for candidate in next_vms(wave, candidates, self._selected_vms()):
+            for candidate in next_vms(wave, candidates, self.upkeeps.selected(wave)):
                 self._select(wave, candidate, now_ms)
             self._resume_unconfirmed(nursery, wave, by_vm, now_ms)
-            for vm in list(self.drain_began_ms):
-                minion = by_vm.get(vm)
-                is_other_waves = self.drained_for.get(vm, wave.number) != wave.number
-                if vm in self.orders_in_progress or is_other_waves:
-                    continue
-                if vm in self.vm_absences.absences and vm not in wave.ordered:
-                    # Others may go first; it is selected again once it is back.
-                    self._end_drain(vm)
-                    continue
-                if minion is None:
-                    continue
-                # Also cordons an incarnation that began after the VM was selected.
-                minion.cordoned = True
-                self._stop_long_running_tasks(wave, minion)
-                self._log_slow_drain(wave, vm, minion, now_ms)
-                if self._is_drain_over(wave, minion, now_ms) and self.inventory.may_order(vm):
-                    self._begin_order(nursery, wave, vm)
+            for upkeep in self.upkeeps.of(wave):
+                if upkeep.drain_began_ms is not None and not upkeep.is_ordering:
+                    self._drain(nursery, wave, upkeep, by_vm.get(upkeep.vm), now_ms)
+
+    def _drain(
+        self,
+        nursery: trio.Nursery,
+        wave: MaintenanceWave,
+        upkeep: VmUpkeep,
+        minion: Minion | None,
+        now_ms: int,
+    ) -> None:
+        """Go on with the drain of a VM, and order its maintenance once that is over."""
+        if upkeep.vm in self.vm_absences.absences and upkeep.vm not in wave.ordered:
+            # Others may go first; it is selected again once it is back.
+            self.upkeeps.end(wave, upkeep.vm)
+            return
+        if minion is None:
+            return
+        # Also cordons an incarnation that began after the VM was selected.
+        minion.cordoned = True
+        self._stop_long_running_tasks(wave, minion)
+        self._log_slow_drain(wave, upkeep, minion, now_ms)
+        if self._is_drain_over(wave, upkeep, minion, now_ms) and self.inventory.may_order(
+            upkeep.vm
+        ):
+            self._begin_order(nursery, wave, upkeep.vm)
 
     def _needs_list(self, wave: MaintenanceWave) -> bool:
         """Return whether only the platform's list tells about some VM of a wave."""
         by_vm = self.inventory.current_minions()
-        return any(
-            vm not in by_vm
-            # Its ended incarnation is unknown, so its minion doesn't show its return.
-            or (vm in wave.ordered and vm not in self.ended_born_ms)
-            for vm in wave.machines
-            if vm not in wave.finished
-        )
+        return any(vm not in by_vm and vm not in wave.finished for vm in wave.machines)
 
-    def _has_silent_minion(self, wave: MaintenanceWave, now_ms: int) -> bool:
+    def _wants_list(self, wave: MaintenanceWave, now_ms: int) -> bool:
+        """Return whether the platform's list may tell more about some VM than its minion."""
         by_vm = self.inventory.current_minions()
-        unfinished = (vm for vm in wave.machines if vm not in wave.finished)
-        return any(vm in by_vm and by_vm[vm].is_silent(now_ms) for vm in unfinished)
+        unfinished = [vm for vm in wave.machines if vm not in wave.finished]
+        return any(
+            vm in wave.ordered or (vm in by_vm and by_vm[vm].is_silent(now_ms)) for vm in unfinished
+        )
 
     def _record_absences(self, waves: list[MaintenanceWave], now_ms: int) -> None:
         """Record which VMs of the waves are gone for good, and which of those are back."""
@@ -141,7 +139,8 @@
         )
         all_gone = {vm for vm in unfinished if self.vm_absences.is_gone(vm)}
         for wave in waves:
-            gone = sorted(all_gone & set(wave.machines) - wave.gone - wave.finished)
+            ordering = {upkeep.vm for upkeep in self.upkeeps.of(wave) if upkeep.is_ordering}
+            gone = sorted(all_gone & set(wave.machines) - wave.gone - wave.finished - ordering)
             found = sorted(wave.gone & present)
             list_log = log.bind(wave=wave.number, listed_ago_ms=now_ms - self.inventory.listed_ms)
             if gone:
@@ -154,7 +153,7 @@
             if gone or found:
                 scheduler.propose(RecordUpkeep(number=wave.number, gone=gone, found=found))
             for vm in gone:
-                self._return_to_service(vm)
+                self._return_to_service(wave, vm)
 
     def mark_awaiting(self) -> None:
         """Mark the minions whose VMs a wave is still to take."""
@@ -171,23 +170,28 @@
         for vm, minion in self.inventory.current_minions().items():
             minion.awaits_maintenance = vm in awaiting
 
-    def _selected_vms(self) -> set[str]:
-        return self.drain_began_ms.keys() | self.orders_in_progress
-
     def _order_standby_vms(
         self, nursery: trio.Nursery, wave: MaintenanceWave, by_vm: dict[str, Minion]
     ) -> None:
         """Order maintenance of VMs that are off."""
         standby = {vm.name for vm in self.inventory.standby_vms()}
         for vm in wave.machines:
-            if vm in by_vm or vm in wave.finished:
+            if vm in by_vm or vm in wave.finished or vm in wave.ordered:
                 continue
-            if vm in standby and vm not in wave.ordered and vm not in self.orders_in_progress:
-                if not available_vm_slots(wave, self._selected_vms()):
+            selected = self.upkeeps.selected(wave)
+            if vm in standby and vm not in selected and not self._is_taken_beside(wave, vm):
+                if not available_vm_slots(wave, selected):
                     return
-                self.inventory.pending_orders[vm] = self.scheduler.clock.now_ms()
                 self._begin_order(nursery, wave, vm)
 
+    def _is_taken_beside(self, wave: MaintenanceWave, vm: str) -> bool:
+        """Return whether another wave has selected a VM, or has it down as far as is known."""
+        return self.upkeeps.is_selected_beside(wave, vm) or any(
+            vm in other.ordered and vm not in other.finished and vm not in other.gone
+            for other in self.scheduler.proposed.workload.waves.values()
+            if other.number != wave.number
+        )
+
     def _candidates(self, wave: MaintenanceWave, by_vm: dict[str, Minion]) -> list[WaveCandidate]:
         free = self._free_shares()
         return [
@@ -201,6 +205,7 @@
             and vm not in self.vm_absences.absences
             and vm not in self.inventory.pending_orders
             and self.inventory.may_order(vm)
+            and not self._is_taken_beside(wave, vm)
             and not by_vm[vm].report.leaving
             and not by_vm[vm].report.draining
         ]
@@ -218,8 +223,7 @@
     # Selecting and draining
 
     def _select(self, wave: MaintenanceWave, candidate: WaveCandidate, now_ms: int) -> None:
-        self.drain_began_ms[candidate.vm] = now_ms
-        self.drained_for[candidate.vm] = wave.number
+        self.upkeeps.start(wave, candidate.vm).drain_began_ms = now_ms
         candidate.minion.cordoned = True
         log.bind(wave=wave.number, machine=candidate.vm, runs=len(candidate.minion.runs)).info(
             "VM selected for maintenance"
@@ -240,19 +244,21 @@
         unavailable = unavailable_tasks(*siblings, now_ms)
         return may_stop(run, len(unavailable), step.may_miss, now_ms=now_ms)
 
-    def _log_slow_drain(self, wave: MaintenanceWave, vm: str, minion: Minion, now_ms: int) -> None:
+    def _log_slow_drain(
+        self, wave: MaintenanceWave, upkeep: VmUpkeep, minion: Minion, now_ms: int
+    ) -> None:
         """Log once which tasks keep a VM from being drained, and what their budgets wait for."""
-        drained_ms = now_ms - self.drain_began_ms.get(vm, now_ms)
-        if drained_ms < SLOW_DRAIN_MS or vm in self.slow_drains:
+        drained_ms = _drained_ms(upkeep, now_ms)
+        if drained_ms < SLOW_DRAIN_MS or upkeep.slow:
             return
-        self.slow_drains.add(vm)
+        upkeep.slow = True
         for run in list(minion.runs.values())[:MAX_LOGGED_RUNS]:
             job = self.scheduler.fleet.job(run.job_id)
             siblings = self.scheduler.fleet.step_tasks(job, run) if job else ({}, [])
             missing = unavailable_tasks(*siblings, now_ms)
             log.bind(
                 wave=wave.number,
-                machine=vm,
+                machine=upkeep.vm,
                 drained_ms=drained_ms,
                 request=run.job_id,
                 task=run.key,
@@ -261,21 +267,26 @@
                 unavailable=missing[:MAX_LOGGED_RUNS],
             ).info("a task keeps the VM from maintenance")
 
-    def _is_drain_over(self, wave: MaintenanceWave, minion: Minion, now_ms: int) -> bool:
+    def _is_drain_over(
+        self, wave: MaintenanceWave, upkeep: VmUpkeep, minion: Minion, now_ms: int
+    ) -> bool:
         if not minion.runs:
             return True
         if any(run.lasting for run in minion.runs.values()):
             return False
         left_ms = wave.due_ms - self.scheduler.clock.wall_ms()
         is_urgent = left_ms < URGENT_SHARE * (wave.due_ms - wave.ordered_ms)
-        return is_urgent and now_ms - self.drain_began_ms.get(minion.vm, now_ms) > MAX_DRAIN_MS
+        return is_urgent and _drained_ms(upkeep, now_ms) > MAX_DRAIN_MS
 
     # Orders
 
     def _begin_order(self, nursery: trio.Nursery, wave: MaintenanceWave, vm: str) -> None:
-        self.orders_in_progress.add(vm)
-        self.inventory.pending_orders.setdefault(vm, self.scheduler.clock.now_ms())
-        nursery.start_soon(self._order, wave, vm)
+        upkeep = self.upkeeps.start(wave, vm)
+        upkeep.is_ordering = True
+        if vm not in self.inventory.pending_orders:
+            self.inventory.pending_orders[vm] = self.scheduler.clock.now_ms()
+            upkeep.holds_vm = True
+        nursery.start_soon(self._order, wave, upkeep)
 
     def _resume_unconfirmed(
         self, nursery: trio.Nursery, wave: MaintenanceWave, by_vm: dict[str, Minion], now_ms: int
@@ -284,17 +295,15 @@
 
         An earlier scheduler may have stored the order, so other tasks may run there by now.
         """
-        for vm in sorted(vms_to_keep_free([wave]) - self.orders_in_progress):
-            if vm in self.vm_absences.absences:
-                # The platform would know no such VM.
+        for vm in sorted(vms_to_keep_free([wave]) - self.upkeeps.selected(wave)):
+            if vm in self.vm_absences.absences or self.upkeeps.is_selected_beside(wave, vm):
+                # The platform would know no such VM, or has an order of another wave.
                 continue
             if vm in by_vm:
-                if vm not in self.drain_began_ms:
-                    self.drain_began_ms[vm] = now_ms
-                    self.drained_for[vm] = wave.number
-                    log.bind(wave=wave.number, machine=vm, runs=len(by_vm[vm].runs)).info(
-                        "VM with an unconfirmed maintenance order is drained again"
-                    )
+                self.upkeeps.start(wave, vm).drain_began_ms = now_ms
+                log.bind(wave=wave.number, machine=vm, runs=len(by_vm[vm].runs)).info(
+                    "VM with an unconfirmed maintenance order is drained again"
+                )
             elif self.inventory.may_order(vm) and self._has_heard_of_minions(now_ms):
                 self._begin_order(nursery, wave, vm)
 
@@ -305,81 +314,108 @@
         """Return whether an order that was decided and stored before may be sent now."""
         return self.scheduler.is_current() and not self.scheduler.fleet.lasting_runs_on(vm)
 
-    async def _order(self, wave: MaintenanceWave, vm: str) -> None:
-        scheduler = self.scheduler
+    async def _order(self, wave: MaintenanceWave, upkeep: VmUpkeep) -> None:
+        """Order the maintenance of a VM once, and let a later tick repeat it if there is need."""
+        if await self._send_order(wave, upkeep):
+            upkeep.is_ordering = False
+
+    async def _send_order(self, wave: MaintenanceWave, upkeep: VmUpkeep) -> bool:
+        """Record and send an order, and return whether this scheduler may give another one."""
+        scheduler, vm = self.scheduler, upkeep.vm
         is_first = vm not in wave.ordered
+        order_log = log.bind(wave=wave.number, machine=vm)
         try:
             self.inventory.ordered_vms.add(vm)
             at_ms = scheduler.clock.wall_ms()
             await scheduler.commit(RecordUpkeep(number=wave.number, ordered=[vm], at_ms=at_ms))
             if not self._may_carry_out(vm):
-                log.bind(wave=wave.number, machine=vm, term=scheduler.term).info(
+                order_log.bind(term=scheduler.term).info(
                     "maintenance order given back: a long-running task is there, or the term ended"
                 )
                 scheduler.metrics.event("upkeep_given_back")
-                self.orders_in_progress.discard(vm)
-                return
+                return True
+            # An earlier order may have ended the incarnation before.
+            ended = self.inventory.current_minions().get(vm) if is_first else None
             answer = await self.inventory.port.start_maintenance(
                 vm, wave=wave.number, holder=scheduler.replica.node_id, token=scheduler.term
             )
         except UnknownOutcomeError as exc:
-            log.bind(wave=wave.number, machine=vm).warning(
-                "maintenance order has an unknown outcome and is repeated: {}", exc
-            )
+            order_log.warning("maintenance order has an unknown outcome and is repeated: {}", exc)
             scheduler.metrics.event("upkeep_unanswered")
             await trio.sleep(seconds(scheduler.timing.retry_ms))
-            self.orders_in_progress.discard(vm)
-            return
+            return True
         except (NotLeaderError, RefusedError) as exc:
-            log.bind(wave=wave.number, machine=vm).info("maintenance not ordered: {}", exc)
-            return
-        log.bind(wave=wave.number, machine=vm).info(
-            "platform answered the maintenance order: {}", answer.value
-        )
-        await self._on_answer(wave, vm, answer, is_first=is_first)
+            order_log.info("maintenance not ordered: {}", exc)
+            return False
+        order_log.info("platform answered the maintenance order: {}", answer.value)
+        return await self._on_answer(wave, upkeep, answer, ended)
 
     async def _on_answer(
-        self, wave: MaintenanceWave, vm: str, answer: VmOrderAnswer, *, is_first: bool
-    ) -> None:
-        scheduler = self.scheduler
+        self,
+        wave: MaintenanceWave,
+        upkeep: VmUpkeep,
+        answer: VmOrderAnswer,
+        ended: Minion | None,
+    ) -> bool:
+        """Record an answer, and return whether this scheduler may give another order.
+
+        `ended` is the incarnation that an accepted order has ended, None if that is not known.
+        """
+        scheduler, vm = self.scheduler, upkeep.vm
         if answer is VmOrderAnswer.ORDERED:
-            scheduler.propose(RecordUpkeep(number=wave.number, confirmed=[vm]))
-            self._end_drain(vm)
-            self.confirmed_ms[vm] = scheduler.clock.now_ms()
-            minion = self.inventory.current_minions().get(vm)
-            if minion is not None and is_first:
-                self.ended_born_ms[vm] = minion.report.born_ms
-                scheduler.mark_minion_gone(minion, "upkeep")
-            elif minion is not None:
-                # An earlier order may have taken effect, so this may be the next incarnation.
-                scheduler.pollers[minion.minion_id].poll_now()
+            self._on_confirmed(wave, upkeep, ended)
         elif answer is VmOrderAnswer.NOT_IN_WAVE:
             scheduler.propose(RecordUpkeep(number=wave.number, finished=[vm]))
-            self._return_to_service(vm)
+            self._return_to_service(wave, vm)
         elif answer is VmOrderAnswer.MALFORMED:
             # There is no such VM now, but it may come back from a crash.
-            self._return_to_service(vm)
+            self._release(wave, upkeep)
             await trio.sleep(seconds(1_000))
         elif answer is VmOrderAnswer.FENCED:
             log.bind(machine=vm, term=scheduler.term).warning(
                 "maintenance order fenced by a newer scheduler"
             )
-            return
+            return False
         else:
             # The VM isn't up or is leaving, or there were too many calls: the order is repeated.
             await trio.sleep(seconds(1_000))
-        self.orders_in_progress.discard(vm)
+        return True
 
-    def _end_drain(self, vm: str) -> None:
-        self.drain_began_ms.pop(vm, None)
-        self.drained_for.pop(vm, None)
+    def _on_confirmed(self, wave: MaintenanceWave, upkeep: VmUpkeep, ended: Minion | None) -> None:
+        scheduler = self.scheduler
+        scheduler.propose(RecordUpkeep(number=wave.number, confirmed=[upkeep.vm]))
+        upkeep.drain_began_ms = None
+        upkeep.confirmed_ms = scheduler.clock.now_ms()
+        minion = self.inventory.current_minions().get(upkeep.vm)
+        if minion is None:
+            return
+        if minion is ended:
+            scheduler.mark_minion_gone(minion, "upkeep")
+        else:
+            # It may be the next incarnation already: the answer to a poll shows that.
+            scheduler.pollers[minion.minion_id].poll_now()
 
     # Return to service
 
-    def _return_to_service(self, vm: str) -> None:
-        """Let a VM that is back, or whose maintenance was refused for good, take work again."""
-        self._end_drain(vm)
-        self.inventory.end_order(vm)
+    def _return_to_service(self, wave: MaintenanceWave, vm: str) -> None:
+        """Forget a VM's maintenance for a wave, and let the VM take work again."""
+        upkeep = self.upkeeps.end(wave, vm)
+        if upkeep is not None:
+            self._release(wave, upkeep)
+        else:
+            self._uncordon(wave, vm)
+
+    def _release(self, wave: MaintenanceWave, upkeep: VmUpkeep) -> None:
+        upkeep.drain_began_ms = None
+        if upkeep.holds_vm:
+            upkeep.holds_vm = False
+            self.inventory.end_order(upkeep.vm)
+        self._uncordon(wave, upkeep.vm)
+
+    def _uncordon(self, wave: MaintenanceWave, vm: str) -> None:
+        """Let a VM take work again unless another wave or a move keeps it free."""
+        if vm in self.inventory.pending_orders or self.upkeeps.is_selected_beside(wave, vm):
+            return
         minion = self.inventory.current_minions().get(vm)
         if minion is not None:
             minion.cordoned = False
@@ -388,21 +424,31 @@
     def _record_finished(self, wave: MaintenanceWave, by_vm: dict[str, Minion]) -> None:
         returned = []
         for vm, confirmed in wave.ordered.items():
-            if confirmed and vm not in wave.finished and self._is_back(vm, by_vm):
+            if confirmed and vm not in wave.finished and self._is_back(wave, vm, by_vm):
                 returned.append(vm)
         if returned:
             log.bind(wave=wave.number, machines=returned).info("VMs are back from maintenance")
             for vm in returned:
-                self._return_to_service(vm)
+                self._return_to_service(wave, vm)
             self.scheduler.propose(RecordUpkeep(number=wave.number, finished=returned))
 
-    def _is_back(self, vm: str, by_vm: dict[str, Minion]) -> bool:
+    def _is_back(self, wave: MaintenanceWave, vm: str, by_vm: dict[str, Minion]) -> bool:
+        """Return whether a VM was up at a time after the order that the platform accepted.
+
+        Reports don't show it: one of an incarnation that the order has ended may arrive late.
+        """
+        upkeep = self.upkeeps.get(wave, vm)
+        confirmed_ms = upkeep.confirmed_ms if upkeep is not None else None
+        if confirmed_ms is None:
+            # An earlier scheduler has recorded it.
+            confirmed_ms = self.scheduler.began_ms
         minion = by_vm.get(vm)
-        ended_born_ms = self.ended_born_ms.get(vm)
-        # A late report from the incarnation that the order ended doesn't mean the VM is back.
-        if minion is not None and ended_born_ms is not None:
-            return minion.report.born_ms > ended_born_ms
+        if minion is not None and minion.polled_ms > confirmed_ms:
+            return True
         listed = self.inventory.vms.get(vm)
-        confirmed_ms = self.confirmed_ms.get(vm, self.scheduler.began_ms)
         is_recent = self.inventory.listed_ms > confirmed_ms
         return is_recent and listed is not None and listed.state is PlatformVmState.UP
+
+
+def _drained_ms(upkeep: VmUpkeep, now_ms: int) -> int:
+    return 0 if upkeep.drain_began_ms is None else now_ms - upkeep.drain_began_ms
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -708,6 +708,8 @@
         self.silent = False
         # Whether a silent platform carries out the orders that it doesn't answer.
         self.applies_silently = False
+        # Whether the platform refuses calls without carrying them out, as after too many.
+        self.busy = False
         # VMs that exist no longer, for a time or for good.
         self.missing: set[str] = set()
         # VMs that are listed and have no minion yet.
@@ -722,6 +724,8 @@
         return next((m for m in self.minions.minions.values() if f"m-{m.minion}" == vm), None)
 
     async def _answer(self, apply: Callable[[], Any]) -> VmOrderAnswer:
+        if self.busy:
+            raise UnknownOutcomeError("unexpected status 503")
         if self.silent:
             if self.applies_silently:
                 apply()
@@ -731,6 +735,8 @@
         return VmOrderAnswer.ORDERED
 
     async def list_vms(self) -> list[PlatformVm]:
+        if self.busy:
+            raise UnknownOutcomeError("unexpected status 503")
         if self.silent:
             await trio.sleep(self.ANSWER_TIMEOUT_S)
             raise UnknownOutcomeError("no answer")
--- a/tests/test_vm_incarnations.py
+++ b/tests/test_vm_incarnations.py
@@ -13,7 +13,9 @@
 from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState, VmOrderAnswer
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.vm_inventory import VmInventory
+from hornbeamreach.fleet.vm_upkeep import VmUpkeep
 from hornbeamreach.tables.control_state import ControlState
+from hornbeamreach.tables.workload import MaintenanceWave
 
 from . import builders
 
@@ -70,12 +72,25 @@
     maintenance.scheduler.fleet.minions[minion_id] = minion
 
 
-def send_order(maintenance: MaintenanceWaves) -> None:
-    trio.run(maintenance._order, maintenance.scheduler.proposed.workload.waves[1], "m-1")
+def wave_of(maintenance: MaintenanceWaves, number: int = 1) -> MaintenanceWave:
+    return maintenance.scheduler.proposed.workload.waves[number]
 
 
-def is_back(maintenance: MaintenanceWaves) -> bool:
-    return maintenance._is_back("m-1", maintenance.inventory.current_minions())
+def send_order(maintenance: MaintenanceWaves, number: int = 1) -> VmUpkeep:
+    wave = wave_of(maintenance, number)
+    upkeep = maintenance.upkeeps.start(wave, "m-1")
+    upkeep.is_ordering = True
+    trio.run(maintenance._order, wave, upkeep)
+    return upkeep
+
+
+def is_back(maintenance: MaintenanceWaves, number: int = 1) -> bool:
+    by_vm = maintenance.inventory.current_minions()
+    return maintenance._is_back(wave_of(maintenance, number), "m-1", by_vm)
+
+
+def answer_poll(maintenance: MaintenanceWaves, minion_id: str, sent_ms: int) -> None:
+    maintenance.scheduler.fleet.minions[minion_id].polled_ms = sent_ms
 
 
 class TestCurrentIncarnation:
@@ -105,7 +120,7 @@
                         add_minion(maintenance, "i-next", 2_000)
 
         trio.run(drain_both_incarnations)
-        assert maintenance.drain_began_ms.keys() == {"m-1"}
+        assert maintenance.upkeeps.selected(wave_of(maintenance)) == {"m-1"}
         assert maintenance.scheduler.fleet.minions["i-next"].cordoned
 
 
@@ -118,11 +133,11 @@
         maintenance.scheduler.notify = lambda: None
         minion.cordoned = True
         maintenance.inventory.pending_orders["m-1"] = NOW_MS
-        maintenance.drain_began_ms["m-1"] = NOW_MS
-        wave = maintenance.scheduler.proposed.workload.waves[1]
-        trio.run(lambda: maintenance._on_answer(wave, "m-1", answer, is_first=True))
+        upkeep = maintenance.upkeeps.start(wave_of(maintenance), "m-1")
+        upkeep.holds_vm, upkeep.drain_began_ms = True, NOW_MS
+        trio.run(maintenance._on_answer, wave_of(maintenance), upkeep, answer, minion)
         assert not minion.cordoned
-        assert not maintenance.drain_began_ms
+        assert not maintenance.upkeeps.selected(wave_of(maintenance))
         assert "m-1" not in maintenance.inventory.pending_orders
 
 
@@ -134,6 +149,8 @@
         assert maintenance.scheduler.gone_minions == ["i-next"]
         assert not is_back(maintenance)
         add_minion(maintenance, "i-after", 21_000)
+        assert not is_back(maintenance)
+        answer_poll(maintenance, "i-after", NOW_MS + 1)
         assert is_back(maintenance)
 
     def test_a_late_report_of_the_ended_incarnation_is_not_taken_for_the_return(self, maintenance):
@@ -141,6 +158,7 @@
         # cannot show the return; only the platform's list can.
         send_order(maintenance)
         add_minion(maintenance, "i-late", 2_000)
+        answer_poll(maintenance, "i-late", NOW_MS)
         assert not is_back(maintenance)
         maintenance.inventory.vms["m-1"] = PlatformVm(
             name="m-1", pool="a", state=PlatformVmState.MAINTENANCE
@@ -197,9 +215,10 @@
 
         maintenance.scheduler.commit = commit
         send_order(maintenance)
-        assert maintenance.scheduler.proposed.workload.waves[1].ordered == {"m-1": False}
-        assert not maintenance.confirmed_ms
-        assert not maintenance.orders_in_progress
+        assert wave_of(maintenance).ordered == {"m-1": False}
+        upkeep = maintenance.upkeeps.get(wave_of(maintenance), "m-1")
+        assert upkeep.confirmed_ms is None
+        assert not upkeep.is_ordering
 
 
 class TestAwaitingMaintenance:
