Give a VM no work while a move of an earlier leader may take effect

What callers could see: tasks ended moments after their start (AVAIL for those that last), where a leader ended right after it had sent a move that took effect seconds later.

Cause: a move was recorded without its target, and its outcome was not recorded at all. The VM was cordoned by the leader that had ordered the move only, in memory.

Change: the log names each move with its target until its outcome is known; settled ones are recorded with the next move, or after 500 ms. A new leader keeps a VM with such a move free until its minion answers in the target pool, a list shows it there, or 13 s have passed since the beginning of the term.

Result: TestInheritedMoves in tests/test_pool_moves.py; its first test fails without `inherit_moves`.

--- a/src/hornbeamreach/control/workload_commands.py
+++ b/src/hornbeamreach/control/workload_commands.py
@@ -22,6 +22,7 @@
     EvacuationRequests,
     LapsedRun,
     MaintenanceWave,
+    PendingMove,
     RunEnd,
     StepJob,
     StepJobSpec,
@@ -125,10 +126,15 @@
 @wire_type("note_machine_orders")
 @define(frozen=True, kw_only=True)
 class NoteMachineOrders:
-    """Record that orders for VMs are about to be sent."""
+    """Record that orders for VMs are about to be sent, and which earlier moves are settled.
+
+    `moves` maps the VMs that are to be moved to their target pools.
+    """
 
     machines: list[str]
     at_ms: int
+    moves: dict[str, str] = field(factory=dict)
+    settled: list[str] = field(factory=list)
 
 
 @wire_type("record_upkeep")
@@ -433,8 +439,13 @@
 
 @appliers.register("NoteMachineOrders")
 def _apply_machine_orders(state: ControlState, command: NoteMachineOrders) -> Outcome:
+    workload = state.workload
+    for vm in command.settled:
+        workload.pending_moves.pop(vm, None)
     for vm in command.machines:
-        state.workload.machine_orders[vm] = command.at_ms
+        workload.machine_orders[vm] = command.at_ms
+    for vm, pool in command.moves.items():
+        workload.pending_moves[vm] = PendingMove(pool=pool, at_ms=command.at_ms)
     return _accepted(state)
 
 
--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -90,6 +90,8 @@
     # Minions that have started again under their ids, or may have.
     unrecorded_returns: set[str] = field(factory=set)
     starts: UnsettledStarts = field()
+    # VMs that a move of an earlier scheduler may still end everything on.
+    inherited_moves: set[str] = field(factory=set)
     # Minions where a run failed or was a straggler, by task name.
     failed_on: dict[str, set[str]] = field(factory=dict)
     # Minions that crashed under a task, by job and task key.
@@ -161,7 +163,7 @@
 
     def vms_kept_free(self) -> set[str]:
         """Return the VMs that get no work, for orders that may be carried out at any time."""
-        return vms_to_keep_free(self.proposed.workload.waves.values())
+        return vms_to_keep_free(self.proposed.workload.waves.values()) | self.inherited_moves
 
     def usable_minions(
         self, minions: Iterable[Minion], now_ms: int, kept_free: set[str] | None = None
--- a/src/hornbeamreach/fleet/proposed_state.py
+++ b/src/hornbeamreach/fleet/proposed_state.py
@@ -20,6 +20,7 @@
         former_teams=dict(workload.former_teams),
         tombstones=dict(workload.tombstones),
         machine_orders=dict(workload.machine_orders),
+        pending_moves=dict(workload.pending_moves),
         returns=dict(workload.returns),
         evacuated=dict(workload.evacuated),
         restored=dict(workload.restored),
--- a/src/hornbeamreach/fleet/vm_moves.py
+++ b/src/hornbeamreach/fleet/vm_moves.py
@@ -19,7 +19,7 @@
     running_cpu,
 )
 from hornbeamreach.fleet.ports import PlatformVmState, UnknownOutcomeError, VmOrderAnswer
-from hornbeamreach.fleet.vm_inventory import FIRST_REPORTS_MS, VmInventory
+from hornbeamreach.fleet.vm_inventory import CLOCK_SKEW_MS, FIRST_REPORTS_MS, VmInventory
 from hornbeamreach.logs import part_logger
 from hornbeamreach.systems.demand_forecast import Forecaster, forecasters
 from hornbeamreach.systems.pool_moves import (
@@ -47,6 +47,8 @@
 # An order with an unknown outcome may take effect this much later; until then nothing new runs
 # on the VM.
 LATE_ORDER_MS = 13_000
+# Settled moves are recorded with the next move, or by themselves after this time.
+SETTLED_RECORD_INTERVAL_MS = 500
 # A long-running task or a suspect of a crash that is queued this long is taken to have no minion in
 # its pool: a start takes tens of ms, and 3 s without a run are too long.
 SHORTFALL_MS = 600
@@ -73,8 +75,13 @@
     # Since when a long-running task or a suspect of a crash is queued, by pool.
     shortfall_since_ms: dict[str, int] = field(factory=dict)
 
+    # VMs whose moves can take no more effect, and when such ones were last recorded.
+    settled: set[str] = field(factory=set)
+    settled_recorded_ms: int = 0
+
     async def run(self) -> None:
         """Move VMs until cancelled."""
+        self.inherit_moves()
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(seconds(TICK_MS))
@@ -83,11 +90,40 @@
                     continue
                 if not self.scheduler.is_current():
                     continue
+                self._record_settled(now_ms)
                 if self.scheduler.effort().moves:
                     self._tick(nursery, now_ms)
                 else:
                     self.end_drains()
 
+    def inherit_moves(self) -> None:
+        """Keep VMs free that moves of earlier schedulers may still end everything on."""
+        scheduler = self.scheduler
+        wall_ms = scheduler.clock.wall_ms()
+        for vm, move in scheduler.proposed.workload.pending_moves.items():
+            age_ms = wall_ms - move.at_ms
+            if age_ms > LATE_ORDER_MS + CLOCK_SKEW_MS:
+                self.settled.add(vm)
+                continue
+            log.bind(machine=vm, pool=move.pool, age_ms=age_ms, term=scheduler.term).info(
+                "a move of an earlier leader may take effect"
+            )
+            self.inventory.pending_orders[vm] = scheduler.began_ms
+            self.arriving[vm] = move.pool
+            scheduler.fleet.inherited_moves.add(vm)
+
+    def _record_settled(self, now_ms: int) -> None:
+        """Record the settled moves, if no other move has done so for a while."""
+        if self.settled and now_ms - self.settled_recorded_ms >= SETTLED_RECORD_INTERVAL_MS:
+            at_ms = self.scheduler.clock.wall_ms()
+            settled = self._take_settled(now_ms)
+            self.scheduler.propose(NoteMachineOrders(machines=[], at_ms=at_ms, settled=settled))
+
+    def _take_settled(self, now_ms: int) -> list[str]:
+        settled, self.settled = sorted(self.settled), set()
+        self.settled_recorded_ms = now_ms
+        return settled
+
     def _tick(self, nursery: trio.Nursery, now_ms: int) -> None:
         minions = self.inventory.current_minions()
         self._clear_arrivals(minions, now_ms)
@@ -126,6 +162,8 @@
             ):
                 del self.arriving[vm]
                 self.inventory.end_order(vm)
+                self.scheduler.fleet.inherited_moves.discard(vm)
+                self.settled.add(vm)
                 if minion is None:
                     continue
                 if is_listed and minion.report.pool != pool:
@@ -316,7 +354,12 @@
         try:
             self.inventory.ordered_vms.add(move.vm)
             at_ms = scheduler.clock.wall_ms()
-            await scheduler.commit(NoteMachineOrders(machines=[move.vm], at_ms=at_ms))
+            settled = self._take_settled(scheduler.clock.now_ms())
+            await scheduler.commit(
+                NoteMachineOrders(
+                    machines=[move.vm], at_ms=at_ms, moves={move.vm: move.pool}, settled=settled
+                )
+            )
             if not self._may_carry_out(move, minion):
                 vm_log.bind(term=scheduler.term).info(
                     "move given back: the VM is not as it was when the move was decided"
@@ -339,6 +382,7 @@
             return
         vm_log.info("platform answered the move: {}", answer.value)
         scheduler.metrics.event(f"move_{answer.value}")
+        self.settled.add(move.vm)
         if answer is VmOrderAnswer.ORDERED:
             # A VM that is already in the pool gets the same answer, and then nothing on it ended.
             if minion is not None and minion.report.pool != move.pool:
@@ -364,6 +408,7 @@
     def _give_back(self, move: VmMove, minion: Minion | None) -> None:
         self.arriving.pop(move.vm, None)
         self.inventory.end_order(move.vm)
+        self.settled.add(move.vm)
         self._uncordon(move, minion)
         self.scheduler.notify()
 
--- a/src/hornbeamreach/tables/workload.py
+++ b/src/hornbeamreach/tables/workload.py
@@ -283,6 +283,15 @@
     request_ids: tuple[str, ...] = ()
 
 
+@define(frozen=True, kw_only=True)
+class PendingMove:
+    """Represent the move of a VM that may not have taken effect yet."""
+
+    pool: str
+    # Wall time just before the order was sent.
+    at_ms: int
+
+
 @define(kw_only=True)
 class Workload:
     """Hold the step jobs, the maintenance waves and the declaration in force."""
@@ -301,6 +310,8 @@
     waves: dict[int, MaintenanceWave] = field(factory=dict)
     # VM -> wall time of its latest order, by any scheduler.
     machine_orders: dict[str, int] = field(factory=dict)
+    # VM -> its latest move, until a scheduler knows that it can take no more effect.
+    pending_moves: dict[str, PendingMove] = field(factory=dict)
     # Minion -> wall time at which a scheduler knew that it had started again under its id, or that
     # it may have.
     returns: dict[str, int] = field(factory=dict)
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import functools
 from types import SimpleNamespace
 
 import pytest
 import trio
 import trio.testing
 
-from hornbeamreach.control.workload_commands import AcceptJob
+from hornbeamreach.control.snapshots import decode_state, encode_state
+from hornbeamreach.control.workload_commands import AcceptJob, NoteMachineOrders
 from hornbeamreach.fleet.fleet_state import FleetState
 from hornbeamreach.fleet.pool_needs import running_cpu
-from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState, VmOrderAnswer
+from hornbeamreach.fleet.ports import (
+    PlatformVm,
+    PlatformVmState,
+    UnknownOutcomeError,
+    VmOrderAnswer,
+)
 from hornbeamreach.fleet.proposed_state import ProposedState
 from hornbeamreach.fleet.vm_inventory import VmInventory
 from hornbeamreach.fleet.vm_moves import FIRST_REPORTS_MS, SHORTFALL_MS, VmMoves
@@ -28,8 +35,10 @@
 from hornbeamreach.systems.vm_drains import DrainCandidate, drain_none, late_work_yields
 from hornbeamreach.tables.control_state import ControlState
 from hornbeamreach.tables.declared import PoolRow
+from hornbeamreach.tables.workload import PendingMove
 
 from . import builders
+from .fakes import run_virtual
 
 VM_CPU_MILLIS = 16_000
 
@@ -414,6 +423,106 @@
         assert minions["m-0"].cordoned and minions["m-1"].cordoned
 
 
+class TestInheritedMoves:
+    @staticmethod
+    def make_successor(at_ms: int, now_ms: int = 20_000) -> VmMoves:
+        """Return the moves of a scheduler that inherits one of m-0 to the pool "spare"."""
+        vm_moves = make_vm_moves(now_ms)
+        scheduler = vm_moves.scheduler
+        scheduler.began_ms, scheduler.term = now_ms, 2
+        scheduler.proposed.apply(
+            NoteMachineOrders(machines=["m-0"], at_ms=at_ms, moves={"m-0": "spare"})
+        )
+        vm_moves.inherit_moves()
+        return vm_moves
+
+    @staticmethod
+    def usable_vms(vm_moves: VmMoves, now_ms: int = 20_000) -> list[str]:
+        fleet = vm_moves.scheduler.fleet
+        for minion in fleet.minions.values():
+            minion.polled_ms = minion.last_report_ms = now_ms
+        return [minion.vm for minion in fleet.usable_minions(fleet.minions.values(), now_ms)]
+
+    # AVAIL: a new leader started tasks on a VM that a move of the earlier one emptied afterwards.
+    def test_a_vm_gets_no_work_while_a_move_of_an_earlier_leader_may_take_effect(self):
+        vm_moves = self.make_successor(19_000)
+        assert self.usable_vms(vm_moves) == ["m-1", "m-2"]
+        assert "m-0" in vm_moves.inventory.pending_orders
+        vm_moves._clear_arrivals(vm_moves.inventory.current_minions(), 21_000)
+        assert vm_moves.scheduler.fleet.minions["i-0"].cordoned
+        vm_moves._clear_arrivals(vm_moves.inventory.current_minions(), 33_001)
+        assert self.usable_vms(vm_moves) == ["m-0", "m-1", "m-2"]
+        assert vm_moves.settled == {"m-0"}
+
+    def test_the_vm_takes_work_once_it_has_arrived(self):
+        vm_moves = self.make_successor(19_000)
+        later = builders.minion("i-0", machine="m-0", born_ms=21_000, pool="spare")
+        vm_moves.scheduler.fleet.minions["i-0"] = later
+        assert "m-0" not in self.usable_vms(vm_moves)
+        vm_moves._clear_arrivals(vm_moves.inventory.current_minions(), 21_000)
+        assert "m-0" in self.usable_vms(vm_moves)
+        assert "m-0" not in vm_moves.inventory.pending_orders
+
+    def test_a_move_that_can_take_no_more_effect_keeps_no_vm_free(self):
+        vm_moves = self.make_successor(3_000)
+        assert self.usable_vms(vm_moves) == ["m-0", "m-1", "m-2"]
+        assert vm_moves.settled == {"m-0"}
+
+    @pytest.mark.parametrize("wall_step_ms", [-2_000, 2_000])
+    def test_clocks_that_differ_by_seconds_shorten_no_wait(self, wall_step_ms):
+        vm_moves = self.make_successor(19_000 + wall_step_ms)
+        vm_moves._clear_arrivals(vm_moves.inventory.current_minions(), 32_900)
+        assert "m-0" not in self.usable_vms(vm_moves)
+
+    def test_settled_moves_are_recorded(self):
+        vm_moves = self.make_successor(3_000)
+        scheduler = vm_moves.scheduler
+        scheduler.propose = scheduler.proposed.apply
+        vm_moves._record_settled(20_000)
+        assert not scheduler.proposed.workload.pending_moves
+        assert not vm_moves.settled
+
+    def test_a_later_move_of_a_settled_vm_is_pending(self):
+        vm_moves = self.make_successor(3_000)
+        settled = vm_moves._take_settled(20_000)
+        vm_moves.scheduler.proposed.apply(
+            NoteMachineOrders(
+                machines=["m-0"], at_ms=20_000, moves={"m-0": "pool-a"}, settled=settled
+            )
+        )
+        restored = decode_state(encode_state(vm_moves.scheduler.proposed.state))
+        assert restored.workload.pending_moves == {"m-0": PendingMove(pool="pool-a", at_ms=20_000)}
+
+    # A move whose outcome the leader knows is none of its successor's concern.
+    @pytest.mark.parametrize(
+        ("answer", "is_settled"),
+        [(VmOrderAnswer.ORDERED, True), (VmOrderAnswer.BUSY, True), (None, False)],
+    )
+    def test_an_answered_move_is_settled(self, answer, is_settled):
+        vm_moves = make_vm_moves(20_000)
+        scheduler = vm_moves.scheduler
+
+        class OneAnswer:
+            async def move(self, vm: str, **order) -> VmOrderAnswer:
+                if answer is None:
+                    raise UnknownOutcomeError("no answer")
+                return answer
+
+        async def commit(command) -> None:
+            scheduler.proposed.apply(command)
+
+        scheduler.commit, scheduler.is_current, scheduler.term = commit, lambda: True, 1
+        scheduler.replica = SimpleNamespace(node_id="a")
+        scheduler.metrics = SimpleNamespace(event=lambda name: None)
+        scheduler.mark_minion_gone = lambda minion, reason: None
+        vm_moves.inventory.port = OneAnswer()
+        minion = scheduler.fleet.minions["i-0"]
+        move = VmMove(vm="m-0", source="pool-a", pool="spare")
+        run_virtual(functools.partial(vm_moves._move, move, minion))
+        assert scheduler.proposed.workload.pending_moves["m-0"].pool == "spare"
+        assert (vm_moves.settled == {"m-0"}) is is_settled
+
+
 class TestReturnedMinions:
     # A cordon was gone with the incarnation, and what its successor got ended with the move.
     def test_a_returned_minion_gets_no_work_while_its_move_may_take_effect(self):
