--- a/tests/test_successive_waves.py
+++ b/tests/test_successive_waves.py
@@ -10,20 +10,19 @@
 from hornbeamreach.fleet.ports import PlatformVm, PlatformVmState
 
 from . import builders
-from .step_fleet import StepFleet
-from .test_absent_vms import bring_back, take_away
-from .test_repeated_orders import replace_leader, run_scenario, start_wave, wait_for_wave
-from .test_vm_incarnations import (
+from .maintenance_parts import (
     NOW_MS,
     add_minion,
     answer_poll,
     is_back,
-    maintenance,
+    make_maintenance,
     send_order,
     wave_of,
 )
+from .step_fleet import StepFleet
+from .test_absent_vms import bring_back, take_away
+from .test_repeated_orders import replace_leader, run_scenario, start_wave, wait_for_wave
 
-__all__ = ["maintenance"]
 VMS = [f"m-i-{n}" for n in range(1, 5)]
 
 
@@ -120,11 +119,14 @@
 
 
 class TestWhatIsKept:
-    @pytest.fixture(autouse=True)
-    def two_waves(self, maintenance: MaintenanceWaves) -> None:
+    @pytest.fixture
+    def maintenance(self) -> MaintenanceWaves:
+        """Return the maintenance waves of a scheduler, with two waves of one VM."""
+        maintenance = make_maintenance()
         maintenance.scheduler.proposed.apply(
             OrderWave(number=2, machines=["m-1"], max_down=1, at_ms=0, due_ms=60_000)
         )
+        return maintenance
 
     def test_nothing_is_kept_of_a_wave_that_a_vm_is_finished_for(self, maintenance):
         add_minion(maintenance, "i-first", 1_000)
