List a VM once, and keep unsettled runs in a step of its own

What callers saw: nothing.

Change: the list has one row for each VM, the readable one. The runs whose starts are not settled are kept in a step of its own after `recover_runs`, which takes its earlier arguments again.

tests/test_absent_vms.py checks the choice of the row where it is made now, in both orders.

--- a/src/hornbeamreach/fleet/fleet_state.py
+++ b/src/hornbeamreach/fleet/fleet_state.py
@@ -18,7 +18,7 @@
     team_row,
 )
 from hornbeamreach.systems.demand_forecast import ArrivalHistory
-from hornbeamreach.systems.inherited_leases import InheritedLease, InheritedStart, known_clock
+from hornbeamreach.systems.inherited_leases import InheritedLease, InheritedStart
 from hornbeamreach.systems.job_progress import (
     ReadyStep,
     objective_ms,
@@ -393,29 +393,27 @@
 
     # Start of a term
 
-    def recover_runs(
-        self,
-        now_ms: int,
-        inherited_lease: InheritedLease = known_clock,
-        longest_lease_ms: int = 0,
-    ) -> None:
+    def recover_runs(self, now_ms: int) -> None:
         """Reserve the runs of earlier schedulers, as UNKNOWN until their minions are polled."""
-        workload = self.proposed.workload
-        unsettled = []
-        for job in workload.jobs.values():
+        for job in self.proposed.workload.jobs.values():
             self.stale_jobs.add(job.job_id)
             for key, task in job.tasks.items():
-                if not task.minion:
-                    continue
-                run = self._recovered_run(job, key, task, now_ms)
-                start = InheritedStart(
-                    number=task.start_number, settled_through=workload.settled_through
-                )
+                if task.minion:
+                    self.reserve(self._recovered_run(job, key, task, now_ms))
+
+    def keep_unsettled_runs(
+        self, inherited_lease: InheritedLease, longest_lease_ms: int, now_ms: int
+    ) -> None:
+        """Keep recovered runs for as long as their minions may hold them, as the log tells."""
+        settled_through = self.proposed.workload.settled_through
+        unsettled = []
+        for runs in self.runs_by_job.values():
+            for run in runs.values():
+                start = InheritedStart(number=run.start_number, settled_through=settled_through)
                 lease_ms = inherited_lease(start, longest_lease_ms)
                 if lease_ms:
                     run.carried_until_ms = now_ms + lease_ms
                     unsettled.append(run)
-                self.reserve(run)
         self.starts.inherit(unsettled)
 
     def _recovered_run(self, job: StepJob, key: str, task: TaskRecord, now_ms: int) -> ReservedRun:
--- a/src/hornbeamreach/fleet/step_scheduler.py
+++ b/src/hornbeamreach/fleet/step_scheduler.py
@@ -89,8 +89,9 @@
         self.began_ms = clock.now_ms()
         self.proposed = ProposedState.of(replica.state)
         self.fleet = FleetState(proposed=self.proposed)
-        self.fleet.recover_runs(
-            self.began_ms, inherited_leases.get("unsettled_start"), timing.carried_lease_ms
+        self.fleet.recover_runs(self.began_ms)
+        self.fleet.keep_unsettled_runs(
+            inherited_leases.get("unsettled_start"), timing.carried_lease_ms, self.began_ms
         )
         self.crashes = CrashRecorder(self)
         self.crashes.recover()
--- a/src/hornbeamreach/fleet/vm_inventory.py
+++ b/src/hornbeamreach/fleet/vm_inventory.py
@@ -63,9 +63,7 @@
             else:
                 # A list of several pages may arrive after one that was requested later.
                 if now_ms > self.listed_ms:
-                    # A row that can be read comes before one of the same VM that can't.
-                    rows = sorted(listed, key=lambda vm: vm.state is not PlatformVmState.UNKNOWN)
-                    self.vms = {vm.name: vm for vm in rows}
+                    self.vms = {vm.name: vm for vm in listed}
                     self.listed_ms = now_ms
         return self.listed_ms >= 0
 
--- a/src/hornbeamreach/platform/vm_port.py
+++ b/src/hornbeamreach/platform/vm_port.py
@@ -39,17 +39,20 @@
 
     async def list_vms(self) -> list[PlatformVm]:
         """Return all VMs, from every page of the list."""
-        found: list[PlatformVm] = []
+        found: dict[str, PlatformVm] = {}
         page = ""
         while True:
             path = f"/machines?page-token={quote(page)}" if page else "/machines"
             body = _decode(
                 await self.http.send(self.address, "GET", path, timeout_ms=CALL_TIMEOUT_MS)
             )
-            found += [vm for row in _vm_rows(body) if (vm := _decode_vm(row)) is not None]
+            for vm in filter(None, map(_decode_vm, _vm_rows(body))):
+                # A row that can be read comes before one of the same VM that can't.
+                if vm.name not in found or vm.state is not PlatformVmState.UNKNOWN:
+                    found[vm.name] = vm
             page = _next_page(body, page)
             if not page:
-                return found
+                return list(found.values())
 
     async def start_maintenance(
         self, vm: str, *, wave: int, holder: str, token: int
